--- a/src/interface.rs
+++ b/src/interface.rs
@@ -358,6 +358,12 @@
         /// The entries.
         backends: Vec<Backend>,
     },
+    /// Operators have taken these backends out, and no others: they get nothing new, whatever the list says.
+    /// One that was among them before and is no more may have been restarted meanwhile.
+    Cordoned {
+        /// All of them.
+        backends: Vec<BackendId>,
+    },
     /// A client's request: it is owed one final answer.
     Request(Arrival),
     /// The answer has begun to stream: the attempt is the client's now and no time-out runs.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,13 +1,15 @@
 //! The proxy: configuration, logging, signals and start-up.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)] // but for the one place where a socket is inherited
 
 mod net;
 
+use net::admin::{Admin, MAX_CALLERS};
 use net::config::{self, Node, NodeError};
+use net::cordon::Cordon;
 use net::host::Host;
 use net::server::{Rules, Server};
 use net::upstream::Pool;
-use net::{discovery, server, Clock};
+use net::{discovery, handover, server, Clock};
 use shaletide::{Balancer, ListUpdate};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -16,8 +18,8 @@
 use tokio::sync::watch;
 use tracing::{info, warn};
 
-/// Descriptors that are kept for all but clients and upstreams.
-const RESERVE: usize = 64;
+/// Descriptors that are kept for all but clients and upstreams, operators' callers among them.
+const RESERVE: usize = 52 + MAX_CALLERS;
 const REPORT_EVERY: Duration = Duration::from_secs(5);
 
 fn main() -> ExitCode {
@@ -39,7 +41,12 @@
     let on = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
     let mut hangup = on(SignalKind::hangup())?;
     let (mut term, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
+    let inherited = handover::listener().map_err(|e| e.to_string())?;
     let node = Node::read().map_err(|e| e.to_string())?;
+    let cordon = Cordon::load(&node.state());
+    if cordon.len() > 0 {
+        info!("{} backends are cordoned from before", cordon.len());
+    }
     let clock = Clock::new();
     let room = node.sockets.saturating_sub(RESERVE).max(2);
     let pool = Rc::new(Pool::new(&node.network, room / 2));
@@ -51,11 +58,20 @@
     };
     let balancer =
         Balancer::new(node.config, node.seed).map_err(|e| NodeError::Settings(e.to_string()).to_string())?;
-    let host = Host::new(balancer, node.names, clock, pool.clone());
+    let host = Host::new(balancer, node.names, clock, pool.clone(), cordon);
     // The list from before the restart is in place before anything is served.
     host.members(ListUpdate::Cached, &node.known);
-    let listener =
-        server::listen(node.listen).map_err(|e| format!("cannot listen on {}: {e}", node.listen))?;
+    let listener = match inherited {
+        Some(listener) => tokio::net::TcpListener::from_std(listener),
+        None => server::listen(node.listen),
+    };
+    let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", node.listen))?;
+    let calls = match node.admin {
+        Some(at) => {
+            Some(server::listen(at).map_err(|e| format!("cannot listen for operators on {at}: {e}"))?)
+        }
+        None => None,
+    };
     let at = listener.local_addr().unwrap_or(node.listen);
     info!("{} listens on {at}, {} backends known", node.name, node.known.endpoints.len());
     tokio::task::spawn_local(host.clone().timers());
@@ -74,6 +90,12 @@
         }
     });
     let server = Server::new(host.clone(), rules, room - room / 2);
+    if let Some(calls) = calls {
+        let at = calls.local_addr().map_err(|e| e.to_string())?;
+        info!("operators call at {at}");
+        tokio::task::spawn_local(Admin::new(host.clone(), server.clone()).run(calls));
+    }
+    tokio::task::spawn_local(host.clone().heed_cordons());
     let reporter = server.clone();
     tokio::task::spawn_local(async move {
         loop {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -7,12 +7,15 @@
 use shaletide::Config;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// Everything that the program starts with.
 pub struct Node {
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call; nowhere if absent.
+    pub admin: Option<SocketAddr>,
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
@@ -30,6 +33,7 @@
     Unreadable(String, std::io::Error),
     Malformed(String, serde_json::Error),
     Settings(String),
+    Admin(String),
 }
 
 impl fmt::Display for NodeError {
@@ -39,6 +43,7 @@
             NodeError::Unreadable(path, e) => write!(f, "cannot read NODE_CONFIG {path}: {e}"),
             NodeError::Malformed(path, e) => write!(f, "NODE_CONFIG {path}: {e}"),
             NodeError::Settings(text) => write!(f, "settings: {text}"),
+            NodeError::Admin(text) => write!(f, "NODE_ADMIN_ADDR: expected address:port, got {text:?}"),
         }
     }
 }
@@ -50,6 +55,8 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    #[serde(default)]
+    admin_addr: Option<SocketAddr>,
     seed: serde_json::Value,
     #[serde(default)]
     limits: Limits,
@@ -87,7 +94,22 @@
     file().map(|c: Changeable| c.discovery)
 }
 
+/// The environment's word goes before the file's: it is the process's own, the file may be shared.
+fn admin(file: Option<SocketAddr>) -> Result<Option<SocketAddr>, NodeError> {
+    match std::env::var("NODE_ADMIN_ADDR") {
+        Ok(text) if !text.is_empty() => text.parse().map(Some).map_err(|_| NodeError::Admin(text)),
+        _ => Ok(file),
+    }
+}
+
 impl Node {
+    /// What the files in `$TMPDIR` begin with that this proxy shares with its successor: no other proxy's.
+    pub fn state(&self) -> PathBuf {
+        let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '-' };
+        let own: String = format!("{}-{}", self.name, self.listen).chars().map(plain).collect();
+        std::env::temp_dir().join(format!("lotusdeck-{own}"))
+    }
+
     pub fn read() -> Result<Node, NodeError> {
         let file: File = file()?;
         let (config, names) = settings::read(&file.settings).map_err(NodeError::Settings)?;
@@ -99,6 +121,7 @@
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
+            admin: admin(file.admin_addr)?,
             seed: seed.ok_or_else(bad_seed)?,
             sockets: file.limits.sockets.max(64),
             known: file.known,
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -1,5 +1,6 @@
 //! The decision module's host and sole owner: events go in, actions are carried out.
 
+use super::cordon::{Cordon, CordonError, LOOK};
 use super::discovery::List;
 use super::upstream::{Call, Ended, Pool, Served};
 use super::Clock;
@@ -17,6 +18,8 @@
 /// Kept of the client's time for the answer's way back, on top of how late timers were seen to fire.
 const MARGIN: Micros = Micros(3_000);
 const MOST_MARGIN: Micros = Micros(20_000);
+/// Ids that are remembered after their backends have left the list: operators may still name them.
+const MOST_FORMER: usize = 256;
 
 /// The final answer to a request.
 pub enum Answer {
@@ -73,6 +76,10 @@
     /// Those on the list, and those gone that still hold an attempt.
     backends: HashMap<BackendId, Known>,
     numbers: HashMap<String, BackendId>,
+    /// The ids that left last, the oldest first.
+    former: VecDeque<String>,
+    /// Those that the module knows to be cordoned.
+    cordoned: Vec<BackendId>,
     /// How many have ever been met.
     met: u32,
     requests: HashMap<RequestId, Live>,
@@ -88,6 +95,7 @@
     state: RefCell<State>,
     pub clock: Clock,
     pub pool: Rc<Pool>,
+    cordon: Cordon,
     sooner: Notify,
     follow: Notify,
     /// How late timers fire: the largest of late, fading.
@@ -95,12 +103,14 @@
 }
 
 impl Host {
-    pub fn new(balancer: Balancer, names: Names, clock: Clock, pool: Rc<Pool>) -> Rc<Host> {
+    pub fn new(balancer: Balancer, names: Names, clock: Clock, pool: Rc<Pool>, cordon: Cordon) -> Rc<Host> {
         let state = State {
             balancer,
             names,
             backends: HashMap::new(),
             numbers: HashMap::new(),
+            former: VecDeque::new(),
+            cordoned: Vec::new(),
             met: 0,
             requests: HashMap::new(),
             attempts: HashMap::new(),
@@ -111,7 +121,7 @@
             counts: Counts::default(),
         };
         let (sooner, follow) = (Notify::new(), Notify::new());
-        Rc::new(Host { state: RefCell::new(state), clock, pool, sooner, follow, lag: Cell::new(0) })
+        Rc::new(Host { state: RefCell::new(state), clock, pool, cordon, sooner, follow, lag: Cell::new(0) })
     }
 
     pub fn class(&self, name: &str) -> Option<ClassId> {
@@ -221,18 +231,70 @@
             }
             let holds: HashSet<BackendId> = s.attempts.values().map(|f| f.backend).collect();
             s.backends.retain(|id, b| {
-                let keep = b.state != BackendState::Gone || holds.contains(id);
+                // A ban outlasts an absence, so the number that the module knows it by has to.
+                let banned = self.cordon.holds(&b.name);
+                let keep = b.state != BackendState::Gone || holds.contains(id) || banned;
                 if !keep {
                     s.numbers.remove(&b.name);
+                    s.former.retain(|name| *name != b.name);
+                    s.former.push_back(b.name.clone());
                 }
                 keep
             });
-            let ready = s.backends.iter().filter(|(_, b)| b.state == BackendState::Ready);
-            self.pool.serve(&ready.map(|(id, _)| *id).collect());
+            let surplus = s.former.len().saturating_sub(MOST_FORMER);
+            s.former.drain(..surplus);
         }
+        self.apply_cordons();
         self.tell(Event::Members { update, backends });
     }
 
+    /// Whether the list has or had a backend of that id.
+    pub fn knows(&self, id: &str) -> bool {
+        let s = self.state.borrow();
+        s.numbers.contains_key(id) || s.former.iter().any(|name| name == id) || self.cordon.holds(id)
+    }
+
+    /// An operator takes a backend out or gives it back; whether that changed anything.
+    pub async fn cordon(self: &Rc<Self>, id: &str, out: bool) -> Result<bool, CordonError> {
+        let changed = self.cordon.set(id, out).await;
+        self.apply_cordons();
+        changed
+    }
+
+    /// Follows what another process of this proxy is told, for as long as the program runs.
+    pub async fn heed_cordons(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            if self.cordon.refresh() {
+                info!("the file of cordons was changed by another process: {} are out", self.cordon.len());
+                self.apply_cordons();
+            }
+        }
+    }
+
+    /// Keeps connections only to backends that may be sent requests, and tells the module of a change.
+    fn apply_cordons(self: &Rc<Self>) {
+        let banned = {
+            let mut s = self.state.borrow_mut();
+            let usable = s.backends.iter().filter(|(_, b)| self.usable(b));
+            self.pool.serve(&usable.map(|(id, _)| *id).collect());
+            let banned = s.backends.iter().filter(|(_, b)| self.cordon.holds(&b.name));
+            let mut banned: Vec<BackendId> = banned.map(|(id, _)| *id).collect();
+            banned.sort();
+            if banned == s.cordoned {
+                return;
+            }
+            s.cordoned = banned.clone();
+            banned
+        };
+        self.tell(Event::Cordoned { backends: banned });
+    }
+
+    /// The list allows it and no operator forbids it.
+    fn usable(&self, backend: &Known) -> bool {
+        backend.state == BackendState::Ready && !self.cordon.holds(&backend.name)
+    }
+
     /// Until the module asks discovery for changes.
     pub async fn followed(&self) {
         self.follow.notified().await;
@@ -344,7 +406,7 @@
     /// is still one that is dropped.
     fn may_send(&self, request: RequestId, backend: BackendId, send_by: Option<Time>) -> bool {
         let s = self.state.borrow();
-        s.backends.get(&backend).is_some_and(|b| b.state == BackendState::Ready)
+        s.backends.get(&backend).is_some_and(|b| self.usable(b))
             && s.requests.contains_key(&request)
             && send_by.is_none_or(|at| self.clock.now() < at)
     }
@@ -434,7 +496,9 @@
             deadlines: vec![second],
         };
         let balancer = Balancer::new(Config::example(), 1).unwrap();
-        let host = Host::new(balancer, Names::default(), Clock::new(), Rc::new(Pool::new(&network, 4)));
+        let none = std::env::temp_dir().join("lotusdeck-no-such-proxy");
+        let pool = Rc::new(Pool::new(&network, 4));
+        let host = Host::new(balancer, Names::default(), Clock::new(), pool, Cordon::load(&none));
         let news = |index: u64, status: &str| -> List {
             let entry = serde_json::json!({"name": "b", "address": "127.0.0.1:9", "status": status});
             List { index, snapshot: false, endpoints: vec![entry] }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,10 @@
 //! The proxy on real sockets. It translates between sockets and the decision module, and decides nothing.
 
+pub mod admin;
 pub mod config;
+pub mod cordon;
 pub mod discovery;
+pub mod handover;
 pub mod host;
 pub mod request;
 pub mod server;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -75,6 +75,7 @@
     /// The ids of the requests that are open.
     ids: RefCell<HashSet<HeaderValue>>,
     next: Cell<u64>,
+    accepting: Cell<bool>,
     stopping: Cell<bool>,
     left: Notify,
     told: Cell<Time>,
@@ -96,6 +97,7 @@
         let (clients, ids) = (RefCell::default(), RefCell::default());
         let (next, stopping, left, told) = (Cell::new(0), Cell::new(false), Notify::new(), Cell::default());
         let (accepted, evicted, faults) = (Cell::new(0), Cell::new(0), Cell::new(0));
+        let accepting = Cell::new(false);
         Rc::new(Server {
             host,
             rules,
@@ -103,6 +105,7 @@
             clients,
             ids,
             next,
+            accepting,
             stopping,
             left,
             told,
@@ -112,6 +115,11 @@
         })
     }
 
+    /// This process takes clients.
+    pub fn accepting(&self) -> bool {
+        self.accepting.get()
+    }
+
     pub fn clients(&self) -> usize {
         self.clients.borrow().len()
     }
@@ -132,6 +140,7 @@
     /// Accepts until told to stop, then answers what it has taken and returns.
     pub async fn run(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
         let mut stop = pin!(stop);
+        self.accepting.set(true);
         loop {
             tokio::select! {
                 _ = self.accept(&listener) => {}
@@ -139,6 +148,7 @@
             }
         }
         self.stopping.set(true);
+        self.accepting.set(false);
         let mut linger = pin!(tokio::time::sleep(LINGER));
         loop {
             tokio::select! {
@@ -385,7 +395,7 @@
 
 /// The clock by which hyper ends connections whose heads do not come.
 #[derive(Clone, Copy)]
-struct Timer;
+pub struct Timer;
 
 struct Sleep(Pin<Box<tokio::time::Sleep>>);
 
@@ -407,7 +417,7 @@
     }
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+pub fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,7 +6,7 @@
 
 use crate::interface::*;
 use crate::state::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The shares are solved this often, s: far faster than the rate's memory.
 const SOLVE_EVERY: f64 = 0.1;
@@ -87,6 +87,9 @@
     peers: BTreeMap<BackendId, Peer>,
     /// The peers by mark, an order that all proxies share.
     order: Vec<BackendId>,
+    /// Those that operators have taken out, and when those that they gave back came back.
+    cordoned: BTreeSet<BackendId>,
+    returned: BTreeMap<BackendId, Time>,
     kinds: BTreeMap<KindId, Kind>,
     classes: Vec<ClassState>,
     overall: Mean,
@@ -121,6 +124,8 @@
             dice: Dice::new(seed),
             peers: BTreeMap::new(),
             order: Vec::new(),
+            cordoned: BTreeSet::new(),
+            returned: BTreeMap::new(),
             kinds: BTreeMap::new(),
             classes: cfg.classes.iter().map(|_| ClassState::default()).collect(),
             overall: Mean::default(),
@@ -156,6 +161,7 @@
         }
         match event {
             Event::Members { update, backends } => self.members(now, update, backends),
+            Event::Cordoned { backends } => self.cordon(now, backends),
             Event::Request(arrival) => self.request(now, arrival),
             Event::StreamStarted { request, attempt } => {
                 if let Some(r) = self.requests.get_mut(&request) {
@@ -197,12 +203,13 @@
             let absent = |p: &&mut Peer| !list.iter().any(|b| b.id == p.entry.id);
             self.peers.values_mut().filter(absent).for_each(|p| p.entry.state = BackendState::Gone);
         }
-        for entry in list {
+        for mut entry in list {
+            entry.booted = entry.booted.max(self.returned.get(&entry.id).copied());
             let p = self.peers.entry(entry.id).or_default();
             if p.entry.booted != entry.booted {
-                // A restarted process has nothing in common with the old one but its address.
-                *p = Peer { out: p.out, spent: std::mem::take(&mut p.spent), ..Peer::default() };
+                p.begin_anew(); // a restarted process has nothing in common with the old one but its address
             }
+            p.cordoned = self.cordoned.contains(&entry.id);
             p.entry = entry;
         }
         self.peers.retain(|_, p| p.entry.state != BackendState::Gone || p.out > 0);
@@ -211,6 +218,24 @@
         (self.solve_at, self.look_at) = (now, now);
     }
 
+    /// What operators take out is out at once. What they give back is taken for just started: it may have been,
+    /// and the list tells of that seconds later.
+    fn cordon(&mut self, now: Time, backends: Vec<BackendId>) {
+        let cordoned: BTreeSet<BackendId> = backends.into_iter().collect();
+        self.returned.retain(|id, at| now - *at < self.cfg.ramp && !cordoned.contains(id));
+        self.returned.extend(self.cordoned.difference(&cordoned).map(|id| (*id, now)));
+        self.cordoned = cordoned;
+        for (id, p) in &mut self.peers {
+            let back = p.cordoned && !self.cordoned.contains(id);
+            p.cordoned = self.cordoned.contains(id);
+            if back {
+                p.begin_anew();
+                p.entry.booted = p.entry.booted.max(Some(now));
+            }
+        }
+        (self.solve_at, self.look_at) = (now, now);
+    }
+
     fn request(&mut self, now: Time, new: Arrival) {
         let Some(c) = self.cfg.classes.get(new.class.0) else { return };
         if self.requests.contains_key(&new.request) {
@@ -428,9 +453,9 @@
         let few = FEW / self.rate.per_s().unwrap_or(FEW / SOLVE_EVERY).max(1.0);
         self.solve_at = now + Micros::from_secs(SOLVE_EVERY.max(few));
         self.blocked = 0.0;
-        let listed = self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
+        let listed = self.peers.values().filter(|p| p.listed());
         let (all, out) = listed.fold((0.0, 0.0), |n, p| (n.0 + 1.0, n.1 + f64::from(p.ejected.is_some())));
-        let listed = self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
+        let listed = self.peers.values().filter(|p| p.listed());
         let mut errors: Vec<f64> = listed.map(|p| p.errors).collect();
         errors.sort_by(f64::total_cmp);
         self.common = errors.get(errors.len().saturating_sub(1) / 2).copied().unwrap_or(0.0);
@@ -439,7 +464,7 @@
         for p in self.peers.values_mut() {
             let k = self.kinds.entry(p.entry.kind).or_default();
             let health = match p.ejected {
-                _ if p.entry.state != BackendState::Ready => 0.0,
+                _ if !p.listed() => 0.0,
                 Some(_) => f64::from(out > all * PANIC),
                 None => 1.0 - p.errors,
             };
@@ -557,7 +582,7 @@
             };
             let fresh = r.sent.iter().all(|s| s.to.id != b && known(s));
             let idle = p.silent(r.class) || p.full(now, r.class) || heed && p.shuns(now, r.class);
-            if p.entry.state != BackendState::Ready || idle || !fresh || self.budget(now, p) < work {
+            if !p.listed() || idle || !fresh || self.budget(now, p) < work {
                 continue;
             }
             if let (Some(until), true) = (p.ejected, p.ready == 0.0) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -130,6 +130,8 @@
 #[derive(Default)]
 pub(crate) struct Peer {
     pub entry: Backend,
+    /// Operators have taken it out.
+    pub cordoned: bool,
     /// From 0 (send nothing) to 1 (healthy and warm).
     pub ready: f64,
     /// Its part of this proxy's traffic.
@@ -161,6 +163,17 @@
 }
 
 impl Peer {
+    /// The list and the operators let it be sent requests.
+    pub fn listed(&self) -> bool {
+        self.entry.state == BackendState::Ready && !self.cordoned
+    }
+
+    /// Forgets all but what the process at that address still holds or was sent just now.
+    pub fn begin_anew(&mut self) {
+        let (entry, out, spent) = (self.entry.clone(), self.out, std::mem::take(&mut self.spent));
+        *self = Peer { entry, out, spent, cordoned: self.cordoned, ..Peer::default() };
+    }
+
     /// What is known of it for one class.
     pub fn part(&mut self, class: usize) -> &mut Part {
         if self.parts.len() <= class {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -69,14 +69,34 @@
     assert_eq!(host.requests[&id].answer, Some("refused"));
 }
 
+/// What operators take out gets nothing, in spite of the list; what they give back begins as after a start.
+#[test]
+fn a_cordoned_backend_is_out_and_comes_back_cold() {
+    let mut host = host(Config { proxies: 1, ..Config::example() }, fleet(3));
+    let mean = |chosen: Vec<u32>| chosen.iter().filter(|b| **b == 1).count();
+    assert!(mean(serve(&mut host, 300, 0, |_| 20_000)) > 60);
+    host.event(Event::Cordoned { backends: vec![BackendId(1)] });
+    assert_eq!(mean(serve(&mut host, 100, 0, |_| 20_000)), 0);
+    host.members(ListUpdate::Full, fleet(3));
+    assert_eq!(mean(serve(&mut host, 100, 0, |_| 20_000)), 0, "the list does not undo it");
+    host.event(Event::Cordoned { backends: Vec::new() });
+    let first = mean(serve(&mut host, 300, 0, |_| 20_000));
+    assert!((1..75).contains(&first), "{first} of 300 to one that is cold");
+    host.members(ListUpdate::Full, fleet(3));
+    let again = mean(serve(&mut host, 30, 0, |_| 20_000));
+    assert!(again < 15, "{again}: an older list does not make it warm");
+    host.advance(20_000_000);
+    assert!(mean(serve(&mut host, 300, 0, |_| 20_000)) > 60, "warm in the end");
+}
+
 #[test]
 fn at_light_load_the_faster_kind_takes_nearly_all() {
     let list = (0..6).map(|i| backend(i, 0, i % 2)).collect();
     let mut host = host(Config { proxies: 1, ..Config::example() }, list);
-    let time = |b: u32| if b % 2 == 0 { 20_000 } else { 80_000 };
+    let time = |b: u32| if b.is_multiple_of(2) { 20_000 } else { 80_000 };
     serve(&mut host, 150, 0, time);
     let chosen = serve(&mut host, 100, 0, time);
-    let fast = chosen.iter().filter(|b| *b % 2 == 0).count();
+    let fast = chosen.iter().filter(|b| b.is_multiple_of(2)).count();
     assert!(fast >= 95, "{fast} of 100 went to the fast kind");
 }
 
--- /dev/null
+++ b/tests/operation.rs
@@ -0,0 +1,143 @@
+//! The program as its operators run it: their calls, backends taken out, new settings, a new version under load.
+
+mod rig;
+
+use rig::*;
+use std::io::Write;
+use std::net::TcpListener;
+
+fn both(a: &BackendServer, b: &BackendServer) -> [String; 2] {
+    [entry("b0", a.address, "SERVING"), entry("b1", b.address, "SERVING")]
+}
+
+fn two() -> (BackendServer, BackendServer) {
+    (BackendServer::start(|_| ok("a")), BackendServer::start(|_| ok("b")))
+}
+
+/// So many requests, one after the other, all served.
+fn serve(proxy: &Proxy, count: usize) {
+    let mut client = proxy.client();
+    (0..count).for_each(|_| assert_eq!(client.ask(&pay(3.0)).status(), 200));
+}
+
+#[test]
+fn calls_are_answered_yes_or_no() {
+    let (a, b) = two();
+    let proxy = Proxy::start(&both(&a, &b));
+    assert_eq!(proxy.call("GET", "/admin/health", ""), 200);
+    assert_eq!(proxy.call("PUT", "/admin/health", ""), 405);
+    assert_eq!(proxy.call("GET", "/admin/cordon", ""), 405);
+    assert_eq!(proxy.call("GET", "/admin", ""), 404);
+    for path in ["/admin/cordon", "/admin/uncordon"] {
+        assert_eq!(proxy.call("PUT", path, ""), 400);
+        assert_eq!(proxy.call("PUT", path, "nobody"), 404);
+        assert_eq!(proxy.call("PUT", path, &"b".repeat(5000)), 413);
+        assert_eq!(proxy.call("PUT", path, " b0\n"), 200);
+    }
+    assert_eq!(proxy.ask("GET /admin/health HTTP/1.1\r\nHost: s\r\n\r\n").status(), 404, "not for clients");
+}
+
+/// Callers that finish no call keep no other out, however many, and each is let go of in the end.
+#[test]
+fn silent_callers_do_not_shut_others_out() {
+    let (a, b) = two();
+    let proxy = Proxy::start(&both(&a, &b));
+    let mut silent: Vec<Client> = (0..40).map(|_| Client::connect(proxy.admin)).collect();
+    silent[3].send("PUT /admin/cordon HTTP/1.1\r\nContent-Length: 2\r\n\r\nb");
+    assert_eq!(proxy.call("GET", "/admin/health", ""), 200);
+    assert_eq!(proxy.call("PUT", "/admin/cordon", "b1"), 200);
+    silent.iter_mut().for_each(|caller| assert!(caller.ended()));
+    let before = a.count();
+    serve(&proxy, 20);
+    assert_eq!((a.count() - before, b.count()), (20, 0), "half a call is none");
+}
+
+/// Out at once, whatever the list says, and back after one call, though it was taken out twice.
+#[test]
+fn a_cordoned_backend_gets_nothing_until_it_is_given_back() {
+    let (a, b) = two();
+    let proxy = Proxy::start(&both(&a, &b));
+    serve(&proxy, 40);
+    assert!(a.count() > 0 && b.count() > 0, "both are in use");
+    assert_eq!(proxy.call("PUT", "/admin/cordon", "b0"), 200);
+    a.closed(); // its idle connections go
+    assert_eq!(proxy.call("PUT", "/admin/cordon", "b0"), 200);
+    let before = a.count();
+    serve(&proxy, 40);
+    let (_, answer) = proxy.discovery.call();
+    answer.send((200, list(9, true, &both(&a, &b)))).unwrap();
+    let (_, answer) = proxy.discovery.call(); // by now the list is taken in
+    serve(&proxy, 40);
+    // It leaves the list and comes back, as when it is restarted.
+    answer.send((200, list(10, false, &[entry("b0", a.address, "DELETED")]))).unwrap();
+    let (_, answer) = proxy.discovery.call();
+    answer.send((200, list(11, false, &[entry("b0", a.address, "SERVING")]))).unwrap();
+    let (_, _waits) = proxy.discovery.call();
+    serve(&proxy, 40);
+    assert_eq!(a.count(), before, "nothing new goes to it");
+    assert_eq!(proxy.call("PUT", "/admin/uncordon", "b0"), 200);
+    let mut sent = 0;
+    while a.count() == before {
+        assert!(sent < 2000, "it was never used again");
+        serve(&proxy, 1);
+        sent += 1;
+    }
+}
+
+/// The ban holds for a process that starts later, and a call to either of two binds both.
+#[test]
+fn a_cordon_outlasts_its_process_and_binds_the_next() {
+    let (a, b) = two();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let old = Proxy::inheriting(&both(&a, &b), &listener);
+    assert_eq!(old.call("PUT", "/admin/cordon", "b0"), 200);
+    let mut new = old.successor(&both(&a, &b), &listener);
+    assert_eq!(new.call("GET", "/admin/health", ""), 200);
+    serve(&new, 40);
+    assert_eq!(a.count(), 0, "both know of it");
+    drop(old);
+    serve(&new, 40);
+    assert_eq!(a.count(), 0, "it outlasts the process that was told");
+    new.child.kill().unwrap();
+    new.child.wait().unwrap();
+    let file = std::fs::read_dir(&new.tmp).unwrap().flatten().find(|f| {
+        let name = f.file_name();
+        name.to_string_lossy().ends_with(".cordon")
+    });
+    let mut file = std::fs::File::options().append(true).open(file.unwrap().path()).unwrap();
+    file.write_all(b"\xff\0\n").unwrap();
+    let last = new.successor(&both(&a, &b), &listener);
+    serve(&last, 40);
+    assert_eq!(a.count(), 0, "damage to the file lifts no ban");
+}
+
+/// While two processes serve, a call to one is heard by the other.
+#[test]
+fn a_call_to_one_process_binds_the_other() {
+    let (a, b) = two();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let old = Proxy::inheriting(&both(&a, &b), &listener);
+    let mut kept = old.client(); // its listener is the only one that waits yet
+    (0..40).for_each(|_| assert_eq!(kept.ask(&pay(3.0)).status(), 200));
+    let new = old.successor(&both(&a, &b), &listener);
+    assert_eq!(new.call("PUT", "/admin/cordon", "b0"), 200);
+    a.closed(); // only the old process had a connection to it
+    let before = a.count();
+    (0..60).for_each(|_| assert_eq!(kept.ask(&pay(3.0)).status(), 200));
+    assert_eq!(a.count(), before);
+}
+
+/// The listening socket is the platform's: it is served as it is, and what is no such socket is refused.
+#[test]
+fn an_inherited_listener_is_served() {
+    let (a, b) = two();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let proxy = Proxy::inheriting(&both(&a, &b), &listener);
+    assert_eq!(proxy.address, listener.local_addr().unwrap());
+    assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+    for (fd, says) in [("3", "no listening TCP socket"), ("77", "not open"), ("x", "expected the number")] {
+        let out = launch(Some(&proxy.config.1)).env("NODE_SOCKET_FD", fd).output().unwrap();
+        let text = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert!(!out.status.success() && text.contains(says), "{fd}: {text}");
+    }
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -4,8 +4,10 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{mpsc, Arc, Condvar, Mutex};
 use std::time::Duration;
@@ -266,7 +268,11 @@
 pub struct Proxy {
     pub child: Child,
     pub address: SocketAddr,
-    pub discovery: DiscoveryServer,
+    /// Where operators call.
+    pub admin: SocketAddr,
+    pub discovery: Rc<DiscoveryServer>,
+    /// Its `$TMPDIR`.
+    pub tmp: PathBuf,
     /// Where its configuration is, and what stands there.
     pub config: (PathBuf, String),
 }
@@ -282,25 +288,60 @@
 
     /// With a limit on descriptors that need not be the one it is told.
     pub fn launched(known: &[String], sockets: u32, settings: &str, descriptors: u32) -> Proxy {
-        let discovery = DiscoveryServer::start();
+        let tmp = std::env::temp_dir().join(format!("shaletide-{}-{}", std::process::id(), next()));
+        Proxy::run(known, sockets, settings, descriptors, tmp, None, Rc::new(DiscoveryServer::start()))
+    }
+
+    /// On a listening socket that somebody else holds.
+    pub fn inheriting(known: &[String], listener: &TcpListener) -> Proxy {
+        let tmp = std::env::temp_dir().join(format!("shaletide-{}-{}", std::process::id(), next()));
+        Proxy::run(known, 1024, SETTINGS, 1024, tmp, Some(listener), Rc::new(DiscoveryServer::start()))
+    }
+
+    /// A new process beside this one: the same listener, directory and discovery, another address for calls.
+    pub fn successor(&self, known: &[String], listener: &TcpListener) -> Proxy {
+        let (tmp, discovery) = (self.tmp.clone(), self.discovery.clone());
+        Proxy::run(known, 1024, SETTINGS, 1024, tmp, Some(listener), discovery)
+    }
+
+    fn run(
+        known: &[String], sockets: u32, settings: &str, descriptors: u32, tmp: PathBuf,
+        listener: Option<&TcpListener>, discovery: Rc<DiscoveryServer>,
+    ) -> Proxy {
         let at = discovery.address;
         let known = list(4, true, known);
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{at}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{at}","admin_addr":"127.0.0.1:0",
+            "seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+            "known":{known},"settings":{settings}}}"#
         );
+        std::fs::create_dir_all(&tmp).unwrap();
         let path = written(&config);
-        let mut child = limited(Some(&path), descriptors).spawn().unwrap();
+        let mut command = limited(Some(&path), descriptors);
+        if let Some(listener) = listener {
+            let socket: OwnedFd = listener.try_clone().unwrap().into();
+            command.stdin(socket).env("NODE_SOCKET_FD", "3");
+        }
+        let mut child = command.env("TMPDIR", &tmp).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let address = loop {
+        let mut told = |what: &str| loop {
             let mut line = String::new();
-            assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it listened");
-            if let Some(at) = line.split("listens on ").nth(1) {
-                break at.split(',').next().unwrap().parse().unwrap();
+            assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it {what}");
+            if let Some(at) = line.split(&format!("{what} ")).nth(1) {
+                break at.split(',').next().unwrap().trim().parse().unwrap();
             }
         };
+        let (address, admin) = (told("listens on"), told("operators call at"));
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::stderr()));
-        Proxy { child, address, discovery, config: (path, config) }
+        Proxy { child, address, admin, discovery, tmp, config: (path, config) }
+    }
+
+    /// An operator's call; the status of its answer.
+    pub fn call(&self, method: &str, path: &str, body: &str) -> u16 {
+        let length = body.len();
+        let request =
+            format!("{method} {path} HTTP/1.1\r\nHost: o\r\nContent-Length: {length}\r\n\r\n{body}");
+        Client::connect(self.admin).ask(&request).status()
     }
 
     pub fn client(&self) -> Client {
@@ -337,17 +378,22 @@
 }
 
 fn written(config: &str) -> PathBuf {
-    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-    let path = std::env::temp_dir().join(format!("shaletide-{}-{number}.json", std::process::id()));
+    let path = std::env::temp_dir().join(format!("shaletide-{}-{}.json", std::process::id(), next()));
     std::fs::write(&path, config).unwrap();
     path
 }
 
 fn limited(config: Option<&Path>, descriptors: u32) -> Command {
     let mut command = Command::new("sh");
-    let line = format!("ulimit -n {descriptors}; exec \"$0\"");
+    // A socket that is handed down comes as the standard input and becomes descriptor 3, as in service.
+    let line = format!("ulimit -n {descriptors}; exec \"$0\" 3<&0 </dev/null");
     command.args(["-c", &line, env!("CARGO_BIN_EXE_shaletide")]);
-    command.env_remove("NODE_CONFIG").stderr(Stdio::piped()).stdout(Stdio::null());
+    command
+        .env_remove("NODE_ADMIN_ADDR")
+        .env_remove("NODE_SOCKET_FD")
+        .env_remove("NODE_CONFIG")
+        .stdin(Stdio::null());
+    command.stderr(Stdio::piped()).stdout(Stdio::null());
     if let Some(path) = config {
         command.env("NODE_CONFIG", path);
     }
@@ -378,8 +424,12 @@
     }
 }
 
+fn next() -> u64 {
+    NUMBER.fetch_add(1, Ordering::SeqCst)
+}
+
 fn id() -> String {
-    format!("{:016x}", NUMBER.fetch_add(1, Ordering::SeqCst))
+    format!("{:016x}", next())
 }
 
 pub fn read(left: f64) -> String {
