--- a/src/rules.rs
+++ b/src/rules.rs
@@ -207,7 +207,8 @@
             entry.booted = entry.booted.max(self.returned.get(&entry.id).copied());
             let p = self.peers.entry(entry.id).or_default();
             if p.entry.booted != entry.booted {
-                p.begin_anew(); // a restarted process has nothing in common with the old one but its address
+                // A restarted process has nothing in common with the old one but its address.
+                p.begin_anew();
             }
             p.cordoned = self.cordoned.contains(&entry.id);
             p.entry = entry;
