--- a/src/interface.rs
+++ b/src/interface.rs
@@ -128,6 +128,7 @@
                 effect: Effect::Free,
                 worth: 1.0,
                 late_worth: 0.0,
+                retired: false,
             }],
             tenants: Vec::new(),
             over_quota_worth: 0.1,
@@ -154,7 +155,7 @@
         let tests = [
             (self.proxies > 0, "proxies", "at least 1"),
             (self.position < self.proxies, "position", "less than proxies"),
-            (!classes.is_empty(), "classes", "at least one class"),
+            (classes.iter().any(|c| !c.retired), "classes", "at least one class"),
             (classes.iter().all(|c| c.aim.0 > 0), "aim", "a time above 0"),
             (classes.iter().all(|c| c.aim_stretch >= 0.0), "aim_stretch", "at least 0"),
             (classes.iter().all(|c| above_zero(c.worth)), "worth", "a finite number above 0"),
@@ -187,6 +188,8 @@
     pub worth: f64,
     /// The part of the worth left after the aim.
     pub late_worth: f64,
+    /// No new request is of it any more; those that are open end under its rules.
+    pub retired: bool,
 }
 
 /// What running a request twice would do.
@@ -364,6 +367,11 @@
         /// All of them.
         backends: Vec<BackendId>,
     },
+    /// Other settings hold from now on. Classes and tenants keep their places; new ones come behind them.
+    Settings {
+        /// All of them.
+        config: Box<Config>,
+    },
     /// A client's request: it is owed one final answer.
     Request(Arrival),
     /// The answer has begun to stream: the attempt is the client's now and no time-out runs.
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,10 +4,10 @@
 mod net;
 
 use net::admin::{Admin, MAX_CALLERS};
-use net::config::{self, Node, NodeError};
+use net::config::{Node, NodeError};
 use net::cordon::Cordon;
 use net::host::Host;
-use net::server::{Rules, Server};
+use net::server::Server;
 use net::upstream::Pool;
 use net::{discovery, handover, server, Clock};
 use shaletide::{Balancer, ListUpdate};
@@ -42,23 +42,18 @@
     let mut hangup = on(SignalKind::hangup())?;
     let (mut term, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
     let inherited = handover::listener().map_err(|e| e.to_string())?;
-    let node = Node::read().map_err(|e| e.to_string())?;
+    let mut node = Node::read().map_err(|e| e.to_string())?;
     let cordon = Cordon::load(&node.state());
     if cordon.len() > 0 {
         info!("{} backends are cordoned from before", cordon.len());
     }
     let clock = Clock::new();
     let room = node.sockets.saturating_sub(RESERVE).max(2);
-    let pool = Rc::new(Pool::new(&node.network, room / 2));
-    let mode = node.config.discovery;
-    let rules = Rules {
-        effects: node.config.classes.iter().map(|c| c.effect).collect(),
-        deadlines: node.network.deadlines,
-        max_retry_after: node.network.max_retry_after,
-    };
-    let balancer =
-        Balancer::new(node.config, node.seed).map_err(|e| NodeError::Settings(e.to_string()).to_string())?;
-    let host = Host::new(balancer, node.names, clock, pool.clone(), cordon);
+    let pool = Rc::new(Pool::new(&node.settings.network, room / 2));
+    let mode = node.settings.config.discovery;
+    let balancer = Balancer::new(node.settings.config.clone(), node.seed)
+        .map_err(|e| NodeError::Settings(e.to_string()).to_string())?;
+    let host = Host::new(balancer, node.settings, clock, pool.clone(), cordon);
     // The list from before the restart is in place before anything is served.
     host.members(ListUpdate::Cached, &node.known);
     let listener = match inherited {
@@ -76,20 +71,23 @@
     info!("{} listens on {at}, {} backends known", node.name, node.known.endpoints.len());
     tokio::task::spawn_local(host.clone().timers());
     tokio::task::spawn_local(pool.sweep());
-    let (moved, discovery) = watch::channel(node.discovery);
-    tokio::task::spawn_local(discovery::watch(host.clone(), discovery, node.known.index, mode));
+    let (moved, discovery) = watch::channel((node.discovery, mode));
+    tokio::task::spawn_local(discovery::watch(host.clone(), discovery, node.known.index));
+    let adopting = host.clone();
     tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
-            match config::discovery() {
-                Ok(at) if moved.send_if_modified(|old| std::mem::replace(old, at) != at) => {
-                    info!("SIGHUP: discovery is now at {at}");
+            match node.file.reread() {
+                Ok(change) => {
+                    let at = (change.discovery, change.settings.config.discovery);
+                    let changed = adopting.adopt(change.settings);
+                    info!("SIGHUP: taken: discovery at {}, {changed}", at.0);
+                    moved.send_if_modified(|old| std::mem::replace(old, at) != at);
                 }
-                Ok(at) => info!("SIGHUP: discovery is still at {at}"),
-                Err(e) => warn!("SIGHUP: {e}; discovery stays at {}", *moved.borrow()),
+                Err(e) => warn!("SIGHUP: refused, nothing is taken: {e}"),
             }
         }
     });
-    let server = Server::new(host.clone(), rules, room - room / 2);
+    let server = Server::new(host.clone(), room - room / 2);
     if let Some(calls) = calls {
         let at = calls.local_addr().map_err(|e| e.to_string())?;
         info!("operators call at {at}");
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,10 +1,9 @@
 //! `NODE_CONFIG`: what this proxy is told at its start.
 
 use super::discovery::List;
-use serde::de::DeserializeOwned;
 use serde::Deserialize;
-use shaletide::settings::{self, Names, Network};
-use shaletide::Config;
+use serde_json::Value;
+use shaletide::settings::Settings;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -21,9 +20,8 @@
     pub sockets: usize,
     /// The list as this proxy last had it.
     pub known: List,
-    pub config: Config,
-    pub names: Names,
-    pub network: Network,
+    pub settings: Settings,
+    pub file: InForce,
 }
 
 /// Why there is no usable configuration.
@@ -33,6 +31,7 @@
     Unreadable(String, std::io::Error),
     Malformed(String, serde_json::Error),
     Settings(String),
+    Missing(String),
     Admin(String),
 }
 
@@ -43,6 +42,7 @@
             NodeError::Unreadable(path, e) => write!(f, "cannot read NODE_CONFIG {path}: {e}"),
             NodeError::Malformed(path, e) => write!(f, "NODE_CONFIG {path}: {e}"),
             NodeError::Settings(text) => write!(f, "settings: {text}"),
+            NodeError::Missing(key) => write!(f, "{key}: missing, though the file in force has it"),
             NodeError::Admin(text) => write!(f, "NODE_ADMIN_ADDR: expected address:port, got {text:?}"),
         }
     }
@@ -57,12 +57,12 @@
     discovery: SocketAddr,
     #[serde(default)]
     admin_addr: Option<SocketAddr>,
-    seed: serde_json::Value,
+    seed: Value,
     #[serde(default)]
     limits: Limits,
     #[serde(default)]
     known: List,
-    settings: serde_json::Value,
+    settings: Value,
 }
 
 #[derive(Deserialize)]
@@ -77,21 +77,50 @@
     }
 }
 
-/// The part of the file that may change while the program runs.
-#[derive(Deserialize)]
-struct Changeable {
-    discovery: SocketAddr,
+/// The file in force, and where it lies.
+pub struct InForce(Value);
+
+/// What a new file may change while the program runs.
+pub struct Change {
+    pub discovery: SocketAddr,
+    pub settings: Settings,
 }
 
-fn file<T: DeserializeOwned>() -> Result<T, NodeError> {
-    let path = std::env::var("NODE_CONFIG").map_err(|_| NodeError::Unset)?;
-    let text = std::fs::read_to_string(&path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
-    serde_json::from_str(&text).map_err(|e| NodeError::Malformed(path, e))
+impl InForce {
+    /// The file as it is now, whole: where anything is wrong with it nothing of it is taken.
+    pub fn reread(&mut self) -> Result<Change, NodeError> {
+        let (path, text) = text()?;
+        let new = serde_json::from_str(&text).map_err(|e| NodeError::Malformed(path.clone(), e))?;
+        if let Some(key) = missing(&self.0, &new, "") {
+            return Err(NodeError::Missing(key));
+        }
+        let file = File::deserialize(&new).map_err(|e| NodeError::Malformed(path, e))?;
+        let settings = Settings::read(&file.settings).map_err(NodeError::Settings)?;
+        self.0 = new;
+        Ok(Change { discovery: file.discovery, settings })
+    }
 }
 
-/// Where discovery is, as the file has it now.
-pub fn discovery() -> Result<SocketAddr, NodeError> {
-    file().map(|c: Changeable| c.discovery)
+/// Keys that the settings may do without.
+const OPTIONAL: [&str; 2] = ["family_info", "fleet"];
+
+/// The first key that `old` has and `new` has not. A file that was cut or half edited may still parse and hold
+/// all that this program reads; the others who read it would miss the rest.
+fn missing(old: &Value, new: &Value, path: &str) -> Option<String> {
+    let keys = old.as_object()?.iter().filter(|(key, _)| !OPTIONAL.contains(&key.as_str()));
+    keys.into_iter().find_map(|(key, old)| {
+        let path = format!("{path}{}{key}", if path.is_empty() { "" } else { "." });
+        match new.get(key) {
+            Some(new) => missing(old, new, &path),
+            None => Some(path),
+        }
+    })
+}
+
+fn text() -> Result<(String, String), NodeError> {
+    let path = std::env::var("NODE_CONFIG").map_err(|_| NodeError::Unset)?;
+    let text = std::fs::read_to_string(&path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
+    Ok((path, text))
 }
 
 /// The environment's word goes before the file's: it is the process's own, the file may be shared.
@@ -111,9 +140,10 @@
     }
 
     pub fn read() -> Result<Node, NodeError> {
-        let file: File = file()?;
-        let (config, names) = settings::read(&file.settings).map_err(NodeError::Settings)?;
-        let network = settings::network(&file.settings).map_err(NodeError::Settings)?;
+        let (path, text) = text()?;
+        let whole: Value = serde_json::from_str(&text).map_err(|e| NodeError::Malformed(path.clone(), e))?;
+        let file = File::deserialize(&whole).map_err(|e| NodeError::Malformed(path, e))?;
+        let settings = Settings::read(&file.settings).map_err(NodeError::Settings)?;
         let hex = file.seed.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
         let seed = hex.or(file.seed.as_u64());
         let bad_seed = || NodeError::Settings("seed: expected a number or up to 16 hex digits".into());
@@ -125,9 +155,8 @@
             seed: seed.ok_or_else(bad_seed)?,
             sockets: file.limits.sockets.max(64),
             known: file.known,
-            config,
-            names,
-            network,
+            settings,
+            file: InForce(whole),
         })
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -129,11 +129,11 @@
 /// Keeps the list up to date for as long as the program runs. When discovery moves the call that is out is
 /// dropped at once, as it may wait for long. An index means nothing to another discovery: the list is taken
 /// whole there.
-pub async fn watch(host: Rc<Host>, mut moved: Receiver<SocketAddr>, known: u64, mode: Discovery) {
+pub async fn watch(host: Rc<Host>, mut moved: Receiver<(SocketAddr, Discovery)>, known: u64) {
     // An agent's answers cost nothing: begin with the truth.
-    let mut index = (mode != Discovery::Push).then_some(known);
+    let mut index = (moved.borrow().1 != Discovery::Push).then_some(known);
     loop {
-        let at = *moved.borrow_and_update();
+        let (at, mode) = *moved.borrow_and_update();
         tokio::select! {
             _ = follow(&host, at, index, mode) => {}
             Ok(()) = moved.changed() => index = None,
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -4,7 +4,7 @@
 use super::discovery::List;
 use super::upstream::{Call, Ended, Pool, Served};
 use super::Clock;
-use shaletide::settings::Names;
+use shaletide::settings::{Names, Settings};
 use shaletide::*;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -72,7 +72,9 @@
 
 struct State {
     balancer: Balancer,
+    /// Those of the generation, with what lists have added.
     names: Names,
+    settings: Rc<Settings>,
     /// Those on the list, and those gone that still hold an attempt.
     backends: HashMap<BackendId, Known>,
     numbers: HashMap<String, BackendId>,
@@ -103,10 +105,13 @@
 }
 
 impl Host {
-    pub fn new(balancer: Balancer, names: Names, clock: Clock, pool: Rc<Pool>, cordon: Cordon) -> Rc<Host> {
+    pub fn new(
+        balancer: Balancer, settings: Settings, clock: Clock, pool: Rc<Pool>, cordon: Cordon,
+    ) -> Rc<Host> {
         let state = State {
             balancer,
-            names,
+            names: settings.names.clone(),
+            settings: Rc::new(settings),
             backends: HashMap::new(),
             numbers: HashMap::new(),
             former: VecDeque::new(),
@@ -124,12 +129,24 @@
         Rc::new(Host { state: RefCell::new(state), clock, pool, cordon, sooner, follow, lag: Cell::new(0) })
     }
 
-    pub fn class(&self, name: &str) -> Option<ClassId> {
-        self.state.borrow().names.class(name)
+    /// The generation of settings under which a request that comes now is taken.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.state.borrow().settings.clone()
     }
 
-    pub fn tenant(&self, name: &str) -> Option<TenantId> {
-        self.state.borrow().names.tenant(name)
+    /// Takes new settings, all at once; what changed, in words.
+    pub fn adopt(self: &Rc<Self>, new: Settings) -> String {
+        let (config, changed) = {
+            let mut s = self.state.borrow_mut();
+            let new = s.settings.succeeded_by(new, &s.names);
+            self.pool.adopt(&new.network);
+            s.names = new.names.clone();
+            let changed = s.settings.difference(&new);
+            s.settings = Rc::new(new);
+            (Box::new(s.settings.config.clone()), changed)
+        };
+        self.tell(Event::Settings { config });
+        changed
     }
 
     /// What is held back of a client's time.
@@ -489,16 +506,20 @@
     #[tokio::test]
     async fn the_first_byte_waits_for_list_request_and_window() {
         let second = Micros(1_000_000);
-        let network = Network {
-            connect_timeout: second,
-            conn_idle: second,
-            max_retry_after: second,
-            deadlines: vec![second],
+        let settings = Settings {
+            config: Config::example(),
+            names: Names::default(),
+            network: Network {
+                connect_timeout: second,
+                conn_idle: second,
+                max_retry_after: second,
+                deadlines: vec![second],
+            },
         };
         let balancer = Balancer::new(Config::example(), 1).unwrap();
         let none = std::env::temp_dir().join("lotusdeck-no-such-proxy");
-        let pool = Rc::new(Pool::new(&network, 4));
-        let host = Host::new(balancer, Names::default(), Clock::new(), pool, Cordon::load(&none));
+        let pool = Rc::new(Pool::new(&settings.network, 4));
+        let host = Host::new(balancer, settings, Clock::new(), pool, Cordon::load(&none));
         let news = |index: u64, status: &str| -> List {
             let entry = serde_json::json!({"name": "b", "address": "127.0.0.1:9", "status": status});
             List { index, snapshot: false, endpoints: vec![entry] }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -48,13 +48,6 @@
 /// Lines about a failing listener come no faster.
 const ACCEPT_LOG: Micros = Micros(1_000_000);
 
-/// What requests are checked against.
-pub struct Rules {
-    pub effects: Vec<Effect>,
-    pub deadlines: Vec<Micros>,
-    pub max_retry_after: Micros,
-}
-
 struct Client {
     stream: Stream,
     busy: Cell<bool>,
@@ -69,7 +62,6 @@
 
 pub struct Server {
     host: Rc<Host>,
-    rules: Rules,
     max: usize,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     /// The ids of the requests that are open.
@@ -93,14 +85,13 @@
 }
 
 impl Server {
-    pub fn new(host: Rc<Host>, rules: Rules, max: usize) -> Rc<Server> {
+    pub fn new(host: Rc<Host>, max: usize) -> Rc<Server> {
         let (clients, ids) = (RefCell::default(), RefCell::default());
         let (next, stopping, left, told) = (Cell::new(0), Cell::new(false), Notify::new(), Cell::default());
         let (accepted, evicted, faults) = (Cell::new(0), Cell::new(0), Cell::new(0));
         let accepting = Cell::new(false);
         Rc::new(Server {
             host,
-            rules,
             max,
             clients,
             ids,
@@ -165,7 +156,8 @@
         }
         // Past the longest deadline nothing is owed any more; a client that holds a connection open with half
         // of a request does not keep the program.
-        let longest = self.rules.deadlines.iter().max().copied().unwrap_or_default();
+        let settings = self.host.settings();
+        let longest = settings.network.deadlines.iter().max().copied().unwrap_or_default();
         let end = tokio::time::Instant::now() + span(longest) + FLUSH;
         while self.clients() > 0 && tokio::time::Instant::now() < end {
             // Told again and again: one whose request had just arrived is not closed at the first time.
@@ -295,10 +287,11 @@
     ) -> Result<Response<Full<Bytes>>, Fault> {
         let came = self.host.clock.now();
         let (head, body) = request.into_parts();
-        let class = head.uri.path().split('/').nth(1).and_then(|name| self.host.class(name));
+        let rules = self.host.settings(); // this request's own to its end, whatever comes meanwhile
+        let class = head.uri.path().split('/').nth(1).and_then(|name| rules.names.class(name));
         let class = class.ok_or(Fault::NoSuchClass)?;
-        let effect = self.rules.effects[class.0];
-        let (name, left) = check(&head, &body, effect, self.rules.deadlines[class.0])?;
+        let effect = rules.config.classes[class.0].effect;
+        let (name, left) = check(&head, &body, effect, rules.network.deadlines[class.0])?;
         let deadline = came + Micros(left.0.saturating_sub(self.host.margin().0));
         let body = Limited::new(body, MAX_BODY).collect();
         let body = match tokio::time::timeout(span(left).min(BODY_PATIENCE), body).await {
@@ -316,7 +309,7 @@
         let arrival = Arrival {
             request: RequestId(0),
             class,
-            tenant: tenant.and_then(|name| self.host.tenant(name)),
+            tenant: tenant.and_then(|name| rules.names.tenant(name)),
             time_left: deadline - self.host.clock.now(),
             work_hint: headers.get("x-weight-hint").and_then(number).map(|us| Micros(us as u64)),
             repeat: headers.get("x-repeat").is_some_and(|v| v == "1"),
@@ -347,7 +340,7 @@
             }
             Ok(Answer::Refused(retry_after)) => {
                 let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
-                let advice = retry_after.min(self.rules.max_retry_after).secs();
+                let advice = retry_after.min(rules.network.max_retry_after).secs();
                 if let Ok(text) = format!("{advice:.3}").parse() {
                     response.headers_mut().insert(RETRY_AFTER, text);
                 }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -86,8 +86,8 @@
     lines: RefCell<HashMap<BackendId, Line>>,
     open: Rc<Cell<usize>>,
     max: usize,
-    keep: Duration,
-    connect_timeout: Duration,
+    keep: Cell<Duration>,
+    connect_timeout: Cell<Duration>,
     pub opened: Cell<u64>,
 }
 
@@ -97,18 +97,24 @@
             lines: RefCell::default(),
             open: Rc::default(),
             max,
-            keep: span(network.conn_idle.times(IDLE_PART)),
-            connect_timeout: span(network.connect_timeout),
+            keep: Cell::new(span(network.conn_idle.times(IDLE_PART))),
+            connect_timeout: Cell::new(span(network.connect_timeout)),
             opened: Cell::new(0),
         }
     }
 
+    /// Other figures from now on.
+    pub fn adopt(&self, network: &Network) {
+        self.keep.set(span(network.conn_idle.times(IDLE_PART)));
+        self.connect_timeout.set(span(network.connect_timeout));
+    }
+
     pub fn open(&self) -> usize {
         self.open.get()
     }
 
     fn usable(&self, c: &Conn) -> bool {
-        c.since.elapsed() < self.keep && !c.stream.stirred()
+        c.since.elapsed() < self.keep.get() && !c.stream.stirred()
     }
 
     /// A warm connection, checked at this moment.
@@ -172,7 +178,7 @@
         self.open.set(self.open.get() + 1);
         let slot = Slot(self.open.clone());
         self.opened.set(self.opened.get() + 1);
-        let dial = tokio::time::timeout(self.connect_timeout, TcpStream::connect(to)).await;
+        let dial = tokio::time::timeout(self.connect_timeout.get(), TcpStream::connect(to)).await;
         let stream = match dial {
             Ok(Ok(tcp)) => Stream::new(tcp),
             // Out of descriptors: that is this proxy's own trouble, and no sign of the backend's.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -162,6 +162,7 @@
         match event {
             Event::Members { update, backends } => self.members(now, update, backends),
             Event::Cordoned { backends } => self.cordon(now, backends),
+            Event::Settings { config } => self.settings(now, *config),
             Event::Request(arrival) => self.request(now, arrival),
             Event::StreamStarted { request, attempt } => {
                 if let Some(r) = self.requests.get_mut(&request) {
@@ -219,8 +220,8 @@
         (self.solve_at, self.look_at) = (now, now);
     }
 
-    /// What operators take out is out at once. What they give back is taken for just started: it may have been,
-    /// and the list tells of that seconds later.
+    /// What operators take out is out at once. What they give back is taken for just started: it may have
+    /// been, and the list tells of that seconds later.
     fn cordon(&mut self, now: Time, backends: Vec<BackendId>) {
         let cordoned: BTreeSet<BackendId> = backends.into_iter().collect();
         self.returned.retain(|id, at| now - *at < self.cfg.ramp && !cordoned.contains(id));
@@ -237,6 +238,17 @@
         (self.solve_at, self.look_at) = (now, now);
     }
 
+    /// Other settings from now on; what was learned stays, and open requests keep what they were promised.
+    fn settings(&mut self, now: Time, cfg: Config) {
+        self.classes.resize_with(cfg.classes.len().max(self.classes.len()), ClassState::default);
+        self.buckets.resize_with(cfg.tenants.len(), || Bucket::new(RATE_MEMORY, FEW));
+        if cfg.discovery != self.cfg.discovery {
+            self.ask = ((cfg.discovery != Discovery::Push).then_some(now), 0.0);
+        }
+        self.cfg = cfg;
+        (self.solve_at, self.look_at) = (now, now);
+    }
+
     fn request(&mut self, now: Time, new: Arrival) {
         let Some(c) = self.cfg.classes.get(new.class.0) else { return };
         if self.requests.contains_key(&new.request) {
@@ -255,7 +267,9 @@
         let again = if new.repeat { c.late_worth } else { 1.0 };
         let value = again * if over_quota { self.cfg.over_quota_worth } else { 1.0 };
         let (class, came, streaming, sent) = (new.class.0, now, false, Vec::new());
-        self.requests.insert(new.request, Request { class, came, aim, deadline, value, streaming, sent });
+        let (most, copies) = (self.cfg.max_attempts as usize, self.cfg.second_copies);
+        let request = Request { class, came, aim, deadline, value, most, copies, streaming, sent };
+        self.requests.insert(new.request, request);
         self.held.push(new.request);
     }
 
@@ -412,7 +426,7 @@
             {
                 // Age alone is a reason only where answers are lost: copies of merely heavy requests crowd
                 // every backend.
-                if self.cfg.second_copies {
+                if r.copies {
                     if self.may_send(now, r) && !self.held.contains(&id) {
                         self.held.push(id);
                     }
@@ -558,15 +572,15 @@
             Effect::Keyed(_, window) => s.never_ran || now + self.cfg.tick < s.at + window,
             Effect::Unsafe => s.never_ran,
         };
-        let alone = self.cfg.second_copies || !r.out();
-        alone && r.sent.len() < self.cfg.max_attempts as usize && r.sent.iter().all(safe)
+        let alone = r.copies || !r.out();
+        alone && r.sent.len() < r.most && r.sent.iter().all(safe)
     }
 
     /// A backend for the request: kind by share, backend inside it by readiness, both at random.
     fn draw(&mut self, now: Time, r: &Request) -> Option<BackendId> {
         let effect = self.cfg.classes[r.class].effect;
         let work = self.work(r.class);
-        let any_free = self.cfg.classes.iter().any(|c| c.effect == Effect::Free);
+        let any_free = self.cfg.classes.iter().any(|c| c.effect == Effect::Free && !c.retired);
         let may_try = r.sent.is_empty() && (effect == Effect::Free || !any_free);
         let (mut all, mut shunned) = (0.0, 0.0);
         for p in self.peers.values().filter(|p| p.ready > 0.0) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,10 +9,17 @@
 pub struct Names {
     zones: Vec<String>,
     kinds: Vec<String>,
-    classes: Vec<String>,
+    classes: Vec<ClassName>,
     tenants: Vec<String>,
 }
 
+#[derive(Clone, Debug)]
+struct ClassName {
+    name: String,
+    /// New requests may be of it.
+    current: bool,
+}
+
 /// An entry of a backend list under its plain names; each proxy has numbers of its own for these.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -44,7 +51,7 @@
 impl Names {
     /// The class of that name.
     pub fn class(&self, name: &str) -> Option<ClassId> {
-        self.classes.iter().position(|n| n == name).map(ClassId)
+        self.classes.iter().position(|c| c.current && c.name == name).map(ClassId)
     }
 
     /// The tenant of that name.
@@ -116,10 +123,10 @@
     let mut classes = Vec::new();
     for class in root.get("profiles").list()? {
         let name = class.get("name");
-        if names.classes.iter().any(|n| name.text().is_ok_and(|m| m == n)) {
+        if names.classes.iter().any(|n| name.text().is_ok_and(|m| m == n.name)) {
             return Err(format!("{}: the name stands twice", name.path));
         }
-        names.classes.push(name.text()?.into());
+        names.classes.push(ClassName { name: name.text()?.into(), current: true });
         let scope = class.get("key_scope");
         let effect = match class.get("effect").text()? {
             "free" => Effect::Free,
@@ -146,6 +153,7 @@
             effect,
             worth: class.get("gain").real()?,
             late_worth: class.get("late_worth").real()?,
+            retired: false,
         });
     }
     let mut tenants = Vec::new();
@@ -199,7 +207,10 @@
 pub fn network(settings: &Value) -> Result<Network, String> {
     let root = Key { path: String::new(), value: Some(settings) };
     let limits = root.get("limits");
-    let deadline = |class: &Key| class.get("deadline_us").micros();
+    let deadline = |class: &Key| {
+        let key = class.get("deadline_us");
+        key.want(Some(key.micros()?).filter(|span| span.0 > 0), "a time above 0")
+    };
     Ok(Network {
         connect_timeout: limits.get("dial_timeout_us").micros()?,
         conn_idle: limits.get("conn_idle_us").micros()?,
@@ -207,3 +218,82 @@
         deadlines: root.get("profiles").list()?.iter().map(deadline).collect::<Result<_, _>>()?,
     })
 }
+
+/// Everything that the settings say, read and checked as one. A generation of it never changes.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// What the decision module is told.
+    pub config: Config,
+    /// The names behind its numbers.
+    pub names: Names,
+    /// What concerns sockets.
+    pub network: Network,
+}
+
+impl Settings {
+    /// Reads them all; nothing is taken where any part is at fault.
+    pub fn read(settings: &Value) -> Result<Settings, String> {
+        let (config, names) = read(settings)?;
+        config.validate().map_err(|e| e.to_string())?;
+        Ok(Settings { config, names, network: network(settings)? })
+    }
+
+    /// `new` under the numbers of these: a class keeps its number while its name and effect stay, and one of
+    /// another effect gets a new one, so that no number ever means something else to an open request.
+    /// `names` are these settings' own, with what lists have added.
+    pub fn succeeded_by(&self, new: Settings, names: &Names) -> Settings {
+        let mut out = Settings { config: new.config, names: names.clone(), network: new.network };
+        let zone = &new.names.zones[out.config.zone.0 as usize];
+        out.config.zone = ZoneId(number(&mut out.names.zones, zone));
+        let classes = std::mem::replace(&mut out.config.classes, self.config.classes.clone());
+        let deadlines = std::mem::replace(&mut out.network.deadlines, self.network.deadlines.clone());
+        out.config.classes.iter_mut().for_each(|c| c.retired = true);
+        out.names.classes.iter_mut().for_each(|c| c.current = false);
+        for ((class, deadline), named) in classes.into_iter().zip(deadlines).zip(new.names.classes) {
+            let same = |(c, n): (&Class, &ClassName)| n.name == named.name && c.effect == class.effect;
+            match out.config.classes.iter().zip(&out.names.classes).position(same) {
+                Some(at) => {
+                    (out.config.classes[at], out.network.deadlines[at]) = (class, deadline);
+                    out.names.classes[at] = named;
+                }
+                None => {
+                    out.config.classes.push(class);
+                    out.network.deadlines.push(deadline);
+                    out.names.classes.push(named);
+                }
+            }
+        }
+        let tenants = std::mem::replace(&mut out.config.tenants, self.config.tenants.clone());
+        for (tenant, name) in tenants.into_iter().zip(new.names.tenants) {
+            let at = number(&mut out.names.tenants, &name) as usize;
+            match out.config.tenants.get_mut(at) {
+                Some(old) => *old = tenant,
+                None => out.config.tenants.push(tenant),
+            }
+        }
+        out
+    }
+
+    /// What changes from these to `new`, in a few words for the operators.
+    pub fn difference(&self, new: &Settings) -> String {
+        let current = |of: &Settings| -> Vec<String> {
+            let classes = of.names.classes.iter().zip(&of.config.classes).zip(&of.network.deadlines);
+            let current = classes.filter(|((n, _), _)| n.current);
+            let told = |((n, c), d): ((&ClassName, &Class), &Micros)| {
+                format!("{} ({:?}, aim {} us, deadline {} us)", n.name, c.effect, c.aim.0, d.0)
+            };
+            current.map(told).collect()
+        };
+        let (old, now) = (current(self), current(new));
+        let added = now.iter().filter(|c| !old.contains(c)).map(|c| format!("with class {c}"));
+        let dropped = old.iter().filter(|c| !now.contains(c)).map(|c| format!("without class {c}"));
+        let (was, is) = (self.config.max_attempts, new.config.max_attempts);
+        let attempts = (was != is).then(|| format!("attempts {is} instead of {was}"));
+        let words: Vec<String> = added.chain(dropped).chain(attempts).collect();
+        if words.is_empty() {
+            "the same classes and attempts".into()
+        } else {
+            words.join(", ")
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -239,6 +239,9 @@
     pub deadline: Time,
     /// Its worth beside a first try within quota.
     pub value: f64,
+    /// Attempts that it may have, and whether two at once, by the settings under which it came.
+    pub most: usize,
+    pub copies: bool,
     pub streaming: bool,
     pub sent: Vec<Sent>,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,7 +57,7 @@
 }
 
 pub fn class(effect: Effect) -> Class {
-    Class { aim: Micros(400_000), aim_stretch: 0.0, effect, worth: 1.0, late_worth: 0.0 }
+    Class { aim: Micros(400_000), aim_stretch: 0.0, effect, worth: 1.0, late_worth: 0.0, retired: false }
 }
 
 impl Host {
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -5,6 +5,7 @@
 use rig::*;
 use std::io::Write;
 use std::net::TcpListener;
+use std::sync::Arc;
 
 fn both(a: &BackendServer, b: &BackendServer) -> [String; 2] {
     [entry("b0", a.address, "SERVING"), entry("b1", b.address, "SERVING")]
@@ -141,3 +142,93 @@
         assert!(!out.status.success() && text.contains(says), "{fd}: {text}");
     }
 }
+
+fn get(path: &str, id: &str) -> String {
+    format!("GET /{path}/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: {id}\r\nX-Time-Left: 3.0\r\n\r\n")
+}
+
+/// `read` goes, `draw` comes, `pay` becomes free, and one attempt is all there is.
+fn other_settings(config: &str) -> String {
+    let other = config.replace(r#""name":"read""#, r#""name":"draw""#).replace("single_shot", "free");
+    other.replace(r#""max_attempts":4"#, r#""max_attempts":1"#)
+}
+
+/// New requests go by the new settings; one that is open ends under those it came with.
+#[test]
+fn new_settings_hold_for_new_requests_only() {
+    let gate = Arc::new(Gate::default());
+    let held = gate.clone();
+    let paid = BackendServer::start(move |n| if n < 2 { Reply::GateReset(held.clone()) } else { ok("x") });
+    let proxy = Proxy::start(&[entry("b0", paid.address, "SERVING")]);
+    let (mut open, mut dropped) = (proxy.client(), proxy.client());
+    open.send(&pay(3.0));
+    paid.request();
+    dropped.send(&get("read", "d1"));
+    paid.request();
+    proxy.reconfigure(&other_settings(&proxy.config.1));
+    let line = proxy.logged("SIGHUP: taken");
+    for told in ["with class draw", "without class read", "attempts 1 instead of 4"] {
+        assert!(line.contains(told), "{line}");
+    }
+    assert_eq!(proxy.ask(&get("draw", "n1")).status(), 200);
+    assert_eq!(proxy.ask(&get("pay", "n2")).status(), 200, "it is free now");
+    assert_eq!(proxy.ask(&get("read", "n3")).status(), 404);
+    assert_eq!(proxy.ask(&pay(3.0)).status(), 400, "and no unsafe one any more");
+    let before = paid.count();
+    gate.open();
+    assert_eq!(open.answer().unwrap().status(), 502, "it came as unsafe: it is not sent again");
+    assert_ne!(dropped.answer().unwrap().status(), 404, "its class was there when it came");
+    assert!(paid.count() <= before + 1, "the unsafe one is not repeated");
+    proxy.reconfigure(&proxy.config.1);
+    assert!(proxy.logged("SIGHUP: taken").contains("with class read"));
+    assert_eq!(proxy.ask(&get("read", "n4")).status(), 200, "a class may come back");
+    assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
+}
+
+/// From a file with a fault nothing is taken, discovery included.
+#[test]
+fn a_file_with_a_fault_changes_nothing() {
+    let (a, b) = two();
+    let proxy = Proxy::start(&both(&a, &b));
+    let elsewhere = DiscoveryServer::start();
+    let at = proxy.discovery.address.to_string();
+    let good = other_settings(&proxy.config.1).replace(&at, &elsewhere.address.to_string());
+    let swap = |from: &str, to: &str| {
+        assert!(good.contains(from), "{from}");
+        good.replacen(from, to, 1)
+    };
+    let deadline = r#""deadline_us":3000000"#;
+    let broken = [
+        String::new(),
+        "{".into(),
+        "[]".into(),
+        good[..good.len() / 2].into(),
+        swap(r#""name":"n0","#, ""),
+        swap(r#""limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"#, ""),
+        swap(r#""granularity_us":5000,"#, ""),
+        swap(r#""conn_idle_us":60000000,"#, ""),
+        swap(&format!("{deadline},"), ""),
+        swap(deadline, r#""deadline_us":0"#),
+        swap(deadline, r#""deadline_us":-1"#),
+        swap(deadline, r#""deadline_us":"3000000""#),
+        swap(r#""max_attempts":1"#, r#""max_attempts":0"#),
+        swap(r#""max_attempts":1"#, r#""max_attempts":-3"#),
+        swap(r#""max_attempts":1"#, r#""max_attempts":null"#),
+        swap(r#""max_attempts":1,"#, ""),
+        swap(r#""name":"draw""#, r#""name":"vote""#),
+        swap(r#""effect":"free""#, r#""effect":"other""#),
+    ];
+    for file in broken {
+        proxy.reconfigure(&file);
+        proxy.logged("SIGHUP: refused");
+        assert_eq!(proxy.ask(&get("draw", "1")).status(), 404, "{file}");
+        assert_eq!(proxy.ask(&read(3.0)).status(), 200, "{file}");
+    }
+    let (_, waits) = proxy.discovery.call();
+    waits.send((200, list(9, true, &both(&a, &b)))).unwrap();
+    let (_, _waits) = proxy.discovery.call(); // discovery is where it was
+    proxy.reconfigure(&good);
+    proxy.logged("SIGHUP: taken");
+    elsewhere.call();
+    assert_eq!(proxy.ask(&get("draw", "2")).status(), 200);
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -65,6 +65,8 @@
     Silence,
     /// Nothing until the gate opens, then 200.
     Gate(Arc<Gate>),
+    /// Nothing until the gate opens, then the connection ends.
+    GateReset(Arc<Gate>),
 }
 
 pub fn ok(body: &str) -> Reply {
@@ -172,6 +174,10 @@
             }
             Reply::Reset => false,
             Reply::Silence => true,
+            Reply::GateReset(gate) => {
+                gate.wait();
+                false
+            }
             Reply::Gate(gate) => {
                 gate.wait();
                 send(200, "", "gated")
@@ -271,6 +277,7 @@
     /// Where operators call.
     pub admin: SocketAddr,
     pub discovery: Rc<DiscoveryServer>,
+    log: mpsc::Receiver<String>,
     /// Its `$TMPDIR`.
     pub tmp: PathBuf,
     /// Where its configuration is, and what stands there.
@@ -332,8 +339,14 @@
             }
         };
         let (address, admin) = (told("listens on"), told("operators call at"));
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::stderr()));
-        Proxy { child, address, admin, discovery, tmp, config: (path, config) }
+        let (tell, lines) = mpsc::channel();
+        std::thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                eprintln!("{line}");
+                let _ = tell.send(line);
+            }
+        });
+        Proxy { child, address, admin, log: lines, discovery, tmp, config: (path, config) }
     }
 
     /// An operator's call; the status of its answer.
@@ -353,6 +366,22 @@
         self.client().ask(request)
     }
 
+    /// Waits for a line of the log.
+    pub fn logged(&self, what: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("no line says {what:?}"));
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    /// Another file in place of its configuration, and the signal for it.
+    pub fn reconfigure(&self, file: &str) {
+        std::fs::write(&self.config.0, file).unwrap();
+        self.signal("HUP");
+    }
+
     pub fn signal(&self, name: &str) {
         let done = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status().unwrap();
         assert!(done.success());
