--- a/src/bin/shaletide-adapter/wire.rs
+++ b/src/bin/shaletide-adapter/wire.rs
@@ -190,6 +190,7 @@
                 request: f.request(1)?,
                 work_hint: f.values[2].as_u64().filter(|_| flags & 1 == 1).map(Micros),
                 repeat: flags & 2 == 2,
+                uploading: false,
                 time_left: Micros(f.whole(3, "the time left in microseconds")?),
                 tenant: match &f.values[5] {
                     Value::String(name) => {
@@ -212,6 +213,7 @@
                 outcome: f.outcome(4)?,
                 latency: Micros(f.whole(5, "a time in microseconds")?),
                 settled: f.flag(6, "true or false")?,
+                spent: false,
             })
         }
         "VANISHED" => Event::ClientGone { request: f.request(1)? },
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -334,6 +334,8 @@
     pub work_hint: Option<Micros>,
     /// The client says that it asked before.
     pub repeat: bool,
+    /// A part of its body is still to come: its time begins with [`Event::Uploaded`].
+    pub uploading: bool,
 }
 
 /// How an attempt ended.
@@ -349,6 +351,8 @@
     pub latency: Micros,
     /// The request has had its final answer; the module owes none.
     pub settled: bool,
+    /// Its body is gone with this attempt: there can be no other.
+    pub spent: bool,
 }
 
 /// What the host tells the module.
@@ -379,6 +383,13 @@
     },
     /// A client's request: it is owed one final answer.
     Request(Arrival),
+    /// The last byte of a request's body has come; the attempt that took it is the only one there can be.
+    Uploaded {
+        /// The request.
+        request: RequestId,
+        /// When the client gives up, from now.
+        time_left: Micros,
+    },
     /// The answer has begun to stream: the attempt is the client's now and no time-out runs.
     StreamStarted {
         /// The request.
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 mod net;
 
 use net::admin::{Admin, MAX_CALLERS};
+use net::body::Budget;
 use net::config::{Node, NodeError};
 use net::cordon::Cordon;
 use net::host::Host;
@@ -23,6 +24,8 @@
 const RESERVE: usize = 52 + MAX_CALLERS;
 /// Client connections over their bound, out of the reserve: each is closed after its answer.
 const OVER_BOUND: usize = 24;
+/// Bodies that are kept whole may take this part of the memory, for two processes at a time.
+const BODIES_PART: usize = 8;
 const REPORT_EVERY: Duration = Duration::from_secs(5);
 
 fn main() -> ExitCode {
@@ -59,8 +62,9 @@
         info!("{} backends are cordoned from before", cordon.len());
     }
     let clock = Clock::new();
+    let budget = Budget::new(node.memory / BODIES_PART);
     let peer = Peer::join(&node.state()).await;
-    let pool = Rc::new(Pool::new(&node.settings.network));
+    let pool = Rc::new(Pool::new(&node.settings.network, budget.clone()));
     let mode = node.settings.config.discovery;
     let balancer = Balancer::new(node.settings.config.clone(), node.seed)
         .map_err(|e| NodeError::Settings(e.to_string()).to_string())?;
@@ -99,7 +103,7 @@
             }
         }
     });
-    let server = Server::new(host.clone());
+    let server = Server::new(host.clone(), budget);
     let mut shared = peer.alive();
     share(node.sockets, shared, &host.pool, &server);
     if shared {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,11 +1,11 @@
 //! Operators' calls: HTTP/1.1 on an address of their own, one call per connection.
 
+use super::body::AnswerBody;
 use super::cordon::CordonError;
 use super::host::Host;
 use super::server::{plain, Server, Timer};
 use super::stream::Stream;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, ALLOW};
 use hyper::server::conn::http1;
@@ -41,7 +41,7 @@
 }
 
 impl No {
-    fn answer(self) -> Response<Full<Bytes>> {
+    fn answer(self) -> Response<AnswerBody> {
         match self {
             No::Unknown => plain(StatusCode::NOT_FOUND, "no such backend\n"),
             No::Path => plain(StatusCode::NOT_FOUND, "no such call\n"),
@@ -106,7 +106,7 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let called = format!("{} {}", request.method(), request.uri().path());
         self.call(request).await.unwrap_or_else(|no| {
             let reason = if let No::Storage(e) = &no { format!(": {e}") } else { String::new() };
@@ -116,7 +116,7 @@
         })
     }
 
-    async fn call(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, No> {
+    async fn call(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, No> {
         let out = match request.uri().path() {
             "/admin/health" if request.method() != Method::GET => return Err(No::Method("GET")),
             "/admin/health" if self.server.accepting() => return Ok(plain(StatusCode::OK, "ok\n")),
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -18,6 +18,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that all processes of the proxy may hold.
+    pub memory: usize,
     /// The list as this proxy last had it.
     pub known: List,
     pub settings: Settings,
@@ -69,11 +71,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192 }
     }
 }
 
@@ -154,6 +157,7 @@
             admin: admin(file.admin_addr)?,
             seed: seed.ok_or_else(bad_seed)?,
             sockets: file.limits.sockets.max(64),
+            memory: file.limits.memory_mb << 20,
             known: file.known,
             settings,
             file: InForce(whole),
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -44,6 +44,8 @@
 struct Flight {
     backend: BackendId,
     sent: Time,
+    /// When its last byte came: its time counts from then.
+    began: Time,
     task: AbortHandle,
 }
 
@@ -207,6 +209,19 @@
         }
     }
 
+    /// A request's body is whole: its time begins.
+    pub fn uploaded(self: &Rc<Self>, id: RequestId, time_left: Micros) {
+        {
+            let mut s = self.state.borrow_mut();
+            let now = self.clock.now();
+            let Some(live) = s.requests.get_mut(&id) else { return };
+            live.deadline = now + time_left;
+            let out = s.attempts.iter_mut().filter(|(key, _)| key.0 == id);
+            out.for_each(|(_, flight)| flight.began = now);
+        }
+        self.tell(Event::Uploaded { request: id, time_left });
+    }
+
     fn attempts_of(&self, id: RequestId) -> Vec<AttemptNo> {
         let s = self.state.borrow();
         let count = s.requests.get(&id).map_or(0, |r| r.attempts);
@@ -347,10 +362,11 @@
                 }
             }
             let settled = !s.requests.contains_key(&request);
+            let spent = s.requests.get(&request).is_some_and(|r| r.call.body.spent());
             if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
                 debug!("request {} attempt {} at {}: {outcome:?}", request.0, attempt.0, flight.backend.0);
             }
-            AttemptEnd { request, attempt, outcome, latency: self.clock.now() - flight.sent, settled }
+            AttemptEnd { request, attempt, outcome, latency: self.clock.now() - flight.began, settled, spent }
         };
         self.tell(Event::AttemptEnded(end));
     }
@@ -388,8 +404,9 @@
                     request,
                     attempt,
                     outcome: Outcome::Cancelled,
-                    latency: now - flight.sent,
+                    latency: now - flight.began,
                     settled: !s.requests.contains_key(&request),
+                    spent: s.requests.get(&request).is_some_and(|r| r.call.body.spent()),
                 }));
             }
             Action::SetTimer { token, after } => {
@@ -421,7 +438,7 @@
             let ended = host.pool.attempt(backend, to, &call, deadline, may_send).await;
             host.attempt_ended(request, attempt, ended);
         });
-        let flight = Flight { backend, sent: now, task: task.abort_handle() };
+        let flight = Flight { backend, sent: now, began: now, task: task.abort_handle() };
         s.attempts.insert((request, attempt), flight);
     }
 
@@ -505,6 +522,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::net::body::{Budget, Payload};
     use shaletide::settings::Network;
 
     /// Each thing that may change while a connection comes up stops the send: the list, the request's end,
@@ -524,7 +542,7 @@
         };
         let balancer = Balancer::new(Config::example(), 1).unwrap();
         let none = std::env::temp_dir().join("lotusdeck-no-such-proxy");
-        let pool = Rc::new(Pool::new(&settings.network));
+        let pool = Rc::new(Pool::new(&settings.network, Budget::new(0)));
         let host = Host::new(balancer, settings, Clock::new(), pool, Cordon::load(&none));
         let news = |index: u64, status: &str| -> List {
             let entry = serde_json::json!({"name": "b", "address": "127.0.0.1:9", "status": status});
@@ -541,12 +559,13 @@
                     time_left: Micros(60_000_000),
                     work_hint: None,
                     repeat: false,
+                    uploading: false,
                 };
                 let call = Call {
                     method: hyper::Method::GET,
                     uri: hyper::Uri::from_static("/read/k"),
                     headers: hyper::HeaderMap::new(),
-                    body: bytes::Bytes::new(),
+                    body: Payload::Whole(bytes::Bytes::new()),
                 };
                 let (id, _wait) = host.request(arrival, call, Effect::Free);
                 let (now, b) = (host.clock.now(), BackendId(0));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The proxy on real sockets. It translates between sockets and the decision module, and decides nothing.
 
 pub mod admin;
+pub mod body;
 pub mod config;
 pub mod cordon;
 pub mod discovery;
@@ -15,9 +16,6 @@
 use shaletide::Time;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// The largest body on either side.
-pub const MAX_BODY: usize = 64 * 1024;
-
 /// The module's time: the monotonic clock, set once to Unix time so that start times in lists fit it.
 #[derive(Clone, Copy)]
 pub struct Clock {
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -1,6 +1,6 @@
 //! What a client's request must be before it is taken: the rest is answered at once and its connection ends.
 
-use super::MAX_BODY;
+use super::body::MOST;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
@@ -21,7 +21,7 @@
     /// A class that is taken for safer than the request says would be repeated to its harm.
     Method,
     TimeLeft,
-    /// hyper hides the length where both are given, so that a second request may lie in the body.
+    /// An encoding but chunked, or a length beside it, so that a second request may lie in the body.
     Encoded,
     Length,
     TooLong,
@@ -40,9 +40,11 @@
                 (StatusCode::BAD_REQUEST, "the method or Idempotency-Key does not fit the class\n")
             }
             Fault::TimeLeft => (StatusCode::BAD_REQUEST, "X-Time-Left: expected one number of seconds\n"),
-            Fault::Encoded => (StatusCode::LENGTH_REQUIRED, "Transfer-Encoding is not taken\n"),
+            Fault::Encoded => {
+                (StatusCode::BAD_REQUEST, "Transfer-Encoding: expected chunked and no Content-Length\n")
+            }
             Fault::Length => (StatusCode::BAD_REQUEST, "the length does not fit the request\n"),
-            Fault::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"),
+            Fault::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB\n"),
             Fault::Body => (StatusCode::BAD_REQUEST, "the body is malformed\n"),
             Fault::Slow => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
             Fault::Target => (StatusCode::BAD_REQUEST, "the target has no path\n"),
@@ -50,10 +52,11 @@
     }
 }
 
-/// The request's id and how long its client waits, at most `most`.
+/// The request's id, how long its client waits, at most `most`, and its body's length where it is told. `sized`:
+/// the head gives a length, be it one that hyper hides.
 pub fn check(
-    head: &Parts, body: &Incoming, effect: Effect, most: Micros,
-) -> Result<(HeaderValue, Micros), Fault> {
+    head: &Parts, body: &Incoming, sized: bool, effect: Effect, most: Micros,
+) -> Result<(HeaderValue, Micros, Option<u64>), Fault> {
     let headers = &head.headers;
     let id = single(headers, "x-correlation-id").map_err(|_| Fault::Id)?;
     let id = id.filter(|id| !id.is_empty() && id.len() <= MAX_ID).ok_or(Fault::Id)?;
@@ -66,22 +69,23 @@
     if !fits {
         return Err(Fault::Method);
     }
-    if headers.contains_key(TRANSFER_ENCODING) {
+    let encoding = single(headers, TRANSFER_ENCODING.as_str()).map_err(|_| Fault::Encoded)?;
+    if encoding.is_some_and(|e| sized || !e.as_bytes().eq_ignore_ascii_case(b"chunked")) {
         return Err(Fault::Encoded);
     }
     single(headers, CONTENT_LENGTH.as_str()).map_err(|_| Fault::Length)?;
     let length = body.size_hint().lower();
-    if length > MAX_BODY as u64 {
+    if length > MOST {
         return Err(Fault::TooLong);
     }
-    if head.method == Method::GET && length > 0 {
+    if head.method == Method::GET && (length > 0 || encoding.is_some()) {
         return Err(Fault::Length);
     }
     let left = match single(headers, "x-time-left").map_err(|_| Fault::TimeLeft)? {
         Some(value) => Micros::from_secs(number(value).ok_or(Fault::TimeLeft)?).min(most),
         None => most,
     };
-    Ok((id.clone(), left))
+    Ok((id.clone(), left, encoding.is_none().then_some(length)))
 }
 
 /// A header that may stand once.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,12 +1,12 @@
 //! Clients: the listener, their connections, and the graceful shutdown.
 
+use super::body::{gather, AnswerBody, Budget};
 use super::host::{Answer, Host};
 use super::request::{check, number, Fault};
 use super::stream::Stream;
 use super::upstream::Call;
-use super::{span, strip_hop_by_hop, MAX_BODY};
+use super::{span, strip_hop_by_hop, Clock};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::server::conn::http1;
@@ -33,10 +33,16 @@
 /// The platform leaves a process at least so long to finish, however short the deadlines are.
 const LEAST_STAY: Duration = Duration::from_secs(3);
 const BACKLOG: u32 = 1024;
-/// A connection is closed when the head of a request, its first or its next, is not whole after this time.
-const HEAD_PATIENCE: Duration = Duration::from_millis(2100);
-/// The body of a request is whole after this time: with the above under the 3 s that any client is owed.
-const BODY_PATIENCE: Duration = Duration::from_millis(700);
+/// A connection on which nothing comes is closed after this time.
+const IDLE_PATIENCE: Duration = Duration::from_millis(2100);
+/// The head of a request is whole so long after its first byte ...
+const HEAD_PATIENCE: Duration = Duration::from_millis(2600);
+/// ... and the first on a connection so long after it came: any client is owed an end within 3 s.
+const FIRST_HEAD_PATIENCE: Duration = Duration::from_millis(2800);
+/// A client that takes nothing of its answer for so long takes no more.
+const READ_PATIENCE: Duration = Duration::from_secs(20);
+/// A connection with an open request is looked at again after this time.
+const BUSY_LOOK: Duration = Duration::from_millis(500);
 /// The largest head, to which hyper holds a connection's buffer.
 const MAX_HEAD: usize = 16 * 1024;
 /// A first request that has begun to come is whole after this time, or makes way where room is needed.
@@ -50,11 +56,15 @@
 
 struct Client {
     stream: Stream,
+    accepted: tokio::time::Instant,
     busy: Cell<bool>,
     /// It has sent a whole request that made sense.
     proven: Cell<bool>,
+    /// A large answer is on its way to it.
+    flowing: Cell<bool>,
     /// When it was accepted or last answered.
     since: Cell<Time>,
+    idle_since: Cell<tokio::time::Instant>,
     /// It was chosen to make room.
     leaving: Cell<bool>,
     close: Notify,
@@ -64,6 +74,7 @@
     host: Rc<Host>,
     max: Cell<usize>,
     over: Cell<usize>,
+    budget: Budget,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     /// The ids of the requests that are open.
     ids: RefCell<HashSet<HeaderValue>>,
@@ -86,7 +97,7 @@
 }
 
 impl Server {
-    pub fn new(host: Rc<Host>) -> Rc<Server> {
+    pub fn new(host: Rc<Host>, budget: Budget) -> Rc<Server> {
         let (clients, ids) = (RefCell::default(), RefCell::default());
         let (next, stopping, left, told) = (Cell::new(0), Cell::new(false), Notify::new(), Cell::default());
         let (accepted, evicted, faults) = (Cell::new(0), Cell::new(0), Cell::new(0));
@@ -95,6 +106,7 @@
             host,
             max: Cell::new(0),
             over: Cell::new(0),
+            budget,
             clients,
             ids,
             next,
@@ -240,8 +252,18 @@
         let key = self.next.get();
         self.next.set(key + 1);
         let (stream, since) = (Stream::new(tcp), Cell::new(self.host.clock.now()));
-        let (busy, proven, leaving) = (Cell::new(false), Cell::new(false), Cell::new(false));
-        let client = Rc::new(Client { stream, busy, proven, since, leaving, close: Notify::new() });
+        let accepted = tokio::time::Instant::now();
+        let client = Rc::new(Client {
+            stream,
+            accepted,
+            busy: Cell::default(),
+            proven: Cell::default(),
+            flowing: Cell::default(),
+            since,
+            idle_since: Cell::new(accepted),
+            leaving: Cell::default(),
+            close: Notify::new(),
+        });
         self.clients.borrow_mut().insert(key, client.clone());
         let server = self.clone();
         tokio::task::spawn_local(async move {
@@ -254,20 +276,43 @@
     async fn serve(self: &Rc<Self>, client: &Rc<Client>) {
         let service = service_fn(|request| async {
             client.busy.set(true);
-            let answer = self.answer(client, request).await;
-            client.since.set(self.host.clock.now());
-            client.stream.mark_idle();
-            client.busy.set(false);
+            let mut answer = self.answer(client, request).await;
+            let done = Answered { client: client.clone(), clock: self.host.clock };
+            if let AnswerBody::Flow(_, until) = answer.body_mut() {
+                *until = Some(Box::new(done)); // it is busy until the last byte is on its way
+            }
             Ok::<_, Infallible>(answer)
         });
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_HEAD).timer(Timer).header_read_timeout(HEAD_PATIENCE);
+        builder.max_buf_size(MAX_HEAD).timer(Timer).header_read_timeout(None);
         let mut conn = pin!(builder.serve_connection(client.stream.clone(), service));
         let mut cut = pin!(tokio::time::sleep(Duration::MAX));
+        let mut due = pin!(tokio::time::sleep(IDLE_PATIENCE));
+        let mut seen = (0, client.accepted);
         loop {
             tokio::select! {
                 _ = conn.as_mut() => return,
                 _ = cut.as_mut(), if client.leaving.get() && !client.busy.get() => return,
+                _ = due.as_mut() => {
+                    let now = tokio::time::Instant::now();
+                    let (next, moved) = (client.due(now), client.stream.sent());
+                    if seen.0 != moved || !client.flowing.get() {
+                        seen = (moved, now);
+                    }
+                    if next > now {
+                        due.as_mut().reset(next);
+                    } else if client.busy.get() {
+                        if now - seen.1 >= READ_PATIENCE {
+                            return; // it reads nothing
+                        }
+                        due.as_mut().reset(now + BUSY_LOOK);
+                    } else if client.stream.heard().is_some() || !client.proven.get() {
+                        return; // no whole head came
+                    } else {
+                        conn.as_mut().graceful_shutdown();
+                        due.as_mut().reset(now + CLOSE_PATIENCE);
+                    }
+                }
                 _ = client.close.notified() => {
                     if client.leaving.get() {
                         cut.as_mut().reset(tokio::time::Instant::now() + CLOSE_PATIENCE);
@@ -284,7 +329,9 @@
         }
     }
 
-    async fn answer(self: &Rc<Self>, client: &Client, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(
+        self: &Rc<Self>, client: &Rc<Client>, request: Request<Incoming>,
+    ) -> Response<AnswerBody> {
         let mut end = false;
         let mut answer = match request.uri().path() {
             "/-/ready" => plain(StatusCode::OK, "ready\n"),
@@ -295,10 +342,10 @@
                 plain(status, text)
             }),
         };
+        client.flowing.set(matches!(answer.body(), AnswerBody::Flow(..)));
         // Where many are kept their clients may have none left to ask on: each goes after its answer.
-        let many = || {
-            self.staying(|c| c.proven.get()) > self.max.get() / 2 || self.staying(|_| true) > self.max.get()
-        };
+        let most = self.max.get();
+        let many = || self.staying(|c| c.proven.get()) > most / 2 || self.staying(|_| true) > most;
         if end || self.stopping.get() || many() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -307,57 +354,66 @@
 
     async fn proxy(
         self: &Rc<Self>, client: &Client, request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Fault> {
-        let came = self.host.clock.now();
+    ) -> Result<Response<AnswerBody>, Fault> {
         let (head, body) = request.into_parts();
         let rules = self.host.settings(); // this request's own to its end, whatever comes meanwhile
         let class = head.uri.path().split('/').nth(1).and_then(|name| rules.names.class(name));
         let class = class.ok_or(Fault::NoSuchClass)?;
         let effect = rules.config.classes[class.0].effect;
-        let (name, left) = check(&head, &body, effect, rules.network.deadlines[class.0])?;
-        let deadline = came + Micros(left.0.saturating_sub(self.host.margin().0));
-        let body = Limited::new(body, MAX_BODY).collect();
-        let body = match tokio::time::timeout(span(left).min(BODY_PATIENCE), body).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(Fault::TooLong),
-            Ok(Err(_)) => return Err(Fault::Body),
-            Err(_) => return Err(Fault::Slow),
-        };
-        // A client waits for its answer before it sends more: this one's length is wrong or hides a request.
-        if client.stream.surplus(body.len()) {
-            return Err(Fault::Length);
-        }
+        let most = rules.network.deadlines[class.0];
+        let (name, left, length) = check(&head, &body, client.stream.sized(), effect, most)?;
+        let (body, _kept) = gather(body, length, &client.stream, &self.budget).await?;
+        // The time of a request counts from its last byte; where more is to come it has not begun.
+        let left = Micros(left.0.saturating_sub(self.host.margin().0));
+        let deadline = Cell::new(self.host.clock.now() + left);
         let mut headers = head.headers;
         let tenant = headers.get("x-account").and_then(|v| v.to_str().ok());
         let arrival = Arrival {
             request: RequestId(0),
             class,
             tenant: tenant.and_then(|name| rules.names.tenant(name)),
-            time_left: deadline - self.host.clock.now(),
+            time_left: left,
             work_hint: headers.get("x-weight-hint").and_then(number).map(|us| Micros(us as u64)),
             repeat: headers.get("x-repeat").is_some_and(|v| v == "1"),
+            uploading: body.flow().is_some(),
         };
         strip_hop_by_hop(&mut headers);
         let origin = head.uri.path_and_query().map(|p| p.as_str().parse());
         let uri = origin.and_then(Result::ok).ok_or(Fault::Target)?;
+        let upload = body.flow().cloned();
         let call = Call { method: head.method, uri, headers, body };
         let _open = Open::new(&self.ids, name).ok_or(Fault::IdInUse)?;
         client.proven.set(true);
         let (id, answer) = self.host.request(arrival, call, effect);
         let mut owed = Owed { host: &self.host, id, open: true };
         let mut answer = pin!(answer);
+        let due = async {
+            if let Some(upload) = &upload {
+                upload.over().await?;
+                deadline.set(self.host.clock.now() + left);
+                self.host.uploaded(id, left);
+            }
+            tokio::time::sleep_until(self.host.clock.instant(deadline.get())).await;
+            Ok::<_, Fault>(())
+        };
         let answer = tokio::select! {
             biased;
             got = answer.as_mut() => got,
-            _ = tokio::time::sleep_until(self.host.clock.instant(deadline)) => {
+            over = due => {
+                over?; // no request after all: `owed` tells the module that nobody waits
                 self.host.deadline(id);
                 answer.await
             }
         };
+        if let Some(fault) = upload.as_ref().and_then(|u| u.fault()) {
+            owed.open = false;
+            return Err(fault); // whatever became of the attempt that it ended
+        }
+        upload.iter().filter(|u| !u.whole()).for_each(|u| u.drain());
         owed.open = false;
         Ok(match answer {
             Ok(Answer::Served(served)) => {
-                let mut response = Response::new(Full::new(served.body));
+                let mut response = Response::new(served.body);
                 *response.headers_mut() = served.headers;
                 response
             }
@@ -375,6 +431,34 @@
     }
 }
 
+impl Client {
+    /// When its patience ends, as things stand.
+    fn due(&self, now: tokio::time::Instant) -> tokio::time::Instant {
+        match self.stream.heard() {
+            _ if self.busy.get() => now,
+            None => self.idle_since.get() + IDLE_PATIENCE,
+            Some(at) if self.proven.get() => at + HEAD_PATIENCE,
+            Some(at) => (at + HEAD_PATIENCE).min(self.accepted + FIRST_HEAD_PATIENCE),
+        }
+    }
+}
+
+/// Marks the end of an answer: its connection waits for the next request.
+struct Answered {
+    client: Rc<Client>,
+    clock: Clock,
+}
+
+impl Drop for Answered {
+    fn drop(&mut self) {
+        self.client.since.set(self.clock.now());
+        self.client.idle_since.set(tokio::time::Instant::now());
+        self.client.stream.mark_idle();
+        self.client.busy.set(false);
+        self.client.flowing.set(false);
+    }
+}
+
 /// Tells the host when hyper drops an unanswered request because its client is gone.
 struct Owed<'a> {
     host: &'a Rc<Host>,
@@ -433,8 +517,8 @@
     }
 }
 
-pub fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+pub fn plain(status: StatusCode, text: &'static str) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::Whole(Some(Bytes::from_static(text.as_bytes()))));
     *response.status_mut() = status;
     response
 }
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -9,6 +9,9 @@
 use std::task::{ready, Context, Poll};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Instant;
+
+const LENGTH: &[u8] = b"content-length";
 
 /// Shared by hyper's side of the stream and the proxy's.
 #[derive(Clone)]
@@ -19,12 +22,19 @@
     /// Bytes of the head's end (CRLF CRLF) matched so far in what was written; 4: the head is out.
     matched: Cell<u8>,
     /// Bytes of the body still to be written after the head.
-    body_left: Cell<usize>,
+    body_left: Cell<u64>,
     /// The same of what was read since `mark_idle`, and the bytes that came behind the head.
     came: Cell<u8>,
-    behind: Cell<usize>,
-    /// Something was read since the last `mark_idle`.
-    heard: Cell<bool>,
+    behind: Cell<u64>,
+    /// When something was first read since the last `mark_idle`.
+    heard: Cell<Option<Instant>>,
+    /// A line of the head gives a length: hyper hides it where the body is chunked.
+    sized: Cell<bool>,
+    /// The line of the head that is being read, as far as it may name the length.
+    line: Cell<usize>,
+    /// Bytes read and written in all.
+    received: Cell<u64>,
+    sent: Cell<u64>,
     /// Told at the first of these bytes.
     first: Notify,
 }
@@ -32,15 +42,25 @@
 impl Stream {
     pub fn new(tcp: TcpStream) -> Stream {
         let _ = tcp.set_nodelay(true); // small writes are whole messages here
-        let (matched, body_left, heard) = (Cell::new(4), Cell::new(0), Cell::new(false));
-        let (came, behind, first) = (Cell::new(0), Cell::new(0), Notify::new());
-        Stream(Rc::new(Inner { tcp, matched, body_left, came, behind, heard, first }))
+        Stream(Rc::new(Inner {
+            tcp,
+            matched: Cell::new(4),
+            body_left: Cell::default(),
+            came: Cell::default(),
+            behind: Cell::default(),
+            heard: Cell::default(),
+            sized: Cell::default(),
+            line: Cell::default(),
+            received: Cell::default(),
+            sent: Cell::default(),
+            first: Notify::new(),
+        }))
     }
 
-    /// From now on counts the bytes of a new request with a body of that size.
-    pub fn begin_request(&self, body: usize) {
+    /// From now on counts the bytes of a new request with a body of that size, if it is known.
+    pub fn begin_request(&self, body: Option<u64>) {
         self.0.matched.set(0);
-        self.0.body_left.set(body);
+        self.0.body_left.set(body.unwrap_or(u64::MAX));
     }
 
     /// The last byte of the request was written: from then on the backend may run it.
@@ -50,39 +70,80 @@
 
     fn wrote(&self, bytes: &[u8]) {
         let s = &self.0;
-        s.body_left.set(s.body_left.get().saturating_sub(behind_head(&s.matched, bytes)));
+        s.sent.set(s.sent.get() + bytes.len() as u64);
+        s.body_left.set(s.body_left.get().saturating_sub(behind_head(&s.matched, bytes) as u64));
     }
 
     fn read(&self, bytes: &[u8]) {
         let s = &self.0;
-        s.behind.set(s.behind.get() + behind_head(&s.came, bytes));
-        if !bytes.is_empty() && !s.heard.replace(true) {
+        let behind = if s.came.get() == 4 { bytes.len() } else { self.read_head(bytes) };
+        s.behind.set(s.behind.get() + behind as u64);
+        s.received.set(s.received.get() + bytes.len() as u64);
+        if !bytes.is_empty() && s.heard.get().is_none() {
+            s.heard.set(Some(Instant::now()));
             s.first.notify_waiters();
         }
     }
 
+    /// Looks for a length among the lines, however the head is cut; the bytes that lie behind it.
+    fn read_head(&self, bytes: &[u8]) -> usize {
+        let behind = behind_head(&self.0.came, bytes);
+        for byte in &bytes[..bytes.len() - behind] {
+            let at = self.0.line.get();
+            self.0.line.set(match byte {
+                b'\n' => 0,
+                b if LENGTH.get(at) == Some(&b.to_ascii_lowercase()) => at + 1,
+                _ => usize::MAX, // another line
+            });
+            if self.0.line.get() == LENGTH.len() {
+                self.0.sized.set(true);
+            }
+        }
+        behind
+    }
+
+    /// The head gave a length.
+    pub fn sized(&self) -> bool {
+        self.0.sized.get()
+    }
+
+    pub fn received(&self) -> u64 {
+        self.0.received.get()
+    }
+
+    pub fn sent(&self) -> u64 {
+        self.0.sent.get()
+    }
+
+    /// When the message that is coming began.
+    pub fn heard(&self) -> Option<Instant> {
+        self.0.heard.get()
+    }
+
     /// More has come than a message with a body of that size.
-    pub fn surplus(&self, body: usize) -> bool {
+    pub fn surplus(&self, body: u64) -> bool {
         self.0.behind.get() > body || matches!(self.peek(), Ok(n) if n > 0)
     }
 
     /// From now on what comes is a message of its own.
     pub fn mark_idle(&self) {
-        self.0.heard.set(false);
+        self.0.heard.set(None);
+        self.0.sized.set(false);
+        self.0.line.set(0);
         self.0.came.set(0);
         self.0.behind.set(0);
     }
 
     /// Until something was read since `mark_idle`.
     pub async fn first_byte(&self) {
-        while !self.0.heard.get() {
+        while self.0.heard.get().is_none() {
             self.0.first.notified().await;
         }
     }
 
     /// Bytes came since `mark_idle`, or wait in the kernel, or the other side has closed.
     pub fn stirred(&self) -> bool {
-        self.0.heard.get() || !self.peek().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        self.0.heard.get().is_some() || !self.peek().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Asks the kernel itself: the event loop may not have come round to it yet.
@@ -174,7 +235,7 @@
         let (mut stream, mut peer) = pair().await;
         for parts in [["POST / HTTP/1.1\r\nA: 1\r", "\n\r\nbod", "y"], ["GET / HTTP/1.1\r\n", "\r\nbo", "dy"]]
         {
-            stream.begin_request(4);
+            stream.begin_request(Some(4));
             for part in parts {
                 assert!(!stream.request_written(), "before {part:?}");
                 write(&mut stream, part.as_bytes()).await;
@@ -182,7 +243,7 @@
             assert!(stream.request_written());
             peer.read_exact(&mut vec![0; parts.concat().len()]).unwrap();
         }
-        stream.begin_request(0);
+        stream.begin_request(Some(0));
         write(&mut stream, b"GET / HTTP/1.1\r\n\r").await;
         assert!(!stream.request_written());
         write(&mut stream, b"\n").await;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,10 +1,13 @@
 //! Attempts: one request to one backend, and the pool of connections that they use.
 
+use super::body::{
+    inflow, stuck, AnswerBody, BoxError, Budget, Kept, Outgoing, Payload, Upload, MOST, WHOLE,
+};
 use super::stream::Stream;
-use super::{span, strip_hop_by_hop, MAX_BODY};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
+use super::{span, strip_hop_by_hop};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::ext::on_informational;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -23,13 +26,19 @@
 use std::task::Poll;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
+use tracing::debug;
 
 /// Part of the backends' idle limit after which a connection is no longer used: well inside it, as their
 /// clock may have started earlier than ours.
 const IDLE_PART: f64 = 0.6;
-/// An answer is whole so soon after its first byte.
-const PROMPT: Duration = Duration::from_millis(40);
+/// The next byte of an answer that has begun comes so soon.
+const GAP: Duration = Duration::from_millis(300);
+/// Once it is on its way to the client it may rest longer: there is no other to be had.
+const SILENCE: Duration = Duration::from_secs(10);
+/// A backend that takes no byte of a request's body for so long has gone.
+const UNREAD: Duration = Duration::from_secs(3);
 /// The largest head, to which hyper holds a connection's buffer.
 const MAX_HEAD: usize = 32 * 1024;
 /// A connection is not used again so soon after an answer: what a backend sends behind one in a segment of its
@@ -43,13 +52,13 @@
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Payload,
 }
 
 /// A served answer.
 pub struct Served {
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: AnswerBody,
 }
 
 /// How an attempt ended, with the answer where it was served.
@@ -89,10 +98,11 @@
     keep: Cell<Duration>,
     connect_timeout: Cell<Duration>,
     pub opened: Cell<u64>,
+    budget: Budget,
 }
 
 impl Pool {
-    pub fn new(network: &Network) -> Pool {
+    pub fn new(network: &Network, budget: Budget) -> Pool {
         Pool {
             lines: RefCell::default(),
             open: Rc::default(),
@@ -100,6 +110,7 @@
             keep: Cell::new(span(network.conn_idle.times(IDLE_PART))),
             connect_timeout: Cell::new(span(network.connect_timeout)),
             opened: Cell::new(0),
+            budget,
         }
     }
 
@@ -194,10 +205,11 @@
         Ok(Conn { stream, to, since: Instant::now(), _slot: slot })
     }
 
-    /// Sends `call` to a backend and waits for the answer. `may_send` is asked at the moment of the first
-    /// byte: the backend may have begun to drain while the connection came up.
+    /// Sends `call` to a backend and waits for the answer, or for its first bytes where it is large. `may_send` is
+    /// asked at the moment of the first byte: the backend may have begun to drain while the connection came up.
     pub async fn attempt(
-        &self, id: BackendId, to: SocketAddr, call: &Call, deadline: Instant, may_send: impl Fn() -> bool,
+        self: &Rc<Self>, id: BackendId, to: SocketAddr, call: &Call, deadline: Instant,
+        may_send: impl Fn() -> bool,
     ) -> Ended {
         let c = match self.take(id, to) {
             Some(c) => c,
@@ -207,11 +219,11 @@
             },
         };
         let left = deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() || !may_send() {
+        if left.is_zero() || call.body.spent() || !may_send() {
             self.put(id, c); // an unused connection stays warm
             return (Outcome::NeverSent, None);
         }
-        let mut request = Request::new(Full::new(call.body.clone()));
+        let mut request = Request::new(Outgoing::new(&call.body));
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = call.uri.clone();
         *request.headers_mut() = call.headers.clone();
@@ -221,27 +233,108 @@
         let early = Arc::new(AtomicBool::new(false));
         let seen = early.clone();
         on_informational(&mut request, move |_| seen.store(true, Relaxed));
-        c.stream.begin_request(call.body.len());
-        let ended = exchange(&c.stream, request, &early).await;
-        if !c.stream.request_written() {
-            return (Outcome::ConnectFailed, None); // the backend begins with the last byte, and never before it
+        let length = request.body().size_hint().exact();
+        c.stream.begin_request(length);
+        let upload = call.body.flow();
+        let ended = exchange(&c.stream, request, &early, upload, self.budget.keep()).await;
+        // Where chunks hide what is on its way the last byte counts as written once it was given away.
+        let given = length.is_none() && upload.is_some_and(|u| u.whole());
+        let heard = ended.as_ref().is_ok_and(|e| judge(&e.head) == Outcome::Full);
+        if !c.stream.request_written() && !given {
+            let outcome = if heard { Outcome::Full } else { Outcome::ConnectFailed };
+            return (outcome, None); // the backend begins with the last byte, and never before it
         }
-        if let Ok((_, clean)) = &ended {
-            if let Some(line) = self.lines.borrow_mut().get_mut(&id) {
-                line.heard = Some(Instant::now());
+        let mut reply = match ended {
+            Ok(reply) => reply,
+            Err(Broken::Spoilt) => return (Outcome::Error, None),
+            Err(Broken::Ended) => return (Outcome::Reset, None),
+        };
+        if let Some(line) = self.lines.borrow_mut().get_mut(&id) {
+            line.heard = Some(Instant::now());
+        }
+        let outcome = judge(&reply.head);
+        let close = reply.head.headers.get_all(CONNECTION).iter().any(|v| v != "keep-alive");
+        let goes_on =
+            reply.head.version == Version::HTTP_11 && !reply.head.status.is_informational() && !close;
+        strip_hop_by_hop(&mut reply.head.headers);
+        reply.head.headers.remove("x-backend-load");
+        let headers = reply.head.headers;
+        let body = match reply.rest {
+            None => {
+                if goes_on && clean(&c.stream, reply.conn) {
+                    self.put(id, c);
+                }
+                AnswerBody::Whole(Some(reply.read).filter(|b| !b.is_empty()))
+            }
+            Some(rest) => {
+                let length = rest.size_hint().exact().map(|n| n + reply.read.len() as u64);
+                let (into, flow) = inflow(reply.read.clone(), length);
+                let back = Relay { pool: self.clone(), id, c, goes_on, read: reply.read.len() as u64, into };
+                tokio::task::spawn_local(back.run(reply.conn, reply.sender, rest));
+                AnswerBody::Flow(flow, None)
             }
-            if *clean {
-                self.put(id, c);
+        };
+        (outcome, (outcome == Outcome::Ok).then_some(Served { headers, body }))
+    }
+}
+
+/// The connection under one exchange: hyper's future for it, which has to be polled.
+type Driver = http1::Connection<Stream, Outgoing>;
+
+/// Passes the rest of a large answer on, as fast as both sides go, and keeps the connection if it is clean after.
+struct Relay {
+    pool: Rc<Pool>,
+    id: BackendId,
+    c: Conn,
+    goes_on: bool,
+    read: u64,
+    into: mpsc::Sender<Option<Bytes>>,
+}
+
+impl Relay {
+    async fn run(self, mut conn: Driver, sender: http1::SendRequest<Outgoing>, mut rest: Incoming) {
+        let mut read = self.read;
+        let mut work = pin!(async {
+            loop {
+                let data = match tokio::time::timeout(SILENCE, rest.frame()).await {
+                    Ok(None) => return true,
+                    Err(_) | Ok(Some(Err(_))) => return false,
+                    Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(), // empty: trailers
+                };
+                read += data.len() as u64;
+                if read > MOST || self.into.send(Some(data)).await.is_err() {
+                    return false;
+                }
             }
+        });
+        let mut over = false;
+        let all = poll_fn(|cx| {
+            over = over || std::pin::Pin::new(&mut conn).poll(cx).is_ready();
+            work.as_mut().poll(cx)
+        });
+        let whole = tokio::select! {
+            whole = all => whole,
+            _ = self.into.closed() => false, // its client left
+        };
+        if !whole {
+            debug!("an answer of backend {} broke off", self.id.0);
+            return;
         }
-        match ended {
-            Ok((ended, _)) => ended,
-            Err(Broken::Spoilt) => (Outcome::Error, None),
-            Err(Broken::Ended) => (Outcome::Reset, None),
+        drop(sender);
+        let _ = self.into.send(None).await;
+        if self.goes_on && !over && clean(&self.c.stream, conn) {
+            self.pool.put(self.id, self.c);
         }
     }
 }
 
+/// The answer ended where it said that it would, and not a byte came behind it. hyper starts anew with every
+/// request and gives back what it had read too much, so that nothing left from one answer can pass for the next.
+fn clean(stream: &Stream, conn: Driver) -> bool {
+    stream.mark_idle();
+    conn.into_parts().read_buf.is_empty() && !stream.stirred()
+}
+
 /// Why no whole answer came: all of these may have run.
 enum Broken {
     /// What came is no answer to anything: too long, cut short, or nothing that can be read.
@@ -250,51 +343,61 @@
     Ended,
 }
 
-/// One request and its answer, and whether the connection is clean after it: the answer ended where it said
-/// that it would, and not a byte came behind it. hyper starts anew with every request and gives back what it
-/// had read too much, so that nothing left from one answer can pass for the next.
+/// An answer, whole or with the rest of its body still to come.
+struct Reply {
+    head: Parts,
+    read: Bytes,
+    rest: Option<Incoming>,
+    conn: Driver,
+    sender: http1::SendRequest<Outgoing>,
+}
+
+/// One request and its answer.
 async fn exchange(
-    stream: &Stream, request: Request<Full<Bytes>>, early: &AtomicBool,
-) -> Result<(Ended, bool), Broken> {
+    stream: &Stream, request: Request<Outgoing>, early: &AtomicBool, upload: Option<&Rc<Upload>>,
+    mut kept: Kept,
+) -> Result<Reply, Broken> {
     let shaken = http1::Builder::new().max_buf_size(MAX_HEAD).handshake(stream.clone()).await;
     let (mut sender, mut conn) = shaken.map_err(|_| Broken::Ended)?;
     let work = async {
         let broken = |e: hyper::Error| if e.is_parse() { Broken::Spoilt } else { Broken::Ended };
-        let (head, body) = sender.send_request(request).await.map_err(broken)?.into_parts();
-        let given = [CONTENT_LENGTH, TRANSFER_ENCODING].map(|name| head.headers.contains_key(name));
-        // Only a length tells a whole body from one that broke off, and two ways to tell it may differ.
-        if given[0] == given[1] || body.size_hint().lower() > MAX_BODY as u64 {
+        let (head, mut body) = sender.send_request(request).await.map_err(broken)?.into_parts();
+        // Two ways to tell where it ends may differ.
+        let told = [CONTENT_LENGTH, TRANSFER_ENCODING].map(|name| head.headers.contains_key(name));
+        if told == [true, true] || body.size_hint().lower() > MOST {
             return Err(Broken::Spoilt);
         }
-        let body = Limited::new(body, MAX_BODY).collect().await;
-        let body = body.map_err(|e| if e.is::<hyper::Error>() { Broken::Ended } else { Broken::Spoilt })?;
-        Ok((head, body.to_bytes()))
+        let large = body.size_hint().lower() > WHOLE as u64;
+        let mut read = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(broken)?.into_data() else { continue };
+            read.extend_from_slice(&data);
+            let kept = kept.grow(data.len());
+            let flows = large || read.len() > WHOLE || !kept && head.status == StatusCode::OK;
+            if flows && judge(&head) != Outcome::Ok {
+                return Err(Broken::Spoilt);
+            }
+            if flows && !body.is_end_stream() {
+                return Ok((head, read.freeze(), Some(body)));
+            }
+        }
+        Ok((head, read.freeze(), None))
     };
-    let (mut head, body) = tokio::select! {
+    let (head, read, rest) = tokio::select! {
         biased;
         done = driven(&mut conn, work) => done.unwrap_or(Err(Broken::Ended))?,
         _ = stalled(stream, early) => return Err(Broken::Spoilt),
+        _ = unread(stream, upload) => return Err(Broken::Ended),
     };
-    let outcome = judge(&head);
-    let close = head.headers.get_all(CONNECTION).iter().any(|v| v != "keep-alive");
-    let goes_on = head.version == Version::HTTP_11 && !head.status.is_informational() && !close;
-    stream.mark_idle();
-    let clean = goes_on && conn.into_parts().read_buf.is_empty() && !stream.stirred();
-    let served = (outcome == Outcome::Ok).then(|| {
-        strip_hop_by_hop(&mut head.headers);
-        head.headers.remove("x-backend-load");
-        Served { headers: head.headers, body }
-    });
-    Ok(((outcome, served), clean))
+    Ok(Reply { head, read, rest, conn, sender })
 }
 
-/// Ends when an answer has begun and is not whole soon after: what was noise from the start, never ends its
-/// head or is shorter than it says would hold its request to the deadline. Answers of status 1xx are no such
-/// beginning.
+/// Ends when an answer has begun and goes no further: what was noise from the start, never ends its head or is
+/// shorter than it says would hold its request to the deadline. Answers of status 1xx are no such beginning.
 async fn stalled(stream: &Stream, early: &AtomicBool) {
     loop {
         stream.first_byte().await;
-        tokio::time::sleep(PROMPT).await;
+        stuck(GAP, || stream.received()).await;
         if !early.swap(false, Relaxed) {
             return;
         }
@@ -302,6 +405,19 @@
     }
 }
 
+/// Ends when a backend takes no more of a request's body, though the client gives more.
+async fn unread(stream: &Stream, upload: Option<&Rc<Upload>>) {
+    match upload {
+        Some(upload) if !upload.whole() => {
+            stuck(UNREAD, || stream.sent() + upload.read()).await;
+            if upload.whole() {
+                std::future::pending().await // its time runs now: the module's deadline ends it
+            }
+        }
+        _ => std::future::pending().await,
+    }
+}
+
 /// What an answer says. Whatever the protocol does not list may have run.
 fn judge(answer: &Parts) -> Outcome {
     let unprocessed = answer.headers.get("x-unprocessed").is_some_and(|v| v == "1");
@@ -340,26 +456,29 @@
     .await
 }
 
-type BoxError = Box<dyn std::error::Error + Send + Sync>;
-
 #[cfg(test)]
 mod tests {
     use super::*;
     use shaletide::Micros;
     use std::io::Read;
 
-    fn pool(max: usize) -> Pool {
+    fn pool(max: usize) -> Rc<Pool> {
         let (connect_timeout, conn_idle) = (Micros(5_000_000), Micros(60_000_000));
         let network =
             Network { connect_timeout, conn_idle, max_retry_after: Micros(0), deadlines: Vec::new() };
-        let pool = Pool::new(&network);
+        let pool = Rc::new(Pool::new(&network, Budget::new(1 << 20)));
         pool.bound(max);
         pool
     }
 
     fn call() -> Call {
         let uri = Uri::from_static("/pay/k");
-        Call { method: Method::POST, uri, headers: HeaderMap::new(), body: Bytes::from_static(b"cash") }
+        Call {
+            method: Method::POST,
+            uri,
+            headers: HeaderMap::new(),
+            body: Payload::Whole(Bytes::from_static(b"cash")),
+        }
     }
 
     fn soon() -> Instant {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -100,7 +100,7 @@
     held: Vec<RequestId>,
     /// First tries worth less than this have found no room since the last event that could make some.
     blocked: f64,
-    attempts: BTreeMap<(RequestId, AttemptNo), (BackendId, usize, Time)>,
+    attempts: BTreeMap<(RequestId, AttemptNo), Out>,
     rate: Rate,
     /// Seconds that this proxy's attempts were out, for each second: its own part of all that is held.
     crowd: Rate,
@@ -170,6 +170,7 @@
             Event::Processes { count: 0 | 1 } => self.shared_until = now + self.cfg.fall_window,
             Event::Processes { .. } => self.shared_until = Time(u64::MAX),
             Event::Request(arrival) => self.request(now, arrival),
+            Event::Uploaded { request, time_left } => self.uploaded(now, request, time_left),
             Event::StreamStarted { request, attempt } => {
                 if let Some(r) = self.requests.get_mut(&request) {
                     r.streaming |= r.sent.get(attempt.0 as usize).is_some_and(|s| s.out);
@@ -274,19 +275,36 @@
         let value = again * if over_quota { self.cfg.over_quota_worth } else { 1.0 };
         let (class, came, streaming, sent) = (new.class.0, now, false, Vec::new());
         let (most, copies) = (self.cfg.max_attempts as usize, self.cfg.second_copies);
-        let request = Request { class, came, aim, deadline, value, most, copies, streaming, sent };
+        let uploading = new.uploading;
+        let request = Request { class, came, aim, deadline, value, most, copies, uploading, streaming, sent };
         self.requests.insert(new.request, request);
         self.held.push(new.request);
     }
 
+    /// A body is whole: its time begins, and it counts on the backend that has it. No other can be sent it.
+    fn uploaded(&mut self, now: Time, id: RequestId, left: Micros) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| r.uploading) else { return };
+        let aim = (r.aim - r.came).min(left);
+        (r.came, r.aim, r.deadline) = (now, now + aim, now + left);
+        (r.uploading, r.most) = (false, r.sent.len());
+        for (_, a) in self.attempts.range_mut((id, AttemptNo(0))..=(id, AttemptNo(u32::MAX))) {
+            if std::mem::take(&mut a.coming) {
+                a.sent = now;
+                self.peers.get_mut(&a.to).into_iter().for_each(|p| p.coming = p.coming.saturating_sub(1));
+            }
+        }
+        self.look_at = now;
+    }
+
     fn ended(&mut self, now: Time, end: AttemptEnd) {
         let id = end.request;
-        let Some((backend, class, sent)) = self.attempts.remove(&(id, end.attempt)) else { return };
-        self.learn(now, backend, class, sent, &end);
+        let Some(attempt) = self.attempts.remove(&(id, end.attempt)) else { return };
+        self.learn(now, &attempt, &end);
         let Some(r) = self.requests.get_mut(&id) else { return };
         if let Some(s) = r.sent.get_mut(end.attempt.0 as usize) {
             (s.out, s.never_ran) = (false, end.outcome.never_ran());
         }
+        r.most = if end.spent { r.sent.len() } else { r.most };
         if end.settled || end.outcome == Outcome::Ok {
             self.close(id);
         } else if !r.out() && !self.held.contains(&id) {
@@ -295,11 +313,12 @@
     }
 
     /// What an outcome says of the backend, its kind and its class.
-    fn learn(&mut self, now: Time, id: BackendId, class: usize, sent: Time, end: &AttemptEnd) {
+    fn learn(&mut self, now: Time, attempt: &Out, end: &AttemptEnd) {
+        let Out { to: id, class, sent, coming } = *attempt;
         let (usual, quiet) = (self.usual(class), self.quiet(class));
         for (age, answered) in &mut self.answered {
             match end.outcome {
-                _ if now < sent + usual.times(*age) => {}
+                _ if coming || now < sent + usual.times(*age) => {}
                 Outcome::Ok | Outcome::Error => answered.add(1.0, OLD_SAMPLES),
                 Outcome::TimedOut | Outcome::Cancelled => answered.add(0.0, OLD_SAMPLES),
                 _ => {}
@@ -307,7 +326,8 @@
         }
         let Some(p) = self.peers.get_mut(&id) else { return };
         p.out = p.out.saturating_sub(1);
-        p.lost = p.lost.saturating_sub(u32::from(now >= sent + quiet));
+        p.coming = p.coming.saturating_sub(u32::from(coming));
+        p.lost = p.lost.saturating_sub(u32::from(!coming && now >= sent + quiet));
         match end.outcome {
             Outcome::Ok => {
                 // Served requests only: errors, time-outs and refusals stay out of the speeds.
@@ -398,7 +418,7 @@
             (p.lost, p.unheard) = (0, 0);
             p.parts.iter_mut().for_each(|part| part.unheard = 0);
         }
-        for &(backend, class, sent) in self.attempts.values() {
+        for &Out { to: backend, class, sent, .. } in self.attempts.values().filter(|a| !a.coming) {
             let (lost, silent) = (sent + self.quiet(class), sent + self.usual(class).times(SILENT_AFTER));
             next = [lost, silent].into_iter().filter(|at| *at > now).fold(next, Time::min);
             let Some(p) = self.peers.get_mut(&backend) else { continue };
@@ -409,7 +429,7 @@
         }
         let losing = self.losing().is_some();
         let mut over = Vec::new();
-        for (&id, r) in self.requests.iter().filter(|(_, r)| !r.streaming) {
+        for (&id, r) in self.requests.iter().filter(|(_, r)| !(r.streaming || r.uploading && r.out())) {
             let usual = self.usual(r.class);
             // A client whose request nobody has seen is told before half of its time is over.
             let unseen = r.sent.iter().all(|s| s.never_ran);
@@ -618,7 +638,7 @@
             } else if p.ready > 0.0 {
                 // Never overfill: a crowded backend slows for long, so a full one is drawn again.
                 let room = if r.value < LOW { (p.room / 2.0).ceil() } else { p.room };
-                if f64::from(p.out.saturating_sub(p.lost)) < room {
+                if f64::from(p.out.saturating_sub(p.lost + p.coming)) < room {
                     open.push((b, p.entry.kind, p.slice + p.pull * 1e-6)); // the rest: a last resort
                 }
             }
@@ -670,9 +690,11 @@
                 let (no, backend) = (AttemptNo(r.sent.len() as u32), p.entry.id);
                 r.sent.push(Sent { to: p.entry.clone(), at: now, out: true, never_ran: false });
                 p.out += 1;
+                p.coming += u32::from(r.uploading);
                 p.spent.retain(|s| now - s.0 < self.cfg.fall_window);
                 p.spent.push((now, work));
-                self.attempts.insert((id, no), (backend, r.class, now));
+                self.attempts
+                    .insert((id, no), Out { to: backend, class: r.class, sent: now, coming: r.uploading });
                 self.actions.push(Action::Dispatch { request: id, backend });
                 let quiet = now + self.quiet(r.class);
                 self.look_at = self.look_at.min(quiet).min(r.deadline - self.cfg.tick);
--- a/src/state.rs
+++ b/src/state.rs
@@ -140,8 +140,9 @@
     pub slice: f64,
     /// How many attempts of this proxy it may hold.
     pub room: f64,
-    /// How many it holds.
+    /// How many it holds, and of how many of these a part is still to come: they are no work yet.
     pub out: u32,
+    pub coming: u32,
     /// Running share of error answers.
     pub errors: f64,
     /// When it last answered anything.
@@ -170,8 +171,9 @@
 
     /// Forgets all but what the process at that address still holds or was sent just now.
     pub fn begin_anew(&mut self) {
-        let (entry, out, spent) = (self.entry.clone(), self.out, std::mem::take(&mut self.spent));
-        *self = Peer { entry, out, spent, cordoned: self.cordoned, ..Peer::default() };
+        let (entry, spent) = (self.entry.clone(), std::mem::take(&mut self.spent));
+        let (out, coming, cordoned) = (self.out, self.coming, self.cordoned);
+        *self = Peer { entry, out, coming, spent, cordoned, ..Peer::default() };
     }
 
     /// What is known of it for one class.
@@ -231,6 +233,16 @@
     pub never_ran: bool,
 }
 
+/// An attempt that has not ended.
+pub(crate) struct Out {
+    pub to: BackendId,
+    pub class: usize,
+    /// When it was sent, or its last byte came.
+    pub sent: Time,
+    /// A part of it is still to come.
+    pub coming: bool,
+}
+
 /// A request that is owed an answer.
 pub(crate) struct Request {
     pub class: usize,
@@ -242,6 +254,8 @@
     /// Attempts that it may have, and whether two at once, by the settings under which it came.
     pub most: usize,
     pub copies: bool,
+    /// Its body is still coming: no time runs on what is out.
+    pub uploading: bool,
     pub streaming: bool,
     pub sent: Vec<Sent>,
 }
--- /dev/null
+++ b/tests/bodies.rs
@@ -0,0 +1,222 @@
+//! Bodies of every size and form, both ways: whole, in pieces, and broken off.
+
+mod rig;
+
+use rig::*;
+use std::io::{Read, Write};
+use std::sync::Arc;
+use std::time::Duration;
+
+const LARGE: usize = 3_000_000;
+
+fn one(backend: &BackendServer) -> Proxy {
+    Proxy::start(&[entry("b0", backend.address, "SERVING")])
+}
+
+/// Bytes of which none looks like its neighbours, so that a lost or doubled piece shows.
+fn long(length: usize) -> String {
+    (0..length as u32).map(|i| char::from(b'a' + (i.wrapping_mul(2_654_435_761) >> 24) as u8 % 26)).collect()
+}
+
+fn post(id: &str, left: f64, more: &str) -> String {
+    format!("POST /pay/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: {id}\r\nX-Time-Left: {left}\r\n{more}\r\n")
+}
+
+fn chunked(body: &str, size: usize) -> String {
+    let mut text = String::new();
+    for piece in body.as_bytes().chunks(size) {
+        text += &format!("{:x}\r\n{}\r\n", piece.len(), std::str::from_utf8(piece).unwrap());
+    }
+    text + "0\r\nX-Trailer: 1\r\n\r\n"
+}
+
+/// Each byte in a write of its own.
+fn bytewise(text: &str) -> Vec<String> {
+    text.chars().map(String::from).collect()
+}
+
+#[test]
+fn large_bodies_pass_unchanged_both_ways_and_the_connection_goes_on() {
+    let answer = long(LARGE);
+    let reply = answer.clone();
+    let backend = BackendServer::start(move |_| ok(&reply));
+    let proxy = one(&backend);
+    let mut client = proxy.client();
+    let sent = long(LARGE / 2);
+    let forms = [
+        post("1", 3.0, &format!("Content-Length: {}\r\n", sent.len())) + &sent,
+        post("2", 3.0, "Transfer-Encoding: chunked\r\n") + &chunked(&sent, 10_007),
+    ];
+    for form in forms {
+        let got = client.ask(&form);
+        assert_eq!((got.status(), got.body.len()), (200, LARGE));
+        assert!(got.body == answer.as_bytes());
+        assert!(backend.request().body == sent.as_bytes());
+    }
+    assert_eq!(backend.count(), 2);
+}
+
+/// However a message is cut, it is the same: both directions, each byte by itself.
+#[test]
+fn messages_may_be_cut_anywhere() {
+    let body = long(60);
+    let answer = format!("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunked(&body, 7));
+    let early = format!("HTTP/1.1 102 X\r\n\r\nHTTP/1.1 100 X\r\n\r\n{answer}");
+    let sized = format!("HTTP/1.1 200 X\r\nContent-Length: 60\r\n\r\n{body}");
+    let answers = [answer, early, sized];
+    let backend = BackendServer::start(move |n| Reply::Pieces(bytewise(&answers[n as usize % 3])));
+    let proxy = one(&backend);
+    let mut client = proxy.client();
+    client.0.get_ref().set_nodelay(true).unwrap();
+    let forms = [
+        post("1", 3.0, "Transfer-Encoding: chunked\r\n") + &chunked("cash", 3),
+        post("2", 3.0, "Content-Length: 4\r\n") + "cash",
+        post("3", 3.0, "transfer-encoding: Chunked\r\n") + &chunked("cash", 1),
+    ];
+    for form in forms {
+        bytewise(&form).iter().for_each(|byte| client.send(byte));
+        let got = client.answer().unwrap();
+        assert_eq!((got.status(), &got.body[..]), (200, body.as_bytes()));
+        assert_eq!(backend.request().body, b"cash");
+    }
+}
+
+/// An answer without a length ends with its connection, small or large.
+#[test]
+fn an_answer_may_end_with_its_connection() {
+    let backend = BackendServer::start(|n| {
+        let body = long(if n == 0 { 50 } else { LARGE });
+        Reply::PiecesAndClose(vec![format!("HTTP/1.1 200 X\r\n\r\n{body}")])
+    });
+    let proxy = one(&backend);
+    let mut client = proxy.client();
+    assert!(client.ask(&pay(3.0)).body == long(50).as_bytes());
+    assert!(client.ask(&pay(3.0)).body == long(LARGE).as_bytes());
+}
+
+#[test]
+fn a_client_that_expects_a_word_before_its_body_gets_it() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = one(&backend);
+    let mut client = proxy.client();
+    client.send(&post("1", 3.0, "Content-Length: 4\r\nExpect: 100-continue\r\n"));
+    assert_eq!(client.answer().unwrap().status(), 100);
+    client.send("cash");
+    assert_eq!(client.answer().unwrap().status(), 200);
+    let got = backend.request();
+    assert_eq!((&got.body[..], got.header("expect")), (&b"cash"[..], None));
+}
+
+/// The first bytes of a large answer reach the client while the rest is still with the backend.
+#[test]
+fn a_large_answer_is_passed_on_as_it_comes() {
+    let gate = Arc::new(Gate::default());
+    let held = gate.clone();
+    let backend = BackendServer::start(move |_| {
+        let head = format!("HTTP/1.1 200 X\r\nContent-Length: {LARGE}\r\n\r\n");
+        Reply::Paused(head + &long(LARGE / 2), held.clone(), long(LARGE)[LARGE / 2..].into())
+    });
+    let proxy = one(&backend);
+    let mut client = proxy.client();
+    client.send(&pay(3.0));
+    let mut got = vec![0; LARGE / 2];
+    client.0.read_exact(&mut got).unwrap(); // less than came, head and all
+    gate.open();
+    let left = client.0.fill_buf_until_end();
+    assert!(got.len() + left.len() > LARGE && left.ends_with(&long(LARGE).as_bytes()[LARGE - 1000..]));
+}
+
+trait UntilEnd {
+    fn fill_buf_until_end(&mut self) -> Vec<u8>;
+}
+
+impl UntilEnd for std::io::BufReader<std::net::TcpStream> {
+    /// All that comes until the other side closes an idle connection.
+    fn fill_buf_until_end(&mut self) -> Vec<u8> {
+        let mut all = Vec::new();
+        let _ = self.read_to_end(&mut all);
+        all
+    }
+}
+
+/// What breaks off after its first bytes went out is cut, so that the client can tell, and is not asked again.
+#[test]
+fn a_large_answer_that_breaks_off_is_cut() {
+    for head in ["Content-Length: 3000000", "Transfer-Encoding: chunked"] {
+        let backend = BackendServer::start(move |_| {
+            let part =
+                if head.starts_with('C') { long(200_000) } else { format!("30d40\r\n{}", long(200_000)) };
+            Reply::PiecesAndClose(vec![format!("HTTP/1.1 200 X\r\n{head}\r\n\r\n{part}")])
+        });
+        let proxy = one(&backend);
+        let mut client = proxy.client();
+        client.send(&read(3.0));
+        assert!(client.answer().is_none(), "{head}: it is not whole");
+        assert_eq!(backend.count(), 1, "{head}");
+        assert_eq!(proxy.call("GET", "/admin/health", ""), 200);
+    }
+}
+
+/// A large request that no backend could be given yet goes to another; one that was turned away after its body
+/// had gone is refused, as it cannot be sent again.
+#[test]
+fn a_large_request_is_repeated_only_while_it_is_whole() {
+    let sent = long(LARGE);
+    let form = |id: &str| post(id, 3.0, &format!("Content-Length: {LARGE}\r\n")) + &sent;
+    let (nobody, good) = (Refusing::new(), BackendServer::start(|_| ok("paid")));
+    let proxy = one(&good);
+    let mut client = proxy.client();
+    (0..25).for_each(|_| assert_eq!(client.ask(&read(3.0)).status(), 200)); // they pay for further attempts
+    let (_, answer) = proxy.discovery.call();
+    let both = [entry("b0", good.address, "SERVING"), entry("b1", nobody.address(), "SERVING")];
+    answer.send((200, list(9, true, &both))).unwrap();
+    let _hold = proxy.discovery.call(); // by now the list is taken in
+    for n in 0..6 {
+        assert_eq!(client.ask(&form(&format!("a{n}"))).status(), 200);
+    }
+    let away = BackendServer::start(|_| Reply::Answer(503, "X-Unprocessed: 1", String::new()));
+    let proxy = Proxy::start(&[entry("b0", away.address, "SERVING"), entry("b1", away.address, "SERVING")]);
+    let answer = proxy.ask(&form("b"));
+    assert_eq!((answer.status(), away.count()), (503, 1));
+    assert!(answer.header("retry-after").is_some());
+}
+
+/// A request's time begins with its last byte, however long its body takes; its backend is not blamed.
+#[test]
+fn the_time_of_an_upload_begins_with_its_end() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = one(&backend);
+    let mut client = proxy.client();
+    let (half, left) = (long(LARGE / 2), 0.3);
+    client.send(&post("1", left, &format!("Content-Length: {}\r\n", half.len() * 2)));
+    client.send(&half);
+    std::thread::sleep(Duration::from_secs_f64(left * 2.0));
+    client.send(&half);
+    assert_eq!(client.answer().unwrap().status(), 200);
+}
+
+/// What is no whole body is a fault, and its backend never runs it.
+#[test]
+fn bodies_that_are_none_are_turned_away() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = one(&backend);
+    let stopped = post("1", 3.0, &format!("Content-Length: {LARGE}\r\n")) + &long(200_000);
+    let broken = post("2", 3.0, "Transfer-Encoding: chunked\r\n") + "30d40\r\n" + &long(200_000) + "!!";
+    let surplus = post("3", 3.0, "Content-Length: 200000\r\n") + &long(200_000) + &pay(3.0);
+    for request in [stopped, broken, surplus] {
+        let mut client = proxy.client();
+        let _ = client.0.get_mut().write_all(request.as_bytes());
+        if let Some(answer) = client.answer() {
+            assert!((400..500).contains(&answer.status()), "{}", answer.status());
+        }
+        assert!(client.ended());
+    }
+    let mut endless = proxy.client();
+    endless.send(&post("4", 3.0, "Transfer-Encoding: chunked\r\n"));
+    let chunk = format!("f4240\r\n{}\r\n", long(1_000_000));
+    let taken = (0..60).take_while(|_| endless.0.get_mut().write_all(chunk.as_bytes()).is_ok()).count();
+    let status = endless.answer().map_or(413, |a| a.status());
+    assert!(status == 413, "{status} after {taken} MB");
+    assert_eq!(backend.count(), 0, "none came whole");
+    assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -43,6 +43,10 @@
             let Some((name, value)) = text.split_once(':') else { break };
             message.headers.push((name.into(), value.trim().into()));
         }
+        if message.header("transfer-encoding") == Some("chunked") {
+            message.body = chunks(from)?;
+            return Some(message);
+        }
         let length = message.header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
         message.body = vec![0; length];
         from.read_exact(&mut message.body).ok()?;
@@ -50,6 +54,29 @@
     }
 }
 
+/// A chunked body, its trailers left out.
+fn chunks(from: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let length = usize::from_str_radix(line.trim(), 16).ok()?;
+        let at = body.len();
+        body.resize(at + length, 0);
+        from.read_exact(&mut body[at..]).ok()?;
+        loop {
+            line.clear(); // the end of the chunk, or the trailers up to their own
+            from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+            if line == "\r\n" {
+                break;
+            }
+        }
+        if length == 0 {
+            return Some(body);
+        }
+    }
+}
+
 /// What a backend does with a request.
 #[derive(Clone, Debug)]
 pub enum Reply {
@@ -59,6 +86,10 @@
     AnswerAndClose(u16, String),
     /// These bytes, each piece in a segment of its own, and the connection stays open.
     Pieces(Vec<String>),
+    /// The same, and the connection is closed behind them.
+    PiecesAndClose(Vec<String>),
+    /// The first bytes, the others when the gate opens.
+    Paused(String, Arc<Gate>, String),
     /// The connection ends after the whole request.
     Reset,
     /// Nothing, until the proxy gives up.
@@ -172,6 +203,16 @@
                 out.set_nodelay(true).unwrap();
                 pieces.iter().all(|piece| out.write_all(piece.as_bytes()).is_ok())
             }
+            Reply::PiecesAndClose(pieces) => {
+                out.set_nodelay(true).unwrap();
+                pieces.iter().for_each(|piece| drop(out.write_all(piece.as_bytes())));
+                false
+            }
+            Reply::Paused(first, gate, rest) => {
+                let begun = out.write_all(first.as_bytes()).is_ok();
+                gate.wait();
+                begun && out.write_all(rest.as_bytes()).is_ok()
+            }
             Reply::Reset => false,
             Reply::Silence => true,
             Reply::GateReset(gate) => {
