--- a/src/main.rs
+++ b/src/main.rs
@@ -46,8 +46,9 @@
 fn share(sockets: usize, peer: bool, pool: &Pool, server: &Server) {
     let processes = 1 + usize::from(peer);
     let room = (sockets.saturating_sub(RESERVE) / processes).max(2);
-    pool.bound(room / 2);
-    server.bound(room - room / 2, OVER_BOUND / processes);
+    let backends = (room * 2 / 5).max(1);
+    pool.bound(backends);
+    server.bound(room - backends, OVER_BOUND / processes);
 }
 
 async fn run() -> Result<(), String> {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -45,8 +45,9 @@
 const BUSY_LOOK: Duration = Duration::from_millis(500);
 /// The largest head, to which hyper holds a connection's buffer.
 const MAX_HEAD: usize = 16 * 1024;
-/// A first request that has begun to come is whole after this time, or makes way where room is needed.
-const FIRST_PATIENCE: Micros = Micros(100_000);
+/// A connection that sends nothing for so long, before its first request or within a head, makes way first.
+const FIRST_PATIENCE: Duration = Duration::from_millis(100);
+const HEAD_REST: Duration = Duration::from_millis(500);
 /// Connections that never sent a whole request hold this part of the places before they go first at any age.
 const UNPROVEN_PART: usize = 4;
 /// A connection that was told to end and has not is cut after this time: its client reads nothing.
@@ -224,20 +225,16 @@
         }
     }
 
-    /// The one that was idle longest leaves, but before it one that never sent a whole request: at once where
-    /// such hold many of the places, else when it had time to.
+    /// The one that earns least leaves: see `Standing`.
     fn close_longest_idle(&self) -> bool {
-        let now = self.host.clock.now();
+        let now = tokio::time::Instant::now();
         let clients = self.clients.borrow();
-        let few = self.staying(|c| !c.proven.get()) <= self.max.get() / UNPROVEN_PART;
-        let young = |c: &Client| now - c.since.get() < FIRST_PATIENCE;
-        let may_go = |c: &Client| {
-            let coming = c.stream.stirred() && (c.proven.get() || young(c));
-            !c.busy.get() && !c.leaving.get() && !coming
+        let crowd = self.staying(|c| !c.proven.get()) > self.max.get() / UNPROVEN_PART;
+        let may_go =
+            clients.values().filter_map(|c| c.standing(now, crowd).map(|s| (s, c.idle_since.get(), c)));
+        let Some((_, _, client)) = may_go.min_by_key(|(standing, since, _)| (*standing, *since)) else {
+            return false;
         };
-        let later = |c: &Client| (c.proven.get() || few && young(c), c.since.get());
-        let first = clients.values().filter(|c| may_go(c)).min_by_key(|c| later(c));
-        let Some(client) = first else { return false };
         self.evicted.set(self.evicted.get() + 1);
         client.leaving.set(true); // another call at the same moment chooses another
         client.close.notify_one();
@@ -317,8 +314,10 @@
                     if client.leaving.get() {
                         cut.as_mut().reset(tokio::time::Instant::now() + CLOSE_PATIENCE);
                     }
-                    if client.leaving.get() && !client.proven.get() && !client.busy.get() {
-                        return; // nothing is owed on it
+                    let standing = client.standing(tokio::time::Instant::now(), true);
+                    let none_owed = client.leaving.get() && !client.proven.get() && !client.busy.get();
+                    if none_owed || matches!(standing, Some(Standing::Silent | Standing::Stopped)) {
+                        return;
                     }
                     // A request that has just come is answered first; `answer` then ends the connection.
                     if client.busy.get() || !client.stream.stirred() {
@@ -431,7 +430,33 @@
     }
 }
 
+/// Who leaves first where room is needed.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    /// It never sent a byte, and had the time to.
+    Silent,
+    /// A part of a head came and no more of it.
+    Stopped,
+    /// It waits between requests.
+    Idle,
+    /// It has just come.
+    Young,
+}
+
 impl Client {
+    /// `None`: a request is open on it or on its way. In a crowd of the silent none is too young.
+    fn standing(&self, now: tokio::time::Instant, crowd: bool) -> Option<Standing> {
+        let moving = || now - self.stream.moved() < HEAD_REST;
+        match self.stream.heard() {
+            _ if self.busy.get() || self.leaving.get() => None,
+            Some(_) => (!moving()).then_some(Standing::Stopped),
+            None if self.stream.stirred() => None,
+            None if self.proven.get() => Some(Standing::Idle),
+            None if crowd || now - self.accepted >= FIRST_PATIENCE => Some(Standing::Silent),
+            None => Some(Standing::Young),
+        }
+    }
+
     /// When its patience ends, as things stand.
     fn due(&self, now: tokio::time::Instant) -> tokio::time::Instant {
         match self.stream.heard() {
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -32,6 +32,8 @@
     sized: Cell<bool>,
     /// The line of the head that is being read, as far as it may name the length.
     line: Cell<usize>,
+    /// When something was last read.
+    moved: Cell<Instant>,
     /// Bytes read and written in all.
     received: Cell<u64>,
     sent: Cell<u64>,
@@ -51,6 +53,7 @@
             heard: Cell::default(),
             sized: Cell::default(),
             line: Cell::default(),
+            moved: Cell::new(Instant::now()),
             received: Cell::default(),
             sent: Cell::default(),
             first: Notify::new(),
@@ -79,6 +82,7 @@
         let behind = if s.came.get() == 4 { bytes.len() } else { self.read_head(bytes) };
         s.behind.set(s.behind.get() + behind as u64);
         s.received.set(s.received.get() + bytes.len() as u64);
+        s.moved.set(Instant::now());
         if !bytes.is_empty() && s.heard.get().is_none() {
             s.heard.set(Some(Instant::now()));
             s.first.notify_waiters();
@@ -115,6 +119,11 @@
         self.0.sent.get()
     }
 
+    /// When something was last read.
+    pub fn moved(&self) -> Instant {
+        self.0.moved.get()
+    }
+
     /// When the message that is coming began.
     pub fn heard(&self) -> Option<Instant> {
         self.0.heard.get()
