--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -162,14 +162,15 @@
                 _ = &mut stop => break,
             }
         }
-        self.stopping.set(true);
         self.accepting.set(false);
         let told = tokio::time::Instant::now();
         if inherited {
             drop(listener);
         } else {
+            // Kept connections go on as well for that time: clients that lost theirs may find no other proxy.
             self.empty(listener).await;
         }
+        self.stopping.set(true);
         // Past the longest deadline nothing is owed any more; a client that holds a connection open with half
         // of a request does not keep the program.
         let settings = self.host.settings();
