--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -117,7 +117,7 @@
         }
     }
     // A client waits for its answer before it sends more: this one's length is wrong or hides a request.
-    if length.is_some() && client.surplus(read.len() as u64) {
+    if client.surplus(read.len() as u64) {
         return Err(Fault::Length);
     }
     Ok((Payload::Whole(read.freeze()), kept))
@@ -217,7 +217,8 @@
         let last = data.is_none() || self.length == Some(read);
         let fault = match self.length {
             _ if read > MOST => Some(Fault::TooLong),
-            Some(length) if last && (read != length || self.client.surplus(read)) => Some(Fault::Length),
+            Some(length) if last && read != length => Some(Fault::Length),
+            _ if last && self.client.surplus(read) => Some(Fault::Length),
             _ if !last && !in_time(self.begun, read) => Some(Fault::Slow),
             _ => None,
         };
--- /dev/null
+++ b/src/net/chunks.rs
@@ -0,0 +1,88 @@
+//! Where a chunked body ends, as its raw bytes pass: hyper decodes it and does not tell what came behind.
+
+/// What the next byte is taken for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Next {
+    /// A digit of a chunk's size, or what follows the digits on that line.
+    #[default]
+    Size,
+    Extension,
+    /// So many bytes of data, then the end of their line.
+    Data(u64),
+    DataEnd,
+    /// The first byte of a line after the last chunk: an empty one is the end.
+    Line,
+    Trailer,
+}
+
+/// The place in a chunked body up to which it has come.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Chunks {
+    next: Next,
+    size: u64,
+    over: bool,
+}
+
+impl Chunks {
+    /// Takes the next bytes; how many of them lie behind the body's end. What is malformed hyper turns away.
+    pub fn feed(&mut self, mut bytes: &[u8]) -> usize {
+        while let (false, Some(byte)) = (self.over, bytes.first()) {
+            let mut step = 1;
+            self.next = match (self.next, byte) {
+                (Next::Size | Next::Extension, b'\n') if self.size == 0 => Next::Line,
+                (Next::Size | Next::Extension, b'\n') => Next::Data(std::mem::take(&mut self.size)),
+                (Next::Size, digit) if digit.is_ascii_hexdigit() => {
+                    let digit = char::from(*digit).to_digit(16).unwrap_or(0);
+                    self.size = self.size.saturating_mul(16).saturating_add(digit.into());
+                    Next::Size
+                }
+                (Next::Size | Next::Extension, _) => Next::Extension,
+                (Next::Data(left), _) => {
+                    step = left.min(bytes.len() as u64) as usize;
+                    let left = left - step as u64;
+                    if left > 0 {
+                        Next::Data(left)
+                    } else {
+                        Next::DataEnd
+                    }
+                }
+                (Next::DataEnd, b'\n') => Next::Size,
+                (Next::DataEnd, _) => Next::DataEnd,
+                (Next::Line, b'\n') => {
+                    self.over = true;
+                    Next::Line
+                }
+                (Next::Line, b'\r') => Next::Line,
+                (Next::Trailer, b'\n') => Next::Line,
+                (Next::Line | Next::Trailer, _) => Next::Trailer,
+            };
+            bytes = &bytes[step..];
+        }
+        bytes.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// However it is cut, its end is where it is, and what lies behind is counted.
+    #[test]
+    fn a_body_ends_where_it_ends_however_it_is_cut() {
+        let bodies: [&[u8]; 4] = [
+            b"0\r\n\r\n",
+            b"4\r\ncash\r\n0\r\n\r\n",
+            b"0a;x=\"0\"\r\n0\r\n\r\n0\r\n\r\n\r\n0\r\nA: 1\r\nB: 2\r\n\r\n",
+            b"1A \r\nabcdefghijklmnopqrstuvwxyz\r\n000\r\n\r\n",
+        ];
+        for body in bodies {
+            let whole = [body, b"GET / HTTP/1.1"].concat();
+            for cut in 0..whole.len() {
+                let mut chunks = Chunks::default();
+                let behind = chunks.feed(&whole[..cut]);
+                assert_eq!(behind, cut.saturating_sub(body.len()), "{cut}");
+                assert_eq!(behind + chunks.feed(&whole[cut..]), 14, "{cut}");
+            }
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod body;
+pub mod chunks;
 pub mod config;
 pub mod cordon;
 pub mod discovery;
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -1,6 +1,7 @@
 //! A TCP stream under hyper that can also be looked at from outside: how much of a request was written,
 //! and whether the other side has closed or sent anything.
 
+use super::chunks::Chunks;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::Cell;
 use std::io;
@@ -12,6 +13,7 @@
 use tokio::time::Instant;
 
 const LENGTH: &[u8] = b"content-length";
+const ENCODING: &[u8; 17] = b"transfer-encoding";
 
 /// Shared by hyper's side of the stream and the proxy's.
 #[derive(Clone)]
@@ -28,10 +30,13 @@
     behind: Cell<u64>,
     /// When something was first read since the last `mark_idle`.
     heard: Cell<Option<Instant>>,
-    /// A line of the head gives a length: hyper hides it where the body is chunked.
+    /// A line of the head gives a length: hyper hides it where the body is chunked, as another line may say.
     sized: Cell<bool>,
-    /// The line of the head that is being read, as far as it may name the length.
-    line: Cell<usize>,
+    chunked: Cell<bool>,
+    /// The beginning of the line of the head that is being read, and how long the line is.
+    line: Cell<([u8; ENCODING.len()], usize)>,
+    /// Where in a chunked body what was read ends.
+    chunks: Cell<Chunks>,
     /// When something was last read.
     moved: Cell<Instant>,
     /// Bytes read and written in all.
@@ -52,7 +57,9 @@
             behind: Cell::default(),
             heard: Cell::default(),
             sized: Cell::default(),
+            chunked: Cell::default(),
             line: Cell::default(),
+            chunks: Cell::default(),
             moved: Cell::new(Instant::now()),
             received: Cell::default(),
             sent: Cell::default(),
@@ -79,7 +86,12 @@
 
     fn read(&self, bytes: &[u8]) {
         let s = &self.0;
-        let behind = if s.came.get() == 4 { bytes.len() } else { self.read_head(bytes) };
+        let mut behind = if s.came.get() == 4 { bytes.len() } else { self.read_head(bytes) };
+        if s.chunked.get() {
+            let mut chunks = s.chunks.get();
+            behind = chunks.feed(&bytes[bytes.len() - behind..]);
+            s.chunks.set(chunks);
+        }
         s.behind.set(s.behind.get() + behind as u64);
         s.received.set(s.received.get() + bytes.len() as u64);
         s.moved.set(Instant::now());
@@ -89,20 +101,23 @@
         }
     }
 
-    /// Looks for a length among the lines, however the head is cut; the bytes that lie behind it.
+    /// Looks for a length and an encoding among the lines, however the head is cut; the bytes behind it.
     fn read_head(&self, bytes: &[u8]) -> usize {
         let behind = behind_head(&self.0.came, bytes);
+        let (mut line, mut length) = self.0.line.get();
         for byte in &bytes[..bytes.len() - behind] {
-            let at = self.0.line.get();
-            self.0.line.set(match byte {
-                b'\n' => 0,
-                b if LENGTH.get(at) == Some(&b.to_ascii_lowercase()) => at + 1,
-                _ => usize::MAX, // another line
-            });
-            if self.0.line.get() == LENGTH.len() {
-                self.0.sized.set(true);
+            if *byte == b'\n' {
+                length = 0;
+                continue;
+            }
+            if let Some(place) = line.get_mut(length) {
+                *place = byte.to_ascii_lowercase();
             }
+            length += 1;
+            self.0.sized.set(self.0.sized.get() || length == LENGTH.len() && line.starts_with(LENGTH));
+            self.0.chunked.set(self.0.chunked.get() || length == ENCODING.len() && line == *ENCODING);
         }
+        self.0.line.set((line, length));
         behind
     }
 
@@ -129,16 +144,19 @@
         self.0.heard.get()
     }
 
-    /// More has come than a message with a body of that size.
+    /// More has come than a message with a body of that size, or than one in chunks.
     pub fn surplus(&self, body: u64) -> bool {
-        self.0.behind.get() > body || matches!(self.peek(), Ok(n) if n > 0)
+        let own = if self.0.chunked.get() { 0 } else { body };
+        self.0.behind.get() > own || matches!(self.peek(), Ok(n) if n > 0)
     }
 
     /// From now on what comes is a message of its own.
     pub fn mark_idle(&self) {
         self.0.heard.set(None);
         self.0.sized.set(false);
-        self.0.line.set(0);
+        self.0.chunked.set(false);
+        self.0.line.set(Default::default());
+        self.0.chunks.set(Chunks::default());
         self.0.came.set(0);
         self.0.behind.set(0);
     }
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -203,7 +203,9 @@
     let stopped = post("1", 3.0, &format!("Content-Length: {LARGE}\r\n")) + &long(200_000);
     let broken = post("2", 3.0, "Transfer-Encoding: chunked\r\n") + "30d40\r\n" + &long(200_000) + "!!";
     let surplus = post("3", 3.0, "Content-Length: 200000\r\n") + &long(200_000) + &pay(3.0);
-    for request in [stopped, broken, surplus] {
+    let behind =
+        post("5", 3.0, "Transfer-Encoding: chunked\r\n") + &chunked(&long(200_000), 9_000) + &pay(3.0);
+    for request in [stopped, broken, surplus, behind] {
         let mut client = proxy.client();
         let _ = client.0.get_mut().write_all(request.as_bytes());
         if let Some(answer) = client.answer() {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -41,6 +41,7 @@
     pub logs: Vec<String>,
     pub last: Vec<Action>,
     pub repeat: bool,
+    pub uploading: bool,
     next: u64,
 }
 
@@ -76,6 +77,7 @@
             logs: Vec::new(),
             last: Vec::new(),
             repeat: false,
+            uploading: false,
             next: 0,
         }
     }
@@ -176,7 +178,7 @@
             time_left: Micros(left),
             work_hint: None,
             repeat: self.repeat,
-            uploading: false,
+            uploading: self.uploading,
         }));
         id
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -565,3 +565,31 @@
     };
     assert_eq!(run(false), run(true));
 }
+
+/// An upload holds no room and no time runs on it until its last byte is in; then both begin, and there is no
+/// other attempt.
+#[test]
+fn an_upload_weighs_and_is_timed_from_its_last_byte() {
+    let cfg = || Config { proxies: 1, ..config(vec![class(Effect::Unsafe), class(Effect::Free)]) };
+    let mut host = host(cfg(), fleet(1));
+    serve(&mut host, 60, 1, |_| 20_000);
+    host.uploading = true;
+    let uploads: Vec<RequestId> = (0..12).map(|_| host.arrive(0, 60_000_000)).collect();
+    host.uploading = false;
+    assert!(uploads.iter().all(|id| host.sent_to(*id).len() == 1), "what is still coming is no work");
+    host.advance(5_000_000);
+    let owed = |host: &Host, id: RequestId| host.requests[&id].answer.is_none();
+    assert!(uploads.iter().all(|id| owed(&host, *id)), "no time runs on them");
+    let beside = host.arrive(1, 900_000);
+    assert_eq!(host.sent_to(beside).len(), 1, "nor is the backend taken for silent");
+    host.end(beside, 0, Outcome::Ok);
+    for id in &uploads {
+        host.event(Event::Uploaded { request: *id, time_left: Micros(900_000) });
+    }
+    let late = host.arrive(1, 900_000);
+    assert!(host.sent_to(late).is_empty(), "now they are work, more than it may hold");
+    host.end(uploads[0], 0, Outcome::ConnectFailed);
+    assert!(!owed(&host, uploads[0]) && host.sent_to(uploads[0]).len() == 1, "its body is gone");
+    host.advance(2_000_000);
+    assert!(uploads.iter().all(|id| !owed(&host, *id)), "and their time is up in the end");
+}
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -132,7 +132,9 @@
     };
     let hidden = "0\r\n\r\nGET /read/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: 6\r\n\r\n";
     let (length, chunked) = ("Content-Length: 70\r\n", "Transfer-Encoding: chunked\r\n");
+    let one_more = "4\r\ncash\r\n0\r\n\r\n".to_string() + &post(&format!("{length}{chunked}"), hidden);
     let cases = [
+        (400, post(chunked, &one_more)),
         (400, get("X-Correlation-Id: 1\r\nX-Time-Left: soon\r\n")),
         (400, get("X-Correlation-Id: 1\r\nX-Time-Left: -1\r\n")),
         (400, get("X-Correlation-Id: 1\r\nX-Time-Left: NaN\r\n")),
