--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -26,9 +26,11 @@
 use tokio::sync::Notify;
 use tracing::warn;
 
+/// A process is killed no sooner after SIGTERM than this and the longest deadline, or `LEAST_STAY`.
+const GRACE: Duration = Duration::from_millis(700);
 /// After SIGTERM new connections go on coming for up to 0.4 s.
 const LINGER: Duration = Duration::from_millis(500);
-/// Kept after the longest deadline for the last answers' way out.
+/// Kept before the end for the last answers' way out.
 const FLUSH: Duration = Duration::from_millis(100);
 /// The platform leaves a process at least so long to finish, however short the deadlines are.
 const LEAST_STAY: Duration = Duration::from_secs(3);
@@ -82,6 +84,8 @@
     next: Cell<u64>,
     accepting: Cell<bool>,
     stopping: Cell<bool>,
+    /// When the program ends, once it was told to.
+    end: Cell<Option<tokio::time::Instant>>,
     left: Notify,
     told: Cell<Time>,
     /// Accepted, let go of to make room, and turned away since the last report.
@@ -113,6 +117,7 @@
             next,
             accepting,
             stopping,
+            end: Cell::default(),
             left,
             told,
             accepted,
@@ -164,18 +169,20 @@
         }
         self.accepting.set(false);
         let told = tokio::time::Instant::now();
+        // Past the longest deadline nothing is owed any more; a client that holds a connection open with half
+        // of a request does not keep the program.
+        let settings = self.host.settings();
+        let longest = span(settings.network.deadlines.iter().max().copied().unwrap_or_default());
+        let end = told + longest.max(LEAST_STAY) + GRACE - FLUSH;
+        self.end.set(Some(end));
         if inherited {
             drop(listener);
         } else {
-            // Kept connections go on as well for that time: clients that lost theirs may find no other proxy.
-            self.empty(listener).await;
+            // Kept connections go on as well, for as long as any request can still be answered before the end:
+            // clients that lost theirs may find no other proxy.
+            self.empty(listener, (end - longest - FLUSH).max(told + LINGER)).await;
         }
         self.stopping.set(true);
-        // Past the longest deadline nothing is owed any more; a client that holds a connection open with half
-        // of a request does not keep the program.
-        let settings = self.host.settings();
-        let longest = settings.network.deadlines.iter().max().copied().unwrap_or_default();
-        let end = told + span(longest).max(LEAST_STAY) + LINGER + FLUSH;
         while self.clients() > 0 && tokio::time::Instant::now() < end {
             // Told again and again: one whose request had just arrived is not closed at the first time.
             self.clients.borrow().values().for_each(|c| c.close.notify_one());
@@ -185,8 +192,8 @@
 
     /// Goes on accepting while the front still sends new clients, then takes all that the queue holds: what the
     /// kernel has accepted is owed an answer.
-    async fn empty(self: &Rc<Self>, listener: TcpListener) {
-        let mut linger = pin!(tokio::time::sleep(LINGER));
+    async fn empty(self: &Rc<Self>, listener: TcpListener, until: tokio::time::Instant) {
+        let mut linger = pin!(tokio::time::sleep_until(until));
         loop {
             tokio::select! {
                 _ = self.accept(&listener) => {}
@@ -352,6 +359,12 @@
         answer
     }
 
+    /// So much of that time as there is before the program ends: what is taken is answered by then.
+    fn until_end(&self, left: Micros) -> Micros {
+        let most = |end: tokio::time::Instant| end.saturating_duration_since(tokio::time::Instant::now());
+        self.end.get().map_or(left, |end| left.min(Micros(most(end).as_micros() as u64)))
+    }
+
     async fn proxy(
         self: &Rc<Self>, client: &Client, request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Fault> {
@@ -364,7 +377,8 @@
         let (name, left, length) = check(&head, &body, client.stream.sized(), effect, most)?;
         let (body, _kept) = gather(body, length, &client.stream, &self.budget).await?;
         // The time of a request counts from its last byte; where more is to come it has not begun.
-        let left = Micros(left.0.saturating_sub(self.host.margin().0));
+        let most = Micros(left.0.saturating_sub(self.host.margin().0));
+        let left = self.until_end(most);
         let deadline = Cell::new(self.host.clock.now() + left);
         let mut headers = head.headers;
         let tenant = headers.get("x-account").and_then(|v| v.to_str().ok());
@@ -390,6 +404,7 @@
         let due = async {
             if let Some(upload) = &upload {
                 upload.over().await?;
+                let left = self.until_end(most);
                 deadline.set(self.host.clock.now() + left);
                 self.host.uploaded(id, left);
             }
