Take back the longer stay at a stop: the time to end is the deadline at most 3 s, not at least

Cause: SIGKILL follows 0.7 s after the longest deadline, of which no more than 3 s counts; the stay had read it as no less. Ruled out: streaming and slow heads; the lost ones came on kept connections late in the stay.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -26,14 +26,13 @@
 use tokio::sync::Notify;
 use tracing::warn;
 
-/// A process is killed no sooner after SIGTERM than this and the longest deadline, or `LEAST_STAY`.
+/// A process is killed so long after SIGTERM and the longest deadline, of which no more than this counts.
 const GRACE: Duration = Duration::from_millis(700);
+const MOST_STAY: Duration = Duration::from_secs(3);
 /// After SIGTERM new connections go on coming for up to 0.4 s.
 const LINGER: Duration = Duration::from_millis(500);
 /// Kept before the end for the last answers' way out.
 const FLUSH: Duration = Duration::from_millis(100);
-/// The platform leaves a process at least so long to finish, however short the deadlines are.
-const LEAST_STAY: Duration = Duration::from_secs(3);
 const BACKLOG: u32 = 1024;
 /// A connection on which nothing comes is closed after this time.
 const IDLE_PATIENCE: Duration = Duration::from_millis(2100);
@@ -84,7 +83,7 @@
     next: Cell<u64>,
     accepting: Cell<bool>,
     stopping: Cell<bool>,
-    /// When the program ends, once it was told to.
+    /// When the program may be killed, once it was told to stop.
     end: Cell<Option<tokio::time::Instant>>,
     left: Notify,
     told: Cell<Time>,
@@ -173,14 +172,13 @@
         // of a request does not keep the program.
         let settings = self.host.settings();
         let longest = span(settings.network.deadlines.iter().max().copied().unwrap_or_default());
-        let end = told + longest.max(LEAST_STAY) + GRACE - FLUSH;
-        self.end.set(Some(end));
+        let end = told + longest + GRACE;
+        self.end.set(Some(told + longest.min(MOST_STAY) + GRACE - FLUSH));
         if inherited {
             drop(listener);
         } else {
-            // Kept connections go on as well, for as long as any request can still be answered before the end:
-            // clients that lost theirs may find no other proxy.
-            self.empty(listener, (end - longest - FLUSH).max(told + LINGER)).await;
+            // Kept connections go on as well for that time: clients that lost theirs may find no other proxy.
+            self.empty(listener, told + LINGER).await;
         }
         self.stopping.set(true);
         while self.clients() > 0 && tokio::time::Instant::now() < end {
