--- a/src/main.rs
+++ b/crates/lotusdeck/src/main.rs
@@ -1,18 +1,15 @@
 //! The proxy: configuration, logging, signals and start-up.
-#![deny(unsafe_code)] // but for the one place where a socket is inherited
 
-mod net;
-
-use net::admin::{Admin, MAX_CALLERS};
-use net::body::Budget;
-use net::config::{Node, NodeError};
-use net::cordon::Cordon;
-use net::host::Host;
-use net::peer::{self, Peer};
-use net::server::Server;
-use net::upstream::Pool;
-use net::{discovery, handover, server, Clock};
-use shaletide::{Balancer, ListUpdate};
+use lotusdeck_policy::{Balancer, ListUpdate};
+use lotusdeck_proxy::admin::{Admin, MAX_CALLERS};
+use lotusdeck_proxy::body::Budget;
+use lotusdeck_proxy::config::{Node, NodeError};
+use lotusdeck_proxy::cordon::Cordon;
+use lotusdeck_proxy::host::Host;
+use lotusdeck_proxy::peer::{self, Peer};
+use lotusdeck_proxy::server::Server;
+use lotusdeck_proxy::upstream::Pool;
+use lotusdeck_proxy::{discovery, handover, server, Clock};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,7 +33,7 @@
     match runtime.map_err(|e| format!("no event loop: {e}")).and_then(|r| local.block_on(&r, run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("shaletide: {text}");
+            eprintln!("lotusdeck: {text}");
             ExitCode::FAILURE
         }
     }
@@ -59,8 +56,8 @@
     let inherited = handover::listener().map_err(|e| e.to_string())?;
     let mut node = Node::read().map_err(|e| e.to_string())?;
     let cordon = Cordon::load(&node.state());
-    if cordon.len() > 0 {
-        info!("{} backends are cordoned from before", cordon.len());
+    if cordon.count() > 0 {
+        info!("{} backends are cordoned from before", cordon.count());
     }
     let clock = Clock::new();
     let budget = Budget::new(node.memory / BODIES_PART);
--- a/tests/rig/mod.rs
+++ b/crates/lotusdeck/tests/rig/mod.rs
@@ -336,13 +336,13 @@
 
     /// With a limit on descriptors that need not be the one it is told.
     pub fn launched(known: &[String], sockets: u32, settings: &str, descriptors: u32) -> Proxy {
-        let tmp = std::env::temp_dir().join(format!("shaletide-{}-{}", std::process::id(), next()));
+        let tmp = std::env::temp_dir().join(format!("lotusdeck-{}-{}", std::process::id(), next()));
         Proxy::run(known, sockets, settings, descriptors, tmp, None, Rc::new(DiscoveryServer::start()))
     }
 
     /// On a listening socket that somebody else holds.
     pub fn inheriting(known: &[String], listener: &TcpListener) -> Proxy {
-        let tmp = std::env::temp_dir().join(format!("shaletide-{}-{}", std::process::id(), next()));
+        let tmp = std::env::temp_dir().join(format!("lotusdeck-{}-{}", std::process::id(), next()));
         Proxy::run(known, 1024, SETTINGS, 1024, tmp, Some(listener), Rc::new(DiscoveryServer::start()))
     }
 
@@ -446,7 +446,7 @@
 }
 
 fn written(config: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("shaletide-{}-{}.json", std::process::id(), next()));
+    let path = std::env::temp_dir().join(format!("lotusdeck-{}-{}.json", std::process::id(), next()));
     std::fs::write(&path, config).unwrap();
     path
 }
@@ -455,7 +455,7 @@
     let mut command = Command::new("sh");
     // A socket that is handed down comes as the standard input and becomes descriptor 3, as in service.
     let line = format!("ulimit -n {descriptors}; exec \"$0\" 3<&0 </dev/null");
-    command.args(["-c", &line, env!("CARGO_BIN_EXE_shaletide")]);
+    command.args(["-c", &line, env!("CARGO_BIN_EXE_lotusdeck")]);
     command
         .env_remove("NODE_ADMIN_ADDR")
         .env_remove("NODE_SOCKET_FD")
--- a/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,5 +15,5 @@
 
 /// The README's example, kept true by the documentation tests.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 struct Readme;
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A host for one balancer that carries out its actions and checks every rule as it goes.
 #![allow(dead_code)]
 
-use shaletide::*;
+use lotusdeck_policy::*;
 use std::collections::BTreeMap;
 
 #[derive(Clone)]
--- a/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::{backend, class, Host};
-use shaletide::*;
+use lotusdeck_policy::*;
 
 fn fleet(count: u32) -> Vec<Backend> {
     (0..count).map(|i| backend(i, 0, 0)).collect()
--- a/tests/halb.rs
+++ b/crates/policy/tests/halb.rs
@@ -1,6 +1,6 @@
 //! Shares against values worked by hand from the paper's formula.
 
-use shaletide::halb_shares;
+use lotusdeck_policy::halb_shares;
 
 fn close(got: Vec<f64>, want: &[f64]) {
     assert_eq!(got.len(), want.len());
--- a/tests/invariants.rs
+++ b/crates/policy/tests/invariants.rs
@@ -2,9 +2,9 @@
 
 mod common;
 use common::{backend, class, Host};
+use lotusdeck_policy::*;
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
-use shaletide::*;
 
 #[derive(Clone, Debug)]
 enum Step {
--- a/src/net/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -1,10 +1,10 @@
 //! Operators' calls: HTTP/1.1 on an address of their own, one call per connection.
 
-use super::body::AnswerBody;
-use super::cordon::CordonError;
-use super::host::Host;
-use super::server::{plain, Server, Timer};
-use super::stream::Stream;
+use crate::body::AnswerBody;
+use crate::cordon::CordonError;
+use crate::host::Host;
+use crate::server::{plain, Server, Timer};
+use crate::stream::Stream;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, ALLOW};
--- a/src/net/body.rs
+++ b/crates/proxy/src/body.rs
@@ -1,7 +1,7 @@
 //! Bodies: kept whole where they are small, passed on frame by frame where they are not.
 
-use super::request::Fault;
-use super::stream::Stream;
+use crate::request::Fault;
+use crate::stream::Stream;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
--- a/src/net/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,9 +1,9 @@
 //! `NODE_CONFIG`: what this proxy is told at its start.
 
-use super::discovery::List;
+use crate::discovery::List;
+use lotusdeck_policy::settings::Settings;
 use serde::Deserialize;
 use serde_json::Value;
-use shaletide::settings::Settings;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/src/net/cordon.rs
+++ b/crates/proxy/src/cordon.rs
@@ -75,7 +75,7 @@
         self.out.borrow().contains(id)
     }
 
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.out.borrow().len()
     }
 
@@ -177,7 +177,7 @@
         let base = base("damaged");
         std::fs::write(base.with_extension("cordon"), b"s-1\n\xff\xfe\0\ns-2\nhalf a line").unwrap();
         let cordon = Cordon::load(&base);
-        assert!(cordon.holds("s-1") && cordon.holds("s-2") && cordon.len() == 2);
+        assert!(cordon.holds("s-1") && cordon.holds("s-2") && cordon.count() == 2);
         cordon.set("s-3", true).await.unwrap();
         assert_eq!(Cordon::load(&base).len(), 3);
     }
--- a/src/net/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,16 +1,16 @@
 //! Discovery: the backend list in its JSON form, and the watch that keeps it up to date.
 
-use super::host::Host;
-use super::stream::Stream;
-use super::upstream::driven;
+use crate::host::Host;
+use crate::stream::Stream;
+use crate::upstream::driven;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper::Request;
+use lotusdeck_policy::settings::Row;
+use lotusdeck_policy::{Backend, BackendState, CellId, Discovery, ListUpdate, Time};
 use serde::Deserialize;
 use serde_json::Value;
-use shaletide::settings::Row;
-use shaletide::{Backend, BackendState, CellId, Discovery, ListUpdate, Time};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/net/host.rs
+++ b/crates/proxy/src/host.rs
@@ -1,11 +1,11 @@
 //! The decision module's host and sole owner: events go in, actions are carried out.
 
-use super::cordon::{Cordon, CordonError, LOOK};
-use super::discovery::List;
-use super::upstream::{Call, Ended, Pool, Served};
-use super::Clock;
-use shaletide::settings::{Names, Settings};
-use shaletide::*;
+use crate::cordon::{Cordon, CordonError, LOOK};
+use crate::discovery::List;
+use crate::upstream::{Call, Ended, Pool, Served};
+use crate::Clock;
+use lotusdeck_policy::settings::{Names, Settings};
+use lotusdeck_policy::*;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
@@ -298,7 +298,7 @@
         loop {
             tokio::time::sleep(LOOK).await;
             if self.cordon.refresh() {
-                info!("the file of cordons was changed by another process: {} are out", self.cordon.len());
+                info!("the file of cordons was changed by another process: {} are out", self.cordon.count());
                 self.apply_cordons();
             }
         }
@@ -522,8 +522,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::net::body::{Budget, Payload};
-    use shaletide::settings::Network;
+    use crate::body::{Budget, Payload};
+    use lotusdeck_policy::settings::Network;
 
     /// Each thing that may change while a connection comes up stops the send: the list, the request's end,
     /// and the end of the time in which a keyed repeat is dropped.
--- a/src/net/mod.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod stream;
 pub mod upstream;
 
-use shaletide::Time;
+use lotusdeck_policy::Time;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The module's time: the monotonic clock, set once to Unix time so that start times in lists fit it.
@@ -24,7 +24,14 @@
     unix: u64,
 }
 
+impl Default for Clock {
+    fn default() -> Clock {
+        Clock::new()
+    }
+}
+
 impl Clock {
+    /// Its two clocks are read now, and the wall clock never again.
     pub fn new() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { start: Instant::now(), unix: unix.as_micros() as u64 }
@@ -38,7 +45,7 @@
     }
 }
 
-pub fn span(of: shaletide::Micros) -> Duration {
+pub fn span(of: lotusdeck_policy::Micros) -> Duration {
     Duration::from_micros(of.0)
 }
 
--- a/src/net/request.rs
+++ b/crates/proxy/src/request.rs
@@ -1,11 +1,11 @@
 //! What a client's request must be before it is taken: the rest is answered at once and its connection ends.
 
-use super::body::MOST;
+use crate::body::MOST;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode};
-use shaletide::{Effect, Micros};
+use lotusdeck_policy::{Effect, Micros};
 
 /// A request's id may be so long.
 const MAX_ID: usize = 128;
--- a/src/net/server.rs
+++ b/crates/proxy/src/server.rs
@@ -1,18 +1,18 @@
 //! Clients: the listener, their connections, and the graceful shutdown.
 
-use super::body::{gather, AnswerBody, Budget};
-use super::host::{Answer, Host};
-use super::request::{check, number, Fault};
-use super::stream::Stream;
-use super::upstream::Call;
-use super::{span, strip_hop_by_hop, Clock};
+use crate::body::{gather, AnswerBody, Budget};
+use crate::host::{Answer, Host};
+use crate::request::{check, number, Fault};
+use crate::stream::Stream;
+use crate::upstream::Call;
+use crate::{span, strip_hop_by_hop, Clock};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use shaletide::*;
+use lotusdeck_policy::*;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
--- a/src/net/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -1,7 +1,7 @@
 //! A TCP stream under hyper that can also be looked at from outside: how much of a request was written,
 //! and whether the other side has closed or sent anything.
 
-use super::chunks::Chunks;
+use crate::chunks::Chunks;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::Cell;
 use std::io;
--- a/src/net/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -1,10 +1,10 @@
 //! Attempts: one request to one backend, and the pool of connections that they use.
 
-use super::body::{
+use crate::body::{
     inflow, stuck, AnswerBody, BoxError, Budget, Kept, Outgoing, Payload, Upload, MOST, WHOLE,
 };
-use super::stream::Stream;
-use super::{span, strip_hop_by_hop};
+use crate::stream::Stream;
+use crate::{span, strip_hop_by_hop};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -13,8 +13,8 @@
 use hyper::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri, Version};
-use shaletide::settings::Network;
-use shaletide::{BackendId, Outcome};
+use lotusdeck_policy::settings::Network;
+use lotusdeck_policy::{BackendId, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::future::{poll_fn, Future};
@@ -459,7 +459,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use shaletide::Micros;
+    use lotusdeck_policy::Micros;
     use std::io::Read;
 
     fn pool(max: usize) -> Rc<Pool> {
--- a/src/bin/shaletide-adapter/main.rs
+++ b/crates/simwire/src/main.rs
@@ -1,4 +1,4 @@
-//! Speaks the bench's wire on standard input and output: one [`shaletide::Balancer`] per instance.
+//! Speaks the bench's wire on standard input and output: one [`lotusdeck_policy::Balancer`] per instance.
 //! Translation only; every decision is the library's.
 #![forbid(unsafe_code)]
 
@@ -11,7 +11,7 @@
     match run(stdin, stdout) {
         Ok(()) => std::process::ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("shaletide-adapter: {text}");
+            eprintln!("lotusdeck-simwire: {text}");
             std::process::ExitCode::FAILURE
         }
     }
--- a/src/bin/shaletide-adapter/wire.rs
+++ b/crates/simwire/src/wire.rs
@@ -1,8 +1,8 @@
 //! Lines to events, actions to lines.
 
+use lotusdeck_policy::settings::{Names, Row};
+use lotusdeck_policy::*;
 use serde_json::Value;
-use shaletide::settings::{Names, Row};
-use shaletide::*;
 use std::collections::HashMap;
 use std::io::Write;
 
@@ -146,7 +146,7 @@
             return Err(f.bad(0, "an instance such as proxy-3"));
         }
         let seed = f.whole(1, "a seed")?;
-        let made = shaletide::settings::read(&f.values[2]).and_then(|(config, names)| {
+        let made = lotusdeck_policy::settings::read(&f.values[2]).and_then(|(config, names)| {
             Balancer::new(config, seed).map(|b| (b, names)).map_err(|e| e.to_string())
         });
         let instance = match made {
@@ -154,7 +154,7 @@
                 Some(Instance { balancer, names, numbers: HashMap::new(), addresses: Vec::new() })
             }
             Err(text) => {
-                eprintln!("shaletide-adapter: settings of {who}: {text}");
+                eprintln!("lotusdeck-simwire: settings of {who}: {text}");
                 put(reply, &serde_json::json!(["BROKEN", who, format!("settings: {text}")]));
                 None
             }
