--- a/crates/proxy/src/cordon.rs
+++ b/crates/proxy/src/cordon.rs
@@ -168,7 +168,7 @@
         assert!(a.holds("s-1") && a.holds("s-2") && b.holds("s-1"));
         assert!(a.set("s-1", false).await.unwrap(), "one call back undoes two calls out");
         assert!(b.refresh() && !b.holds("s-1") && b.holds("s-2"));
-        assert_eq!(Cordon::load(&base).len(), 1);
+        assert_eq!(Cordon::load(&base).count(), 1);
     }
 
     /// What is left of a damaged file holds, and changing it mends it.
@@ -179,7 +179,7 @@
         let cordon = Cordon::load(&base);
         assert!(cordon.holds("s-1") && cordon.holds("s-2") && cordon.count() == 2);
         cordon.set("s-3", true).await.unwrap();
-        assert_eq!(Cordon::load(&base).len(), 3);
+        assert_eq!(Cordon::load(&base).count(), 3);
     }
 
     /// Where nothing can be written the answer is no, and nothing has changed.
