--- a/crates/proxy/src/cordon.rs
+++ b/crates/core/src/cordon.rs
@@ -89,7 +89,7 @@
         match read(&self.file) {
             Ok(out) => self.out.replace(out.clone()) != out,
             Err(e) => {
-                warn!("the file of cordons cannot be read: {e}; those known stay");
+                warn!(error = %e, "the file of cordons cannot be read; those known stay");
                 false
             }
         }
@@ -142,7 +142,7 @@
     let lines = text.lines().filter(|l| !l.is_empty());
     let (good, bad): (Vec<&str>, Vec<&str>) = lines.partition(plain);
     if !bad.is_empty() {
-        warn!("the file of cordons: {} lines passed over", bad.len());
+        warn!(lines = bad.len(), "lines of the file of cordons passed over");
     }
     Ok(good.into_iter().map(String::from).collect())
 }
--- a/crates/proxy/src/host.rs
+++ b/crates/core/src/host.rs
@@ -1,15 +1,16 @@
 //! The decision module's host and sole owner: events go in, actions are carried out.
 
 use crate::cordon::{Cordon, CordonError, LOOK};
-use crate::discovery::List;
-use crate::upstream::{Call, Ended, Pool, Served};
+use crate::counts::Counts;
+use crate::registry::{Endpoint, Registry};
+use crate::status::{BackendStatus, KindStatus, Status};
+use crate::timers::Timers;
+use crate::work::{Leg, Lines, Work};
 use crate::Clock;
 use lotusdeck_policy::settings::{Names, Settings};
 use lotusdeck_policy::*;
-use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
@@ -18,20 +19,22 @@
 /// Kept of the client's time for the answer's way back, on top of how late timers were seen to fire.
 const MARGIN: Micros = Micros(3_000);
 const MOST_MARGIN: Micros = Micros(20_000);
-/// Ids that are remembered after their backends have left the list: operators may still name them.
-const MOST_FORMER: usize = 256;
 
-/// The final answer to a request.
+/// The final answer to a request: there is exactly one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
-    Served(Served),
+    /// By this attempt: its answer lies with the work.
+    Served(AttemptNo),
     /// With the time after which the client had better come again.
     Refused(Micros),
+    /// Nothing is promised.
     Failed,
+    /// The module stayed silent to the deadline.
     TimedOut,
 }
 
 struct Live {
-    call: Rc<Call>,
+    work: Rc<dyn Work>,
     /// How long after the first send that may have run backends still drop a repeat, for a keyed class.
     window: Option<Micros>,
     /// When the first attempt that may have run was sent, of those that have ended.
@@ -49,86 +52,55 @@
     task: AbortHandle,
 }
 
-struct Known {
-    name: String,
-    address: SocketAddr,
-    state: BackendState,
-}
-
-/// What happened since the last line about it.
-#[derive(Default)]
-struct Counts {
-    requests: u64,
-    served: u64,
-    refused: u64,
-    failed: u64,
-    timed_out: u64,
-    gone: u64,
-    attempts: u64,
-    full: u64,
-    errors: u64,
-    resets: u64,
-    unconnected: u64,
-    unsent: u64,
-}
-
 struct State {
     balancer: Balancer,
     /// Those of the generation, with what lists have added.
     names: Names,
     settings: Rc<Settings>,
-    /// Those on the list, and those gone that still hold an attempt.
-    backends: HashMap<BackendId, Known>,
-    numbers: HashMap<String, BackendId>,
-    /// The ids that left last, the oldest first.
-    former: VecDeque<String>,
-    /// Those that the module knows to be cordoned.
-    cordoned: Vec<BackendId>,
-    /// How many have ever been met.
-    met: u32,
+    generation: u64,
+    registry: Registry,
     requests: HashMap<RequestId, Live>,
     attempts: HashMap<(RequestId, AttemptNo), Flight>,
-    timers: BinaryHeap<Reverse<(Time, TimerToken)>>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
     last: u64,
+    /// Since the last line about them, and before.
     counts: Counts,
+    before: Counts,
 }
 
+/// Owns the module and all requests that are open. Fronts bring requests and wait for the one answer to each.
 pub struct Host {
     state: RefCell<State>,
+    /// The module's time.
     pub clock: Clock,
-    pub pool: Rc<Pool>,
+    lines: Vec<Rc<dyn Lines>>,
     cordon: Cordon,
-    sooner: Notify,
+    timers: Timers,
     follow: Notify,
-    /// How late timers fire: the largest of late, fading.
-    lag: Cell<u64>,
 }
 
 impl Host {
+    /// A host that has taken no request yet; `lines` are those of all protocols.
     pub fn new(
-        balancer: Balancer, settings: Settings, clock: Clock, pool: Rc<Pool>, cordon: Cordon,
+        balancer: Balancer, settings: Settings, clock: Clock, lines: Vec<Rc<dyn Lines>>, cordon: Cordon,
     ) -> Rc<Host> {
         let state = State {
             balancer,
             names: settings.names.clone(),
             settings: Rc::new(settings),
-            backends: HashMap::new(),
-            numbers: HashMap::new(),
-            former: VecDeque::new(),
-            cordoned: Vec::new(),
-            met: 0,
+            generation: 1,
+            registry: Registry::default(),
             requests: HashMap::new(),
             attempts: HashMap::new(),
-            timers: BinaryHeap::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
             last: 0,
             counts: Counts::default(),
+            before: Counts::default(),
         };
-        let (sooner, follow) = (Notify::new(), Notify::new());
-        Rc::new(Host { state: RefCell::new(state), clock, pool, cordon, sooner, follow, lag: Cell::new(0) })
+        let (state, timers, follow) = (RefCell::new(state), Timers::default(), Notify::new());
+        Rc::new(Host { state, clock, lines, cordon, timers, follow })
     }
 
     /// The generation of settings under which a request that comes now is taken.
@@ -141,7 +113,8 @@
         let (config, changed) = {
             let mut s = self.state.borrow_mut();
             let new = s.settings.succeeded_by(new, &s.names);
-            self.pool.adopt(&new.network);
+            self.lines.iter().for_each(|lines| lines.adopt(&new.network));
+            s.generation += 1;
             s.names = new.names.clone();
             let changed = s.settings.difference(&new);
             s.settings = Rc::new(new);
@@ -153,12 +126,12 @@
 
     /// What is held back of a client's time.
     pub fn margin(&self) -> Micros {
-        Micros((MARGIN.0 + self.lag.get()).min(MOST_MARGIN.0))
+        Micros((MARGIN.0 + self.timers.lag().0).min(MOST_MARGIN.0))
     }
 
     /// Takes a request; `arrival.request` is given here.
     pub fn request(
-        self: &Rc<Self>, mut arrival: Arrival, call: Call, effect: Effect,
+        self: &Rc<Self>, mut arrival: Arrival, work: Rc<dyn Work>, effect: Effect,
     ) -> (RequestId, oneshot::Receiver<Answer>) {
         let (answer, wait) = oneshot::channel();
         let id = {
@@ -170,8 +143,7 @@
                 Effect::Keyed(_, window) => Some(window),
                 _ => None,
             };
-            let call = Rc::new(call);
-            s.requests.insert(id, Live { call, window, ran: None, answer, deadline, attempts: 0 });
+            s.requests.insert(id, Live { work, window, ran: None, answer, deadline, attempts: 0 });
             s.counts.requests += 1;
             id
         };
@@ -197,11 +169,11 @@
     /// answer; should it stay silent, the request still gets one.
     pub fn deadline(self: &Rc<Self>, id: RequestId) {
         for no in self.attempts_of(id) {
-            self.attempt_ended(id, no, (Outcome::TimedOut, None));
+            self.attempt_ended(id, no, Outcome::TimedOut);
         }
         let live = self.state.borrow_mut().requests.remove(&id);
         if let Some(live) = live {
-            warn!("no decision on request {} by its deadline, {} attempts", id.0, live.attempts);
+            warn!(request = id.0, attempts = live.attempts, "no decision by the deadline");
             self.state.borrow_mut().counts.timed_out += 1;
             let _ = live.answer.send(Answer::TimedOut);
             self.tell(Event::ClientGone { request: id });
@@ -234,56 +206,24 @@
             let s = self.state.borrow();
             s.attempts.keys().filter(|k| k.0 == id).map(|k| k.1).collect()
         };
-        left.into_iter().for_each(|no| self.attempt_ended(id, no, (Outcome::Cancelled, None)));
+        left.into_iter().for_each(|no| self.attempt_ended(id, no, Outcome::Cancelled));
     }
 
     /// News of the list.
-    pub fn members(self: &Rc<Self>, update: ListUpdate, list: &List) {
-        let entries = list.entries();
-        let mut backends = Vec::with_capacity(entries.len());
-        {
+    pub fn members(self: &Rc<Self>, update: ListUpdate, entries: Vec<Endpoint>) {
+        let backends = {
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
-            if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
-                s.backends.values_mut().for_each(|b| b.state = BackendState::Gone);
-            }
-            for e in entries {
-                let id = *s.numbers.entry(e.name.clone()).or_insert_with(|| {
-                    s.met += 1;
-                    let id = BackendId(s.met - 1);
-                    // The module's lines speak of numbers.
-                    info!("backend {} is {} at {}", id.0, e.name, e.address);
-                    id
-                });
-                if update != ListUpdate::Cached {
-                    debug!("backend {} is {:?} at {}", id.0, e.state, e.address);
-                }
-                s.backends.insert(id, Known { name: e.name, address: e.address, state: e.state });
-                backends.push(s.names.entry(&e.row, id));
-            }
             let holds: HashSet<BackendId> = s.attempts.values().map(|f| f.backend).collect();
-            s.backends.retain(|id, b| {
-                // A ban outlasts an absence, so the number that the module knows it by has to.
-                let banned = self.cordon.holds(&b.name);
-                let keep = b.state != BackendState::Gone || holds.contains(id) || banned;
-                if !keep {
-                    s.numbers.remove(&b.name);
-                    s.former.retain(|name| *name != b.name);
-                    s.former.push_back(b.name.clone());
-                }
-                keep
-            });
-            let surplus = s.former.len().saturating_sub(MOST_FORMER);
-            s.former.drain(..surplus);
-        }
+            s.registry.take(update, entries, &mut s.names, &holds, |name| self.cordon.holds(name))
+        };
         self.apply_cordons();
         self.tell(Event::Members { update, backends });
     }
 
     /// Whether the list has or had a backend of that id.
     pub fn knows(&self, id: &str) -> bool {
-        let s = self.state.borrow();
-        s.numbers.contains_key(id) || s.former.iter().any(|name| name == id) || self.cordon.holds(id)
+        self.state.borrow().registry.knows(id) || self.cordon.holds(id)
     }
 
     /// An operator takes a backend out or gives it back; whether that changed anything.
@@ -298,7 +238,7 @@
         loop {
             tokio::time::sleep(LOOK).await;
             if self.cordon.refresh() {
-                info!("the file of cordons was changed by another process: {} are out", self.cordon.count());
+                info!(cordoned = self.cordon.count(), "cordons changed by another process");
                 self.apply_cordons();
             }
         }
@@ -306,7 +246,7 @@
 
     /// Another process serves beside this one, or does no more.
     pub fn shared(self: &Rc<Self>, with_another: bool) {
-        info!("{}", if with_another { "another process serves as well" } else { "no other process serves" });
+        info!(processes = 1 + u32::from(with_another), "processes of this proxy");
         self.tell(Event::Processes { count: 1 + u32::from(with_another) });
     }
 
@@ -314,23 +254,13 @@
     fn apply_cordons(self: &Rc<Self>) {
         let banned = {
             let mut s = self.state.borrow_mut();
-            let usable = s.backends.iter().filter(|(_, b)| self.usable(b));
-            self.pool.serve(&usable.map(|(id, _)| *id).collect());
-            let banned = s.backends.iter().filter(|(_, b)| self.cordon.holds(&b.name));
-            let mut banned: Vec<BackendId> = banned.map(|(id, _)| *id).collect();
-            banned.sort();
-            if banned == s.cordoned {
-                return;
-            }
-            s.cordoned = banned.clone();
-            banned
+            let usable = s.registry.usable(|name| self.cordon.holds(name));
+            self.lines.iter().for_each(|lines| lines.serve(&usable));
+            s.registry.cordons(|name| self.cordon.holds(name))
         };
-        self.tell(Event::Cordoned { backends: banned });
-    }
-
-    /// The list allows it and no operator forbids it.
-    fn usable(&self, backend: &Known) -> bool {
-        backend.state == BackendState::Ready && !self.cordon.holds(&backend.name)
+        if let Some(backends) = banned {
+            self.tell(Event::Cordoned { backends });
+        }
     }
 
     /// Until the module asks discovery for changes.
@@ -338,39 +268,44 @@
         self.follow.notified().await;
     }
 
-    fn attempt_ended(self: &Rc<Self>, request: RequestId, attempt: AttemptNo, (outcome, served): Ended) {
+    fn attempt_ended(self: &Rc<Self>, request: RequestId, attempt: AttemptNo, outcome: Outcome) {
         let end = {
             let mut s = self.state.borrow_mut();
             let Some(flight) = s.attempts.remove(&(request, attempt)) else { return };
             flight.task.abort(); // closes its connection, if it is still on one
-            match outcome {
-                Outcome::Full => s.counts.full += 1,
-                Outcome::Error => s.counts.errors += 1,
-                Outcome::Reset => s.counts.resets += 1,
-                Outcome::ConnectFailed => s.counts.unconnected += 1,
-                Outcome::NeverSent => s.counts.unsent += 1,
-                Outcome::TimedOut => self.pool.unanswered(flight.backend, self.clock.instant(flight.sent)),
-                _ => {}
+            s.counts.ended(outcome);
+            if outcome == Outcome::TimedOut {
+                self.unanswered(&flight);
             }
             if let Some(live) = s.requests.get_mut(&request).filter(|_| !outcome.never_ran()) {
                 live.ran = Some(live.ran.map_or(flight.sent, |at| at.min(flight.sent)));
             }
-            if let Some(served) = served {
-                if let Some(live) = s.requests.remove(&request) {
-                    s.counts.served += 1;
-                    let _ = live.answer.send(Answer::Served(served));
-                }
+            if outcome == Outcome::Ok && s.requests.contains_key(&request) {
+                s.counts.served += 1;
+                finish(&mut s, request, Answer::Served(attempt));
             }
-            let settled = !s.requests.contains_key(&request);
-            let spent = s.requests.get(&request).is_some_and(|r| r.call.body.spent());
             if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
-                debug!("request {} attempt {} at {}: {outcome:?}", request.0, attempt.0, flight.backend.0);
+                let backend = flight.backend.0;
+                debug!(request = request.0, attempt = attempt.0, backend, ?outcome, "attempt ended");
             }
-            AttemptEnd { request, attempt, outcome, latency: self.clock.now() - flight.began, settled, spent }
+            self.end(&s, request, attempt, outcome, self.clock.now() - flight.began)
         };
         self.tell(Event::AttemptEnded(end));
     }
 
+    fn end(
+        &self, s: &State, request: RequestId, attempt: AttemptNo, outcome: Outcome, latency: Micros,
+    ) -> AttemptEnd {
+        let live = s.requests.get(&request);
+        let spent = live.is_some_and(|r| r.work.spent());
+        AttemptEnd { request, attempt, outcome, latency, settled: live.is_none(), spent }
+    }
+
+    fn unanswered(&self, flight: &Flight) {
+        let sent = self.clock.instant(flight.sent);
+        self.lines.iter().for_each(|lines| lines.unanswered(flight.backend, sent));
+    }
+
     /// Passes an event on, and all that follows from it.
     fn tell(self: &Rc<Self>, event: Event) {
         let mut s = self.state.borrow_mut();
@@ -399,25 +334,13 @@
             Action::Cancel { request, attempt } => {
                 let Some(flight) = s.attempts.remove(&(request, attempt)) else { return };
                 flight.task.abort();
-                self.pool.unanswered(flight.backend, self.clock.instant(flight.sent));
-                s.events.push_back(Event::AttemptEnded(AttemptEnd {
-                    request,
-                    attempt,
-                    outcome: Outcome::Cancelled,
-                    latency: now - flight.began,
-                    settled: !s.requests.contains_key(&request),
-                    spent: s.requests.get(&request).is_some_and(|r| r.call.body.spent()),
-                }));
-            }
-            Action::SetTimer { token, after } => {
-                let at = now + after;
-                if s.timers.peek().is_none_or(|first| at < first.0 .0) {
-                    self.sooner.notify_one();
-                }
-                s.timers.push(Reverse((at, token)));
+                self.unanswered(&flight);
+                let end = self.end(s, request, attempt, Outcome::Cancelled, now - flight.began);
+                s.events.push_back(Event::AttemptEnded(end));
             }
+            Action::SetTimer { token, after } => self.timers.set(now + after, token),
             Action::Follow => self.follow.notify_one(),
-            Action::Log(text) => info!("{text}"),
+            Action::Log(text) => info!(module = %text, "decided"),
         }
     }
 
@@ -426,17 +349,18 @@
         let attempt = AttemptNo(live.attempts);
         live.attempts += 1;
         s.counts.attempts += 1;
-        let (call, deadline) = (live.call.clone(), self.clock.instant(live.deadline));
-        let Some(to) = s.backends.get(&backend).map(|b| b.address) else { return };
+        let (work, deadline) = (live.work.clone(), self.clock.instant(live.deadline));
+        let Some(address) = s.registry.get(backend).map(|b| b.address) else { return };
         // A keyed repeat that leaves after the window, its connection being slow to come up, would run again.
         let earlier = (0..attempt.0).filter_map(|no| s.attempts.get(&(request, AttemptNo(no))));
         let first = earlier.map(|f| f.sent).chain(live.ran).min();
         let send_by = first.zip(live.window).map(|(at, window)| at + window);
-        let host = self.clone();
+        let (host, asked) = (self.clone(), self.clone());
+        let gate = Box::new(move || asked.may_send(request, backend, send_by));
+        let leg = Leg { attempt, backend, address, deadline, gate };
         let task = tokio::task::spawn_local(async move {
-            let may_send = || host.may_send(request, backend, send_by);
-            let ended = host.pool.attempt(backend, to, &call, deadline, may_send).await;
-            host.attempt_ended(request, attempt, ended);
+            let outcome = work.attempt(leg).await;
+            host.attempt_ended(request, attempt, outcome);
         });
         let flight = Flight { backend, sent: now, began: now, task: task.abort_handle() };
         s.attempts.insert((request, attempt), flight);
@@ -446,7 +370,9 @@
     /// is still one that is dropped.
     fn may_send(&self, request: RequestId, backend: BackendId, send_by: Option<Time>) -> bool {
         let s = self.state.borrow();
-        s.backends.get(&backend).is_some_and(|b| self.usable(b))
+        let usable =
+            |b: &crate::registry::Known| b.state == BackendState::Ready && !self.cordon.holds(&b.name);
+        s.registry.get(backend).is_some_and(usable)
             && s.requests.contains_key(&request)
             && send_by.is_none_or(|at| self.clock.now() < at)
     }
@@ -454,14 +380,13 @@
     /// Fires the module's timers for as long as the program runs.
     pub async fn timers(self: Rc<Self>) {
         loop {
-            let first = self.state.borrow().timers.peek().map(|t| t.0 .0);
-            match first {
-                None => self.sooner.notified().await,
+            match self.timers.next() {
+                None => self.timers.sooner().await,
                 Some(at) => {
                     let due = tokio::time::sleep_until(self.clock.instant(at));
                     tokio::select! {
                         _ = due => self.fire(),
-                        _ = self.sooner.notified() => {}
+                        _ = self.timers.sooner() => {}
                     }
                 }
             }
@@ -469,48 +394,76 @@
     }
 
     fn fire(self: &Rc<Self>) {
-        loop {
-            let now = self.clock.now();
-            let due = {
-                let mut s = self.state.borrow_mut();
-                match s.timers.peek() {
-                    Some(Reverse((at, _))) if *at <= now => s.timers.pop(),
-                    _ => return,
-                }
-            };
-            if let Some(Reverse((at, token))) = due {
-                self.lag.set((now - at).0.max(self.lag.get() * 15 / 16));
-                self.tell(Event::Timer { token });
-            }
+        while let Some(token) = self.timers.due(self.clock.now()) {
+            self.tell(Event::Timer { token });
         }
     }
 
     /// One line on what went on since the last.
-    pub fn report(&self, clients: &str) {
+    pub fn report(&self) {
         let mut s = self.state.borrow_mut();
         let c = std::mem::take(&mut s.counts);
+        s.before += c;
         info!(
-            "requests {} served {} refused {} failed {} overdue {} gone {}; attempts {} full {} errors {} \
-             resets {} unconnected {} unsent {}; open requests {} {} upstreams {} connects {} lag {} us",
-            c.requests,
-            c.served,
-            c.refused,
-            c.failed,
-            c.timed_out,
-            c.gone,
-            c.attempts,
-            c.full,
-            c.errors,
-            c.resets,
-            c.unconnected,
-            c.unsent,
-            s.requests.len(),
-            clients,
-            self.pool.open(),
-            self.pool.opened.take(),
-            self.lag.get(),
+            requests = c.requests,
+            served = c.served,
+            refused = c.refused,
+            failed = c.failed,
+            overdue = c.timed_out,
+            gone = c.gone,
+            attempts = c.attempts,
+            full = c.full,
+            errors = c.errors,
+            resets = c.resets,
+            unconnected = c.unconnected,
+            unsent = c.unsent,
+            open = s.requests.len(),
+            lag_us = self.timers.lag().0,
+            "requests"
         );
     }
+
+    /// All that is known and done at this moment.
+    pub fn status(&self) -> Status {
+        let s = self.state.borrow();
+        let mut counts = s.before;
+        counts += s.counts;
+        let kind = |k: KindView| KindStatus {
+            name: s.names.kind(k.id).into(),
+            ready: k.ready,
+            speed_rps: k.speed,
+            share: k.share,
+        };
+        let backend = |b: BackendView| {
+            let known = s.registry.get(b.id)?;
+            Some(BackendStatus {
+                name: known.name.clone(),
+                address: known.address.to_string(),
+                state: match b.state {
+                    BackendState::Ready => "ready",
+                    BackendState::Draining => "draining",
+                    BackendState::Gone => "gone",
+                },
+                cordoned: b.cordoned,
+                kind: s.names.kind(b.kind).into(),
+                ready: b.ready,
+                share: b.share,
+                held: b.held,
+                room: b.room,
+                errors: b.errors,
+                ejected: b.ejected.is_some(),
+            })
+        };
+        Status {
+            settings_generation: s.generation,
+            open_requests: s.requests.len(),
+            open_attempts: s.attempts.len(),
+            timer_lag_us: self.timers.lag().0,
+            counts,
+            kinds: s.balancer.kinds().map(kind).collect(),
+            backends: s.balancer.backends().filter_map(backend).collect(),
+        }
+    }
 }
 
 fn finish(s: &mut State, request: RequestId, answer: Answer) {
@@ -522,8 +475,20 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::body::{Budget, Payload};
-    use lotusdeck_policy::settings::Network;
+    use crate::work::Sending;
+    use lotusdeck_policy::settings::{Network, Row};
+
+    /// A request that stays out until it is given up.
+    struct Endless;
+
+    impl Work for Endless {
+        fn attempt(self: Rc<Self>, _: Leg) -> Sending {
+            Box::pin(std::future::pending())
+        }
+        fn spent(&self) -> bool {
+            false
+        }
+    }
 
     /// Each thing that may change while a connection comes up stops the send: the list, the request's end,
     /// and the end of the time in which a keyed repeat is dropped.
@@ -542,16 +507,15 @@
         };
         let balancer = Balancer::new(Config::example(), 1).unwrap();
         let none = std::env::temp_dir().join("lotusdeck-no-such-proxy");
-        let pool = Rc::new(Pool::new(&settings.network, Budget::new(0)));
-        let host = Host::new(balancer, settings, Clock::new(), pool, Cordon::load(&none));
-        let news = |index: u64, status: &str| -> List {
-            let entry = serde_json::json!({"name": "b", "address": "127.0.0.1:9", "status": status});
-            List { index, snapshot: false, endpoints: vec![entry] }
+        let host = Host::new(balancer, settings, Clock::new(), Vec::new(), Cordon::load(&none));
+        let news = |state| {
+            let row = Row::new("b", "127.0.0.1:9", "", "", Backend { state, ..Backend::default() });
+            vec![Endpoint { name: "b".into(), address: "127.0.0.1:9".parse().unwrap(), state, row }]
         };
         let scope = tokio::task::LocalSet::new();
         scope
             .run_until(async {
-                host.members(ListUpdate::Changes, &news(1, "SERVING"));
+                host.members(ListUpdate::Changes, news(BackendState::Ready));
                 let arrival = Arrival {
                     request: RequestId(0),
                     class: ClassId(0),
@@ -561,24 +525,18 @@
                     repeat: false,
                     uploading: false,
                 };
-                let call = Call {
-                    method: hyper::Method::GET,
-                    uri: hyper::Uri::from_static("/read/k"),
-                    headers: hyper::HeaderMap::new(),
-                    body: Payload::Whole(bytes::Bytes::new()),
-                };
-                let (id, _wait) = host.request(arrival, call, Effect::Free);
+                let (id, _wait) = host.request(arrival, Rc::new(Endless), Effect::Free);
                 let (now, b) = (host.clock.now(), BackendId(0));
                 assert!(host.may_send(id, b, None) && host.may_send(id, b, Some(now + Micros(60_000_000))));
                 assert!(!host.may_send(id, b, Some(now)), "the window is over");
                 assert!(!host.may_send(RequestId(99), b, None), "the request is over");
-                host.members(ListUpdate::Changes, &news(2, "DRAINING"));
+                host.members(ListUpdate::Changes, news(BackendState::Draining));
                 assert!(!host.may_send(id, b, None), "the backend drains");
                 host.client_gone(id);
                 assert!(host.state.borrow().attempts.is_empty(), "nothing is out for a client that left");
-                host.members(ListUpdate::Changes, &news(3, "DELETED"));
+                host.members(ListUpdate::Changes, news(BackendState::Gone));
                 let s = host.state.borrow();
-                assert!(s.backends.is_empty() && s.numbers.is_empty(), "one that is gone is forgotten");
+                assert!(s.registry.is_empty(), "one that is gone is forgotten");
             })
             .await;
     }
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,18 @@
+//! The core of the proxy: it owns the decision module, and with it requests, attempts, deadlines and the promise of
+//! exactly one final answer. It knows no protocol: a front hands it [`Work`], which sends itself, and keeps the
+//! connections that attempts go out on behind [`Lines`].
+
+mod clock;
+pub mod cordon;
+mod counts;
+mod host;
+mod registry;
+mod status;
+mod timers;
+mod work;
+
+pub use clock::{span, Clock};
+pub use host::{Answer, Host};
+pub use registry::Endpoint;
+pub use status::{BackendStatus, KindStatus, Status};
+pub use work::{Leg, Lines, Sending, Work};
--- /dev/null
+++ b/crates/core/src/registry.rs
@@ -0,0 +1,114 @@
+//! Who the backends are: their names, numbers and addresses, and which of them operators have taken out.
+
+use lotusdeck_policy::settings::{Names, Row};
+use lotusdeck_policy::{Backend, BackendId, BackendState, ListUpdate};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use tracing::{debug, info};
+
+/// Ids that are remembered after their backends have left the list: operators may still name them.
+const MOST_FORMER: usize = 256;
+
+/// An entry of the list of backends.
+pub struct Endpoint {
+    /// The same at every proxy.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it may be sent.
+    pub state: BackendState,
+    /// What the module is told of it.
+    pub row: Row,
+}
+
+pub(crate) struct Known {
+    pub name: String,
+    pub address: SocketAddr,
+    pub state: BackendState,
+}
+
+#[derive(Default)]
+pub(crate) struct Registry {
+    /// Those on the list, and those gone that still hold an attempt.
+    backends: HashMap<BackendId, Known>,
+    numbers: HashMap<String, BackendId>,
+    /// The ids that left last, the oldest first.
+    former: VecDeque<String>,
+    /// Those that the module knows to be cordoned.
+    cordoned: Vec<BackendId>,
+    /// How many have ever been met.
+    met: u32,
+}
+
+impl Registry {
+    /// Takes news of the list; the entries as the module knows them. Nothing is forgotten of those that hold an
+    /// attempt or are banned: a ban outlasts an absence, and so has the number that the module knows it by.
+    pub fn take(
+        &mut self, update: ListUpdate, entries: Vec<Endpoint>, names: &mut Names, holds: &HashSet<BackendId>,
+        banned: impl Fn(&str) -> bool,
+    ) -> Vec<Backend> {
+        if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
+            self.backends.values_mut().for_each(|b| b.state = BackendState::Gone);
+        }
+        let mut told = Vec::with_capacity(entries.len());
+        for e in entries {
+            let id = *self.numbers.entry(e.name.clone()).or_insert_with(|| {
+                self.met += 1;
+                let id = BackendId(self.met - 1);
+                // The module's lines speak of numbers.
+                info!(backend = id.0, name = %e.name, address = %e.address, "backend met");
+                id
+            });
+            if update != ListUpdate::Cached {
+                debug!(backend = id.0, name = %e.name, address = %e.address, state = ?e.state, "backend listed");
+            }
+            self.backends.insert(id, Known { name: e.name, address: e.address, state: e.state });
+            told.push(names.entry(&e.row, id));
+        }
+        self.backends.retain(|id, b| {
+            let keep = b.state != BackendState::Gone || holds.contains(id) || banned(&b.name);
+            if !keep {
+                self.numbers.remove(&b.name);
+                self.former.retain(|name| *name != b.name);
+                self.former.push_back(b.name.clone());
+            }
+            keep
+        });
+        let surplus = self.former.len().saturating_sub(MOST_FORMER);
+        self.former.drain(..surplus);
+        told
+    }
+
+    /// Whether the list has or had a backend of that name.
+    pub fn knows(&self, name: &str) -> bool {
+        self.numbers.contains_key(name) || self.former.iter().any(|former| former == name)
+    }
+
+    pub fn get(&self, id: BackendId) -> Option<&Known> {
+        self.backends.get(&id)
+    }
+
+    /// Those that may be sent requests: the list allows it and no operator forbids it.
+    pub fn usable(&self, banned: impl Fn(&str) -> bool) -> HashSet<BackendId> {
+        let usable = |b: &Known| b.state == BackendState::Ready && !banned(&b.name);
+        self.backends.iter().filter(|(_, b)| usable(b)).map(|(id, _)| *id).collect()
+    }
+
+    /// All that are banned, where that is another set than at the last call.
+    pub fn cordons(&mut self, banned: impl Fn(&str) -> bool) -> Option<Vec<BackendId>> {
+        let now = self.backends.iter().filter(|(_, b)| banned(&b.name));
+        let mut now: Vec<BackendId> = now.map(|(id, _)| *id).collect();
+        now.sort();
+        if now == self.cordoned {
+            return None;
+        }
+        self.cordoned = now.clone();
+        Some(now)
+    }
+
+    /// None is known and none is remembered by a number.
+    #[cfg(test)]
+    pub fn is_empty(&self) -> bool {
+        self.backends.is_empty() && self.numbers.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/core/src/work.rs
@@ -0,0 +1,58 @@
+//! What a protocol brings to the core.
+
+use lotusdeck_policy::settings::Network;
+use lotusdeck_policy::{AttemptNo, BackendId, Outcome};
+use std::collections::HashSet;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// An attempt under way. Dropping it gives the attempt up: what it was sent on has to be closed with it.
+pub type Sending = Pin<Box<dyn Future<Output = Outcome>>>;
+
+/// One request, as its protocol sends it. It may be sent several times, by [`Leg::attempt`] told apart; a served
+/// answer stays with the work until its front fetches it.
+pub trait Work {
+    /// Sends it once and waits for the answer, or for its beginning where it is large. [`Leg::may_send`] has to be
+    /// asked at the moment of the first byte, and nothing sent where it says no: [`Outcome::NeverSent`].
+    fn attempt(self: Rc<Self>, leg: Leg) -> Sending;
+
+    /// Part of it is gone: no other attempt can send it.
+    fn spent(&self) -> bool;
+}
+
+/// Where and until when an attempt goes.
+pub struct Leg {
+    /// Which attempt of its request this is.
+    pub attempt: AttemptNo,
+    /// The backend, and where it listens.
+    pub backend: BackendId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// When the client gives up.
+    pub deadline: Instant,
+    /// Asked at the moment of the first byte.
+    pub(crate) gate: Box<dyn Fn() -> bool>,
+}
+
+impl Leg {
+    /// The backend may still be sent to, the request still waits, and a repeat is still one that is dropped. It may
+    /// have become otherwise while a connection came up.
+    pub fn may_send(&self) -> bool {
+        (self.gate)()
+    }
+}
+
+/// The connections of a protocol to backends.
+pub trait Lines {
+    /// These backends may be sent requests: nothing is kept of any other.
+    fn serve(&self, backends: &HashSet<BackendId>);
+
+    /// An attempt sent at that time was given up unanswered.
+    fn unanswered(&self, backend: BackendId, sent: Instant);
+
+    /// Other figures hold from now on.
+    fn adopt(&self, network: &Network);
+}
--- a/crates/lab/src/drive/proxies.rs
+++ b/crates/lab/src/drive/proxies.rs
@@ -89,7 +89,7 @@
         let tmp = std::path::absolute(self.folder.join("tmp")).map_err(io)?;
         let mut command = Command::new("sh");
         command.args(["-c", &format!("ulimit -n {}; exec \"$0\" \"$@\"", self.descriptors)]);
-        command.arg(&self.program);
+        command.arg(&self.program).arg("serve");
         command.env_remove("NODE_ADMIN_ADDR").env_remove("NODE_SOCKET_FD").env_remove("NODE_OPERATOR");
         command.env("NODE_CONFIG", config).env("TMPDIR", tmp);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(err).kill_on_drop(true);
--- /dev/null
+++ b/crates/lotusdeck/src/logging.rs
@@ -0,0 +1,22 @@
+//! The log: one line an event on standard error, as text for people or as JSON objects.
+
+use clap::ValueEnum;
+use tracing::Level;
+
+/// How lines are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Format {
+    /// For people.
+    Text,
+    /// One object a line.
+    Json,
+}
+
+/// Starts the log.
+pub fn start(format: Format, level: Level) {
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_max_level(level);
+    match format {
+        Format::Text => log.init(),
+        Format::Json => log.json().flatten_event(true).init(),
+    }
+}
--- /dev/null
+++ b/crates/lotusdeck/src/serve.rs
@@ -0,0 +1,219 @@
+//! `lotusdeck serve`: start-up, signals, and what goes on beside requests.
+
+use crate::logging::{self, Format};
+use crate::operator::{Operator, OperatorError};
+use lotusdeck_core::cordon::Cordon;
+use lotusdeck_core::{Clock, Host, Lines};
+use lotusdeck_policy::{Balancer, Discovery, ListUpdate};
+use lotusdeck_proxy::admin::{Admin, MAX_CALLERS};
+use lotusdeck_proxy::body::Budget;
+use lotusdeck_proxy::config::{InForce, Node, NodeError};
+use lotusdeck_proxy::pauses::Shared;
+use lotusdeck_proxy::peer::{self, Peer};
+use lotusdeck_proxy::pool::Pool;
+use lotusdeck_proxy::server::{self, Server};
+use lotusdeck_proxy::{discovery, handover};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
+use tracing::{info, warn};
+
+/// Descriptors that are kept for all but clients and upstreams, operators' callers among them.
+const RESERVE: usize = 52 + MAX_CALLERS;
+/// Client connections over their bound, out of the reserve: each is closed after its answer.
+const OVER_BOUND: usize = 24;
+/// Bodies that are kept whole may take this part of the memory, for two processes at a time.
+const BODIES_PART: usize = 8;
+const REPORT_EVERY: Duration = Duration::from_secs(5);
+
+/// What it is started with.
+#[derive(clap::Args)]
+pub struct Args {
+    /// The node configuration, JSON.
+    #[arg(long, env = "NODE_CONFIG")]
+    config: PathBuf,
+    /// The operator file, TOML.
+    #[arg(long, env = "NODE_OPERATOR")]
+    operator: Option<PathBuf>,
+    /// Where operators call, whatever the node configuration says.
+    #[arg(long, env = "NODE_ADMIN_ADDR")]
+    admin: Option<SocketAddr>,
+    /// How lines of the log are written.
+    #[arg(long, env = "NODE_LOG_FORMAT", value_enum, default_value_t = Format::Text)]
+    log_format: Format,
+    /// The least level that is written: error, warn, info, debug or trace.
+    #[arg(long, env = "NODE_LOG", default_value_t = tracing::Level::INFO)]
+    log: tracing::Level,
+}
+
+/// Why it does not serve.
+#[derive(Debug, Error)]
+enum ServeError {
+    #[error(transparent)]
+    Node(#[from] NodeError),
+    #[error(transparent)]
+    Operator(#[from] OperatorError),
+    #[error("{0}")]
+    Inherited(String),
+    #[error("no signals: {0}")]
+    Signals(std::io::Error),
+    #[error("no event loop: {0}")]
+    Loop(std::io::Error),
+    #[error("cannot listen {0} on {1}: {2}")]
+    Listen(&'static str, SocketAddr, std::io::Error),
+}
+
+impl ServeError {
+    /// Refused input, or a failure.
+    fn code(&self) -> ExitCode {
+        match self {
+            ServeError::Node(_) | ServeError::Operator(_) => ExitCode::from(crate::REFUSED),
+            _ => ExitCode::FAILURE,
+        }
+    }
+}
+
+/// Serves until it is told to stop.
+pub fn main(args: Args) -> ExitCode {
+    logging::start(args.log_format, args.log);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let local = tokio::task::LocalSet::new();
+    match runtime.map_err(ServeError::Loop).and_then(|r| local.block_on(&r, run(args))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("lotusdeck: {e}");
+            e.code()
+        }
+    }
+}
+
+/// What a process may hold, alone or beside another that counts against the same limit.
+fn share(sockets: usize, peer: bool, pool: &Pool, server: &Server) {
+    let processes = 1 + usize::from(peer);
+    let room = (sockets.saturating_sub(RESERVE) / processes).max(2);
+    let backends = (room * 2 / 5).max(1);
+    pool.bound(backends);
+    server.bound(room - backends, OVER_BOUND / processes);
+}
+
+/// What SIGHUP may change.
+struct Adoption {
+    host: Rc<Host>,
+    file: InForce,
+    operator: Option<PathBuf>,
+    pauses: Shared,
+    moved: watch::Sender<(SocketAddr, Discovery)>,
+}
+
+impl Adoption {
+    /// Takes both files whole or nothing of either.
+    fn take(&mut self) -> Result<(SocketAddr, String), ServeError> {
+        let operator = Operator::load(self.operator.as_deref())?;
+        let mut change = self.file.reread()?;
+        self.file.replace(&mut change);
+        self.pauses.set(operator.pauses);
+        let at = (change.discovery, change.settings.config.discovery);
+        let changed = self.host.adopt(change.settings);
+        self.moved.send_if_modified(|old| std::mem::replace(old, at) != at);
+        Ok((at.0, changed))
+    }
+
+    async fn heed(mut self, mut hangup: Signal) {
+        while hangup.recv().await.is_some() {
+            match self.take() {
+                Ok((discovery, changed)) => info!(%discovery, changed, "settings taken"),
+                Err(e) => warn!(reason = %e, "settings refused, nothing is taken"),
+            }
+        }
+    }
+}
+
+/// Follows whether another process of this proxy serves, and shares the limits with it.
+async fn heed_peer(
+    peer: Peer, sockets: usize, mut shared: bool, host: Rc<Host>, pool: Rc<Pool>, server: Rc<Server>,
+) {
+    loop {
+        tokio::time::sleep(peer::LOOK).await;
+        if std::mem::replace(&mut shared, peer.alive()) != shared {
+            share(sockets, shared, &pool, &server);
+            host.shared(shared);
+        }
+    }
+}
+
+async fn run(args: Args) -> Result<(), ServeError> {
+    // Before all else: until its handler stands, a signal ends the program at once.
+    let on = |kind| signal(kind).map_err(ServeError::Signals);
+    let hangup = on(SignalKind::hangup())?;
+    let (mut term, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
+    let inherited = handover::listener().map_err(|e| ServeError::Inherited(e.to_string()))?;
+    let operator = Operator::load(args.operator.as_deref())?;
+    let node = Node::read(&args.config, args.admin)?;
+    let cordon = Cordon::load(&node.state());
+    if cordon.count() > 0 {
+        info!(cordoned = cordon.count(), "backends are cordoned from before");
+    }
+    let clock = Clock::new();
+    let budget = Budget::new(node.memory / BODIES_PART);
+    let pauses = Shared::new(operator.pauses.into());
+    let peer = Peer::join(&node.state()).await;
+    let pool = Rc::new(Pool::new(&node.settings.network, budget.clone(), pauses.clone()));
+    let mode = node.settings.config.discovery;
+    let balancer = Balancer::new(node.settings.config.clone(), node.seed).map_err(NodeError::Unsound)?;
+    let lines: Vec<Rc<dyn Lines>> = vec![pool.clone()];
+    let host = Host::new(balancer, node.settings, clock, lines, cordon);
+    // The list from before the restart is in place before anything is served.
+    host.members(ListUpdate::Cached, node.known.entries());
+    let handed_down = inherited.is_some();
+    let listener = match inherited {
+        Some(listener) => tokio::net::TcpListener::from_std(listener),
+        None => server::listen(node.listen),
+    };
+    let listener = listener.map_err(|e| ServeError::Listen("for clients", node.listen, e))?;
+    let listen = |at| server::listen(at).map_err(|e| ServeError::Listen("for operators", at, e));
+    let calls = node.admin.map(listen).transpose()?;
+    let address = listener.local_addr().unwrap_or(node.listen);
+    info!(name = node.name, %address, known = node.known.endpoints.len(), "listens");
+    tokio::task::spawn_local(host.clone().timers());
+    tokio::task::spawn_local(pool.clone().sweep());
+    let (moved, discovery) = watch::channel((node.discovery, mode));
+    tokio::task::spawn_local(discovery::watch(host.clone(), discovery, node.known.index));
+    let adoption = Adoption { host: host.clone(), file: node.file, operator: args.operator, pauses, moved };
+    tokio::task::spawn_local(adoption.heed(hangup));
+    let server = Server::new(host.clone(), pool.clone(), budget);
+    let shared = peer.alive();
+    share(node.sockets, shared, &pool, &server);
+    if shared {
+        host.shared(true);
+    }
+    tokio::task::spawn_local(heed_peer(peer, node.sockets, shared, host.clone(), pool, server.clone()));
+    if let Some(calls) = calls {
+        let address = calls.local_addr().ok().or(node.admin);
+        info!(address = address.map(tracing::field::display), "operators call");
+        tokio::task::spawn_local(Admin::new(host.clone(), server.clone()).run(calls));
+    }
+    tokio::task::spawn_local(host.clone().heed_cordons());
+    let (reporter, reported) = (server.clone(), host.clone());
+    tokio::task::spawn_local(async move {
+        loop {
+            tokio::time::sleep(REPORT_EVERY).await;
+            reported.report();
+            reporter.report();
+        }
+    });
+    let stop = async {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        info!("stopping");
+    };
+    server.run(listener, handed_down, stop).await;
+    info!("stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/lotusdeck/tests/command.rs
@@ -0,0 +1,118 @@
+//! The command line: checks, calls, exit codes.
+
+mod rig;
+
+use rig::*;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+fn lotusdeck(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lotusdeck"));
+    command.args(args).env_remove("NODE_ADMIN_ADDR").env_remove("NODE_CONFIG").output().unwrap()
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("lotusdeck-command-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let path = folder.join(name);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn node(settings: &str) -> String {
+    format!(
+        "{{\"name\": \"n0\",\n \"listen\": \"127.0.0.1:0\", \"discovery\": \"127.0.0.1:1\",\n \"seed\": \"ab\",\n \"settings\": {settings}}}"
+    )
+}
+
+/// All faults of all files are told, each at its place; sound files are called so.
+#[test]
+fn check_tells_every_fault_where_it_stands() {
+    let good = file("good.json", &node(SETTINGS));
+    let bad =
+        node(&SETTINGS.replace("\"cold_from\":0.3", "\"cold_from\":\"x\"").replace("\"group_size\":1,", ""));
+    let bad = file("bad.json", &bad.replace("127.0.0.1:1\"", "nowhere\""));
+    let toml = file("bad.toml", "[http]\nanswer_gap_ms = 1\nx = 2\n");
+    let sound = lotusdeck(&["check", good.to_str().unwrap()]);
+    assert_eq!(sound.status.code(), Some(0), "{}", said(&sound));
+    let output = lotusdeck(&["check", bad.to_str().unwrap(), toml.to_str().unwrap()]);
+    let text = said(&output);
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    for line in [
+        "bad.json:2:40: discovery: expected address:port, got \"nowhere\"",
+        "settings.group_size: missing, expected a whole number",
+        "settings.rules.cold_from: expected a number, got \"x\"",
+        "bad.toml:2:17: http.answer_gap_ms: expected a whole number of ms from 10 to 60000, got 1",
+        "bad.toml:3:5: http.x: no such key",
+    ] {
+        assert!(text.contains(line), "no line with {line:?} in\n{text}");
+    }
+    assert_eq!(text.lines().count(), 5, "{text}");
+}
+
+#[test]
+fn exit_codes_tell_refusals_from_failures() {
+    assert_eq!(lotusdeck(&["serve"]).status.code(), Some(2), "no configuration named");
+    assert_eq!(lotusdeck(&["serve", "--config", "/nowhere"]).status.code(), Some(2));
+    assert_eq!(lotusdeck(&["check"]).status.code(), Some(2));
+    assert_eq!(lotusdeck(&["admin", "--addr", "127.0.0.1:1", "health"]).status.code(), Some(1));
+    let completions = lotusdeck(&["completions", "bash"]);
+    assert!(completions.status.success() && said(&completions).contains("lotusdeck"));
+    assert!(
+        said(&lotusdeck(&["check", "--keys"])).contains("http.answer_gap_ms: 10 to 60000 ms, default 300")
+    );
+}
+
+/// What operators need to see of backends, learned speeds and counts, as a table and as a document.
+#[test]
+fn status_shows_backends_kinds_and_counts() {
+    let a = BackendServer::start(|_| ok("a"));
+    let b = BackendServer::start(|_| ok("b"));
+    let proxy = Proxy::start(&[entry("b0", a.address, "SERVING"), entry("b1", b.address, "DRAINING")]);
+    (0..5).for_each(|_| assert_eq!(proxy.ask(&read(3.0)).status(), 200));
+    let at = proxy.admin.to_string();
+    let admin = |args: &[&str]| lotusdeck(&[&["admin", "--addr", &at], args].concat());
+    assert_eq!(admin(&["health"]).status.code(), Some(0));
+    assert_eq!(admin(&["cordon", "nobody"]).status.code(), Some(1));
+    assert_eq!(admin(&["cordon", "b1"]).status.code(), Some(0));
+    let document: serde_json::Value =
+        serde_json::from_slice(&admin(&["status", "--format", "json"]).stdout).unwrap();
+    let backend = |n: usize| &document["backends"][n];
+    assert_eq!((&backend(0)["name"], &backend(0)["state"]), (&"b0".into(), &"ready".into()));
+    assert_eq!((&backend(1)["state"], &backend(1)["cordoned"]), (&"draining".into(), &true.into()));
+    assert_eq!(document["counts"]["served"], 5);
+    assert_eq!(document["kinds"][0]["name"], "big");
+    assert_eq!(document["settings_generation"], 1);
+    let table = said(&admin(&["status"]));
+    assert!(
+        table.contains("served 5") && table.lines().any(|l| l.starts_with("b1 ") && l.contains("draining"))
+    );
+    assert_eq!(proxy.call("POST", "/admin/status", ""), 405);
+}
+
+/// SIGHUP rereads the operator file too; where either file is at fault nothing of both is taken.
+#[test]
+fn the_operator_file_is_taken_whole_or_not_at_all() {
+    let stalled = |gap: u64| format!("[http]\nanswer_gap_ms = {gap}\n");
+    let operator = file("operator.toml", &stalled(60_000));
+    let begun = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbeg".to_string();
+    let backend = BackendServer::start(move |_| Reply::Pieces(vec![begun.clone()]));
+    let proxy = Proxy::operated(&[entry("b0", backend.address, "SERVING")], &operator);
+    let took = |left: f64| {
+        let began = std::time::Instant::now();
+        assert_eq!(proxy.ask(&pay(left)).status(), 502);
+        began.elapsed().as_secs_f64()
+    };
+    assert!(took(0.8) > 0.7, "the answer may rest for a minute: the client's time ends first");
+    std::fs::write(&operator, "[http]\nanswer_gap_ms = 1\n").unwrap();
+    proxy.signal("HUP");
+    assert!(proxy.logged("settings refused").contains("answer_gap_ms"));
+    std::fs::write(&operator, stalled(20)).unwrap();
+    proxy.signal("HUP");
+    proxy.logged("settings taken");
+    assert!(took(3.0) < 2.5, "it rested for too long");
+}
--- a/crates/lotusdeck/tests/operation.rs
+++ b/crates/lotusdeck/tests/operation.rs
@@ -166,7 +166,7 @@
     dropped.send(&get("read", "d1"));
     paid.request();
     proxy.reconfigure(&other_settings(&proxy.config.1));
-    let line = proxy.logged("SIGHUP: taken");
+    let line = proxy.logged("settings taken");
     for told in ["with class draw", "without class read", "attempts 1 instead of 4"] {
         assert!(line.contains(told), "{line}");
     }
@@ -180,7 +180,7 @@
     assert_ne!(dropped.answer().unwrap().status(), 404, "its class was there when it came");
     assert!(paid.count() <= before + 1, "the unsafe one is not repeated");
     proxy.reconfigure(&proxy.config.1);
-    assert!(proxy.logged("SIGHUP: taken").contains("with class read"));
+    assert!(proxy.logged("settings taken").contains("with class read"));
     assert_eq!(proxy.ask(&get("read", "n4")).status(), 200, "a class may come back");
     assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
 }
@@ -220,7 +220,7 @@
     ];
     for file in broken {
         proxy.reconfigure(&file);
-        proxy.logged("SIGHUP: refused");
+        proxy.logged("settings refused");
         assert_eq!(proxy.ask(&get("draw", "1")).status(), 404, "{file}");
         assert_eq!(proxy.ask(&read(3.0)).status(), 200, "{file}");
     }
@@ -228,7 +228,7 @@
     waits.send((200, list(9, true, &both(&a, &b)))).unwrap();
     let (_, _waits) = proxy.discovery.call(); // discovery is where it was
     proxy.reconfigure(&good);
-    proxy.logged("SIGHUP: taken");
+    proxy.logged("settings taken");
     elsewhere.call();
     assert_eq!(proxy.ask(&get("draw", "2")).status(), 200);
 }
@@ -256,11 +256,11 @@
     assert_eq!(new.call("GET", "/admin/health", ""), 200);
     assert_eq!(late.answer().unwrap().body, b"second", "the old process leaves the queue alone");
     assert_eq!(old.call("GET", "/admin/health", ""), 503, "it takes no clients any more");
-    new.logged("another process serves as well");
+    new.logged("processes=2");
     gate.open();
     let answer = open.answer().unwrap();
     assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
     assert!(old.child.wait().unwrap().success());
-    new.logged("no other process serves");
+    new.logged("processes=1");
     assert_eq!(new.ask(&read(3.0)).body, b"second", "the new one goes on");
 }
--- a/crates/lotusdeck/tests/proxy.rs
+++ b/crates/lotusdeck/tests/proxy.rs
@@ -268,12 +268,9 @@
 #[test]
 fn a_missing_or_malformed_configuration_ends_the_program_with_a_plain_message() {
     let sound = r#"{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"zz","settings":{}}"#;
-    for (config, expected) in [
-        (None, "NODE_CONFIG is not set"),
-        (Some("{"), "line 1"),
-        (Some("{}"), "name"),
-        (Some(sound), "settings"),
-    ] {
+    for (config, expected) in
+        [(None, "--config <CONFIG>"), (Some("{"), "line 1"), (Some("{}"), "name"), (Some(sound), "settings")]
+    {
         let out = launch(config).output().unwrap();
         let text = String::from_utf8_lossy(&out.stderr);
         assert!(!out.status.success(), "{config:?}");
--- a/crates/lotusdeck/tests/rig/mod.rs
+++ b/crates/lotusdeck/tests/rig/mod.rs
@@ -340,6 +340,13 @@
         Proxy::run(known, sockets, settings, descriptors, tmp, None, Rc::new(DiscoveryServer::start()))
     }
 
+    /// With an operator file.
+    pub fn operated(known: &[String], operator: &Path) -> Proxy {
+        let tmp = std::env::temp_dir().join(format!("lotusdeck-{}-{}", std::process::id(), next()));
+        let discovery = Rc::new(DiscoveryServer::start());
+        Proxy::run_with(known, 1024, SETTINGS, 1024, tmp, None, discovery, Some(operator))
+    }
+
     /// On a listening socket that somebody else holds.
     pub fn inheriting(known: &[String], listener: &TcpListener) -> Proxy {
         let tmp = std::env::temp_dir().join(format!("lotusdeck-{}-{}", std::process::id(), next()));
@@ -355,6 +362,14 @@
     fn run(
         known: &[String], sockets: u32, settings: &str, descriptors: u32, tmp: PathBuf,
         listener: Option<&TcpListener>, discovery: Rc<DiscoveryServer>,
+    ) -> Proxy {
+        Proxy::run_with(known, sockets, settings, descriptors, tmp, listener, discovery, None)
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn run_with(
+        known: &[String], sockets: u32, settings: &str, descriptors: u32, tmp: PathBuf,
+        listener: Option<&TcpListener>, discovery: Rc<DiscoveryServer>, operator: Option<&Path>,
     ) -> Proxy {
         let at = discovery.address;
         let known = list(4, true, known);
@@ -370,6 +385,9 @@
             let socket: OwnedFd = listener.try_clone().unwrap().into();
             command.stdin(socket).env("NODE_SOCKET_FD", "3");
         }
+        if let Some(operator) = operator {
+            command.env("NODE_OPERATOR", operator);
+        }
         let mut child = command.env("TMPDIR", &tmp).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let (tell, lines) = mpsc::channel();
@@ -377,11 +395,12 @@
             let mut line = String::new();
             assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it {what}");
             let _ = tell.send(line.clone());
-            if let Some(at) = line.split(&format!("{what} ")).nth(1) {
-                break at.split(',').next().unwrap().trim().parse().unwrap();
+            if let Some(fields) = line.split(&format!(" {what} ")).nth(1) {
+                let address = fields.split("address=").nth(1).unwrap();
+                break address.split_whitespace().next().unwrap().parse().unwrap();
             }
         };
-        let (address, admin) = (told("listens on"), told("operators call at"));
+        let (address, admin) = (told("listens"), told("operators call"));
         std::thread::spawn(move || {
             for line in log.lines().map_while(Result::ok) {
                 eprintln!("{line}");
@@ -454,12 +473,13 @@
 fn limited(config: Option<&Path>, descriptors: u32) -> Command {
     let mut command = Command::new("sh");
     // A socket that is handed down comes as the standard input and becomes descriptor 3, as in service.
-    let line = format!("ulimit -n {descriptors}; exec \"$0\" 3<&0 </dev/null");
+    let line = format!("ulimit -n {descriptors}; exec \"$0\" serve 3<&0 </dev/null");
     command.args(["-c", &line, env!("CARGO_BIN_EXE_lotusdeck")]);
     command
         .env_remove("NODE_ADMIN_ADDR")
         .env_remove("NODE_SOCKET_FD")
         .env_remove("NODE_CONFIG")
+        .env_remove("NODE_OPERATOR")
         .stdin(Stdio::null());
     command.stderr(Stdio::piped()).stdout(Stdio::null());
     if let Some(path) = config {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,9 +9,11 @@
 mod rules;
 pub mod settings;
 mod state;
+mod view;
 
 pub use interface::*;
 pub use rules::{halb_shares, Balancer};
+pub use view::{BackendView, KindView};
 
 /// The README's example, kept true by the documentation tests.
 #[cfg(doctest)]
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -84,7 +84,7 @@
 pub struct Balancer {
     cfg: Config,
     dice: Dice,
-    peers: BTreeMap<BackendId, Peer>,
+    pub(crate) peers: BTreeMap<BackendId, Peer>,
     /// The peers by mark, an order that all proxies share.
     order: Vec<BackendId>,
     /// Those that operators have taken out, and when those that they gave back came back.
@@ -92,7 +92,7 @@
     returned: BTreeMap<BackendId, Time>,
     /// Another process acts for this proxy, or did inside the fall window, until then.
     shared_until: Time,
-    kinds: BTreeMap<KindId, Kind>,
+    pub(crate) kinds: BTreeMap<KindId, Kind>,
     classes: Vec<ClassState>,
     overall: Mean,
     buckets: Vec<Bucket>,
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -3,6 +3,7 @@
 
 use crate::interface::*;
 use serde_json::Value;
+use std::cell::RefCell;
 
 /// Names in the order of their numbers. Places and kinds met first in a list are numbered then.
 #[derive(Clone, Debug, Default)]
@@ -59,6 +60,11 @@
         self.tenants.iter().position(|n| n == name).map(TenantId)
     }
 
+    /// The name of a kind.
+    pub fn kind(&self, id: KindId) -> &str {
+        self.kinds.get(id.0 as usize).map_or("", |name| name)
+    }
+
     /// The row as this instance numbers it.
     pub fn entry(&mut self, row: &Row, id: BackendId) -> Backend {
         let zone = ZoneId(number(&mut self.zones, &row.zone));
@@ -67,127 +73,203 @@
     }
 }
 
-/// A value inside the settings, with the path that led to it.
+/// What is wrong with one key of the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The key, as `rules.cold_from` or `profiles[2].name`.
+    pub key: String,
+    /// What was expected of it.
+    pub expected: String,
+    /// What stands there; `None` where nothing does.
+    pub got: Option<String>,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Fault { key, expected, got } = self;
+        match got {
+            Some(got) => write!(f, "{key}: expected {expected}, got {got}"),
+            None => write!(f, "{key}: missing, expected {expected}"),
+        }
+    }
+}
+
+/// All that is wrong with the settings, in the order in which it was met; never empty.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Faults(pub Vec<Fault>);
+
+impl std::fmt::Display for Faults {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self.0.split_first() {
+            None => Ok(()),
+            Some((first, [])) => write!(f, "{first}"),
+            Some((first, rest)) => write!(f, "{first} (and {} more faults)", rest.len()),
+        }
+    }
+}
+
+impl std::error::Error for Faults {}
+
+/// A fault's text is no longer than this: a value may be large.
+const MOST_GOT: usize = 60;
+
+/// A value inside the settings, with the path that led to it. A fault is noted, and reading goes on with a value
+/// that stands in, so that all faults are told at once.
 struct Key<'a> {
     path: String,
     value: Option<&'a Value>,
+    faults: &'a RefCell<Vec<Fault>>,
 }
 
 impl<'a> Key<'a> {
     fn get(&self, name: &str) -> Key<'a> {
         let path = if self.path.is_empty() { name.into() } else { format!("{}.{name}", self.path) };
-        Key { path, value: self.value.and_then(|v| v.get(name)) }
+        Key { path, value: self.value.and_then(|v| v.get(name)), faults: self.faults }
     }
-    fn want<T>(&self, got: Option<T>, what: &str) -> Result<T, String> {
-        got.ok_or_else(|| match self.value {
-            Some(v) => format!("{}: expected {what}, got {v}", self.path),
-            None => format!("{}: missing, expected {what}", self.path),
+    fn want<T: Default>(&self, got: Option<T>, what: &str) -> T {
+        got.unwrap_or_else(|| {
+            let cut = |v: &Value| v.to_string().chars().take(MOST_GOT).collect();
+            let fault = Fault { key: self.path.clone(), expected: what.into(), got: self.value.map(cut) };
+            self.faults.borrow_mut().push(fault);
+            T::default()
         })
     }
-    fn text(&self) -> Result<&'a str, String> {
+    fn text(&self) -> &'a str {
         self.want(self.value.and_then(Value::as_str), "text")
     }
-    fn flag(&self) -> Result<bool, String> {
+    fn flag(&self) -> bool {
         self.want(self.value.and_then(Value::as_bool), "true or false")
     }
-    fn real(&self) -> Result<f64, String> {
+    fn real(&self) -> f64 {
         self.want(self.value.and_then(Value::as_f64), "a number")
     }
-    fn micros(&self) -> Result<Micros, String> {
-        self.want(self.value.and_then(Value::as_u64), "whole microseconds").map(Micros)
+    fn micros(&self) -> Micros {
+        self.want(self.value.and_then(Value::as_u64).map(Micros), "whole microseconds")
     }
-    fn count(&self) -> Result<u32, String> {
+    fn count(&self) -> u32 {
         let got = self.value.and_then(Value::as_u64).and_then(|n| u32::try_from(n).ok());
         self.want(got, "a whole number")
     }
-    fn list(&self) -> Result<Vec<Key<'a>>, String> {
-        let items = self.want(self.value.and_then(Value::as_array), "an array")?;
-        let item = |(i, v)| Key { path: format!("{}[{i}]", self.path), value: Some(v) };
-        Ok(items.iter().enumerate().map(item).collect())
+    fn list(&self) -> Vec<Key<'a>> {
+        let items = self.value.and_then(Value::as_array).map(|items| items.as_slice());
+        let items = self.want(items, "an array");
+        let item = |(i, v)| Key { path: format!("{}[{i}]", self.path), value: Some(v), faults: self.faults };
+        items.iter().enumerate().map(item).collect()
     }
 }
 
-/// Reads the settings; unknown keys are skipped.
-pub fn read(settings: &Value) -> Result<(Config, Names), String> {
-    let root = Key { path: String::new(), value: Some(settings) };
-    let mut names = Names::default();
-    for zone in root.get("zones").list()? {
-        number(&mut names.zones, zone.text()?);
+/// Reads with `read`, which notes faults; unknown keys are skipped.
+fn noting<T>(settings: &Value, read: impl FnOnce(&Key) -> T) -> Result<T, Faults> {
+    let faults = RefCell::default();
+    let got = read(&Key { path: String::new(), value: Some(settings), faults: &faults });
+    // A key that is read twice is at fault once.
+    let mut faults: Vec<Fault> = faults.into_inner();
+    let mut met = std::collections::BTreeSet::new();
+    faults.retain(|f| met.insert((f.key.clone(), f.expected.clone())));
+    if faults.is_empty() {
+        Ok(got)
+    } else {
+        Err(Faults(faults))
     }
-    for kind in root.get("kinds").list()? {
-        number(&mut names.kinds, kind.text()?);
+}
+
+/// Reads what the decision module is told; unknown keys are skipped.
+///
+/// # Errors
+/// Every key that is missing or makes no sense.
+pub fn read(settings: &Value) -> Result<(Config, Names), Faults> {
+    noting(settings, decisions)
+}
+
+fn class(key: &Key, names: &mut Vec<ClassName>) -> Class {
+    let name = key.get("name");
+    let text = name.text();
+    if names.iter().any(|n| n.name == text) {
+        name.want::<()>(None, "a name that no other class has");
     }
-    let my_zone = root.get("my_zone");
-    let zone = names.zones.iter().position(|z| my_zone.text().is_ok_and(|m| m == z));
-    let zone = ZoneId(my_zone.want(zone, "one of zones")? as u32);
-    let mut classes = Vec::new();
-    for class in root.get("profiles").list()? {
-        let name = class.get("name");
-        if names.classes.iter().any(|n| name.text().is_ok_and(|m| m == n.name)) {
-            return Err(format!("{}: the name stands twice", name.path));
+    names.push(ClassName { name: text.into(), current: true });
+    let (effect, scope) = (key.get("effect"), key.get("key_scope"));
+    let scope = || match scope.text() {
+        "all" => KeyScope::All,
+        "zone" => KeyScope::Zone,
+        "cell" => KeyScope::Cell,
+        _ => {
+            scope.want::<()>(None, "all, zone or cell");
+            KeyScope::All
         }
-        names.classes.push(ClassName { name: name.text()?.into(), current: true });
-        let scope = class.get("key_scope");
-        let effect = match class.get("effect").text()? {
-            "free" => Effect::Free,
-            "guarded" => {
-                let scope = match scope.text()? {
-                    "all" => KeyScope::All,
-                    "zone" => KeyScope::Zone,
-                    "cell" => KeyScope::Cell,
-                    _ => return scope.want(None, "all, zone or cell"),
-                };
-                Effect::Keyed(scope, class.get("window_us").micros()?)
-            }
-            "single_shot" => Effect::Unsafe,
-            _ => return class.get("effect").want(None, "free, guarded or single_shot"),
-        };
-        let stretch = class.get("aim_stretch");
-        let (aim, deadline) = (class.get("aim_us"), class.get("deadline_us"));
-        if aim.micros()? > deadline.micros()? {
-            return Err(format!("{}: expected no more than deadline_us", aim.path));
+    };
+    let effect = match effect.text() {
+        "free" => Effect::Free,
+        "guarded" => Effect::Keyed(scope(), key.get("window_us").micros()),
+        "single_shot" => Effect::Unsafe,
+        _ => {
+            effect.want::<()>(None, "free, guarded or single_shot");
+            Effect::Unsafe
         }
-        classes.push(Class {
-            aim: aim.micros()?,
-            aim_stretch: if stretch.value.is_some() { stretch.real()? } else { 0.0 },
-            effect,
-            worth: class.get("gain").real()?,
-            late_worth: class.get("late_worth").real()?,
-            retired: false,
-        });
+    };
+    let stretch = key.get("aim_stretch");
+    let (aim, deadline) = (key.get("aim_us"), key.get("deadline_us").micros());
+    if aim.micros() > deadline {
+        aim.want::<()>(None, "no more than deadline_us");
+    }
+    Class {
+        aim: aim.micros(),
+        aim_stretch: if stretch.value.is_some() { stretch.real() } else { 0.0 },
+        effect,
+        worth: key.get("gain").real(),
+        late_worth: key.get("late_worth").real(),
+        retired: false,
+    }
+}
+
+fn decisions(root: &Key) -> (Config, Names) {
+    let mut names = Names::default();
+    for zone in root.get("zones").list() {
+        number(&mut names.zones, zone.text());
     }
+    for kind in root.get("kinds").list() {
+        number(&mut names.kinds, kind.text());
+    }
+    let my_zone = root.get("my_zone");
+    let zone = names.zones.iter().position(|z| my_zone.value.and_then(Value::as_str) == Some(z));
+    let zone = ZoneId(my_zone.want(zone, "one of zones") as u32);
+    let classes = root.get("profiles").list().iter().map(|key| class(key, &mut names.classes)).collect();
     let mut tenants = Vec::new();
-    for tenant in root.get("customers").list()? {
-        names.tenants.push(tenant.get("name").text()?.into());
-        tenants.push(Tenant { quota_per_s: tenant.get("quota_rps").real()? });
+    for tenant in root.get("customers").list() {
+        names.tenants.push(tenant.get("name").text().into());
+        tenants.push(Tenant { quota_per_s: tenant.get("quota_rps").real() });
     }
     let (limits, rules, goal) = (root.get("limits"), root.get("rules"), root.get("blend"));
-    let discovery = match root.get("discovery").text()? {
+    let discovery = root.get("discovery");
+    let discovery = match discovery.text() {
         "automatic" => Discovery::Push,
-        "subscribe" => Discovery::Subscribe(rules.get("must_ask_in_us").micros()?),
-        _ => return root.get("discovery").want(None, "automatic or subscribe"),
+        "subscribe" => Discovery::Subscribe(rules.get("must_ask_in_us").micros()),
+        _ => {
+            discovery.want::<()>(None, "automatic or subscribe");
+            Discovery::Push
+        }
     };
     let config = Config {
-        proxies: root.get("group_size").count()?,
-        position: root.get("position").count()?,
+        proxies: root.get("group_size").count(),
+        position: root.get("position").count(),
         zone,
         classes,
         tenants,
-        over_quota_worth: root.get("over_share_worth").real()?,
-        goal_whole: goal.get("whole").real()?,
-        goal_worst_class: goal.get("worst_class").real()?,
-        cross_zone_cost: root.get("costs").get("cross_zone").real()?,
+        over_quota_worth: root.get("over_share_worth").real(),
+        goal_whole: goal.get("whole").real(),
+        goal_worst_class: goal.get("worst_class").real(),
+        cross_zone_cost: root.get("costs").get("cross_zone").real(),
         discovery,
-        max_attempts: limits.get("max_attempts").count()?,
-        cancel: limits.get("cancel").flag()?,
-        second_copies: limits.get("parallel_tries").flag()?,
-        tick: root.get("granularity_us").micros()?,
-        cold_from: rules.get("cold_from").real()?,
-        ramp: rules.get("ramp_time_us").micros()?,
-        fall_multiple: rules.get("fall_multiple").real()?,
-        fall_window: rules.get("tip_after_us").micros()?,
+        max_attempts: limits.get("max_attempts").count(),
+        cancel: limits.get("cancel").flag(),
+        second_copies: limits.get("parallel_tries").flag(),
+        tick: root.get("granularity_us").micros(),
+        cold_from: rules.get("cold_from").real(),
+        ramp: rules.get("ramp_time_us").micros(),
+        fall_multiple: rules.get("fall_multiple").real(),
+        fall_window: rules.get("tip_after_us").micros(),
     };
-    Ok((config, names))
+    (config, names)
 }
 
 /// What only a proxy on real sockets needs of the settings.
@@ -203,20 +285,23 @@
     pub deadlines: Vec<Micros>,
 }
 
-/// Reads the part of the settings that concerns sockets.
-pub fn network(settings: &Value) -> Result<Network, String> {
-    let root = Key { path: String::new(), value: Some(settings) };
+fn sockets(root: &Key) -> Network {
     let limits = root.get("limits");
     let deadline = |class: &Key| {
         let key = class.get("deadline_us");
-        key.want(Some(key.micros()?).filter(|span| span.0 > 0), "a time above 0")
+        // What is no time at all was told of already.
+        let zero = key.value.and_then(Value::as_u64) == Some(0);
+        if zero {
+            key.want::<()>(None, "a time above 0");
+        }
+        Micros(key.value.and_then(Value::as_u64).unwrap_or(0))
     };
-    Ok(Network {
-        connect_timeout: limits.get("dial_timeout_us").micros()?,
-        conn_idle: limits.get("conn_idle_us").micros()?,
-        max_retry_after: limits.get("max_retry_after_us").micros()?,
-        deadlines: root.get("profiles").list()?.iter().map(deadline).collect::<Result<_, _>>()?,
-    })
+    Network {
+        connect_timeout: limits.get("dial_timeout_us").micros(),
+        conn_idle: limits.get("conn_idle_us").micros(),
+        max_retry_after: limits.get("max_retry_after_us").micros(),
+        deadlines: root.get("profiles").list().iter().map(deadline).collect(),
+    }
 }
 
 /// Everything that the settings say, read and checked as one. A generation of it never changes.
@@ -232,10 +317,18 @@
 
 impl Settings {
     /// Reads them all; nothing is taken where any part is at fault.
-    pub fn read(settings: &Value) -> Result<Settings, String> {
-        let (config, names) = read(settings)?;
-        config.validate().map_err(|e| e.to_string())?;
-        Ok(Settings { config, names, network: network(settings)? })
+    ///
+    /// # Errors
+    /// All faults at once.
+    pub fn read(settings: &Value) -> Result<Settings, Faults> {
+        let ((config, names), network) = noting(settings, |root| (decisions(root), sockets(root)))?;
+        let unsound = |e: ConfigError| Fault {
+            key: e.field.into(),
+            expected: e.expected.into(),
+            got: Some("none such".into()),
+        };
+        config.validate().map_err(|e| Faults(vec![unsound(e)]))?;
+        Ok(Settings { config, names, network })
     }
 
     /// `new` under the numbers of these: a class keeps its number while its name and effect stay, and one of
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -1,16 +1,18 @@
 //! Operators' calls: HTTP/1.1 on an address of their own, one call per connection.
 
+use crate::answer::plain;
 use crate::body::AnswerBody;
-use crate::cordon::CordonError;
-use crate::host::Host;
-use crate::server::{plain, Server, Timer};
+use crate::server::Server;
 use crate::stream::Stream;
+use crate::timer::Timer;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, ALLOW};
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
+use lotusdeck_core::cordon::CordonError;
+use lotusdeck_core::Host;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -109,18 +111,39 @@
     async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let called = format!("{} {}", request.method(), request.uri().path());
         self.call(request).await.unwrap_or_else(|no| {
-            let reason = if let No::Storage(e) = &no { format!(": {e}") } else { String::new() };
+            let reason = if let No::Storage(e) = &no { e.to_string() } else { String::new() };
             let answer = no.answer();
-            warn!("operator: {called:.120} refused with {}{reason}", answer.status().as_u16());
+            let call = format!("{called:.120}");
+            warn!(call, status = answer.status().as_u16(), reason, "operator refused");
             answer
         })
     }
 
+    /// All that this process knows and does, as one document.
+    fn status(&self) -> Result<Response<AnswerBody>, No> {
+        #[derive(serde::Serialize)]
+        struct Document {
+            accepting: bool,
+            clients: usize,
+            #[serde(flatten)]
+            core: lotusdeck_core::Status,
+        }
+        let (accepting, clients) = (self.server.accepting(), self.server.clients());
+        let document = Document { accepting, clients, core: self.host.status() };
+        let text = serde_json::to_vec_pretty(&document).map_err(|_| No::Path)?;
+        let mut answer = plain(StatusCode::OK, "");
+        answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        *answer.body_mut() = AnswerBody::Whole(Some(text.into()));
+        Ok(answer)
+    }
+
     async fn call(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, No> {
         let out = match request.uri().path() {
             "/admin/health" if request.method() != Method::GET => return Err(No::Method("GET")),
             "/admin/health" if self.server.accepting() => return Ok(plain(StatusCode::OK, "ok\n")),
             "/admin/health" => return Err(No::NotReady),
+            "/admin/status" if request.method() != Method::GET => return Err(No::Method("GET")),
+            "/admin/status" => return self.status(),
             "/admin/cordon" => true,
             "/admin/uncordon" => false,
             _ => return Err(No::Path),
@@ -138,8 +161,8 @@
             return Err(No::Unknown);
         }
         let changed = self.host.cordon(id, out).await.map_err(No::Storage)?;
-        let (verb, already) = if out { ("cordon", "was out already") } else { ("uncordon", "was not out") };
-        info!("operator: {verb} {id}: {}", if changed { "taken" } else { already });
+        let call = if out { "cordon" } else { "uncordon" };
+        info!(call, backend = id, changed, "operator call taken");
         Ok(plain(StatusCode::OK, "ok\n"))
     }
 }
--- /dev/null
+++ b/crates/proxy/src/attempt.rs
@@ -0,0 +1,165 @@
+//! Attempts: one request to one backend.
+
+use crate::body::{inflow, AnswerBody, Outgoing, Payload};
+use crate::exchange::{clean, exchange, Broken};
+use crate::pool::Pool;
+use crate::relay::Relay;
+use crate::strip_hop_by_hop;
+use hyper::body::Body;
+use hyper::ext::on_informational;
+use hyper::header::CONNECTION;
+use hyper::http::response::Parts;
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri, Version};
+use lotusdeck_core::{Leg, Sending, Work};
+use lotusdeck_policy::{AttemptNo, BackendId, Outcome};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// A client's request as it goes on to backends.
+pub struct Call {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Payload,
+}
+
+/// A served answer.
+pub struct Served {
+    pub headers: HeaderMap,
+    pub body: AnswerBody,
+}
+
+/// How an attempt ended, with the answer where it was served.
+pub type Ended = (Outcome, Option<Served>);
+
+/// A client's request under way: the core sends it, and the front fetches the answer that was served.
+pub struct HttpWork {
+    pool: Rc<Pool>,
+    call: Call,
+    served: RefCell<Vec<(AttemptNo, Served)>>,
+}
+
+impl HttpWork {
+    /// Of a request that was read; attempts go out on the pool's connections.
+    pub fn new(pool: Rc<Pool>, call: Call) -> Rc<HttpWork> {
+        Rc::new(HttpWork { pool, call, served: RefCell::default() })
+    }
+
+    /// The answer of an attempt that was served; it can be fetched once.
+    pub fn fetch(&self, attempt: AttemptNo) -> Option<Served> {
+        let mut served = self.served.borrow_mut();
+        let at = served.iter().position(|s| s.0 == attempt)?;
+        Some(served.swap_remove(at).1)
+    }
+}
+
+impl Work for HttpWork {
+    fn attempt(self: Rc<Self>, leg: Leg) -> Sending {
+        Box::pin(async move {
+            let (outcome, served) = self
+                .pool
+                .attempt(leg.backend, leg.address, &self.call, leg.deadline, || leg.may_send())
+                .await;
+            self.served.borrow_mut().extend(served.map(|s| (leg.attempt, s)));
+            outcome
+        })
+    }
+
+    fn spent(&self) -> bool {
+        self.call.body.spent()
+    }
+}
+
+impl Pool {
+    /// Sends `call` to a backend and waits for the answer, or for its first bytes where it is large. `may_send` is
+    /// asked at the moment of the first byte: the backend may have begun to drain while the connection came up.
+    pub(crate) async fn attempt(
+        self: &Rc<Self>, id: BackendId, to: SocketAddr, call: &Call, deadline: Instant,
+        may_send: impl Fn() -> bool,
+    ) -> Ended {
+        let c = match self.take(id, to) {
+            Some(c) => c,
+            None => match self.connect(to).await {
+                Ok(c) => c,
+                Err(outcome) => return (outcome, None),
+            },
+        };
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() || call.body.spent() || !may_send() {
+            self.put(id, c); // an unused connection stays warm
+            return (Outcome::NeverSent, None);
+        }
+        let mut request = Request::new(Outgoing::new(&call.body));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.uri.clone();
+        *request.headers_mut() = call.headers.clone();
+        if let Ok(text) = format!("{:.3}", left.as_secs_f64()).parse() {
+            request.headers_mut().insert("x-time-left", text);
+        }
+        let early = Arc::new(AtomicBool::new(false));
+        let seen = early.clone();
+        on_informational(&mut request, move |_| seen.store(true, Relaxed));
+        let length = request.body().size_hint().exact();
+        c.stream.begin_request(length);
+        let upload = call.body.flow();
+        let ended = exchange(&c.stream, request, &early, upload, self.budget.keep(), self.pauses.get()).await;
+        // Where chunks hide what is on its way the last byte counts as written once it was given away.
+        let given = length.is_none() && upload.is_some_and(|u| u.whole());
+        let heard = ended.as_ref().is_ok_and(|e| judge(&e.head) == Outcome::Full);
+        if !c.stream.request_written() && !given {
+            let outcome = if heard { Outcome::Full } else { Outcome::ConnectFailed };
+            return (outcome, None); // the backend begins with the last byte, and never before it
+        }
+        let mut reply = match ended {
+            Ok(reply) => reply,
+            Err(Broken::Spoilt) => return (Outcome::Error, None),
+            Err(Broken::Ended) => return (Outcome::Reset, None),
+        };
+        self.heard(id);
+        let outcome = judge(&reply.head);
+        let close = reply.head.headers.get_all(CONNECTION).iter().any(|v| v != "keep-alive");
+        let goes_on =
+            reply.head.version == Version::HTTP_11 && !reply.head.status.is_informational() && !close;
+        strip_hop_by_hop(&mut reply.head.headers);
+        reply.head.headers.remove("x-backend-load");
+        let headers = reply.head.headers;
+        let body = match reply.rest {
+            None => {
+                if goes_on && clean(&c.stream, reply.conn) {
+                    self.put(id, c);
+                }
+                AnswerBody::Whole(Some(reply.read).filter(|b| !b.is_empty()))
+            }
+            Some(rest) => {
+                let length = rest.size_hint().exact().map(|n| n + reply.read.len() as u64);
+                let (into, flow) = inflow(reply.read.clone(), length);
+                let back = Relay {
+                    pool: self.clone(),
+                    id,
+                    c,
+                    goes_on,
+                    read: reply.read.len() as u64,
+                    silence: self.pauses.get().answer_silence,
+                    into,
+                };
+                tokio::task::spawn_local(back.run(reply.conn, reply.sender, rest));
+                AnswerBody::Flow(flow, None)
+            }
+        };
+        (outcome, (outcome == Outcome::Ok).then_some(Served { headers, body }))
+    }
+}
+
+/// What an answer says. Whatever the protocol does not list may have run.
+pub(crate) fn judge(answer: &Parts) -> Outcome {
+    let unprocessed = answer.headers.get("x-unprocessed").is_some_and(|v| v == "1");
+    match answer.status {
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -1,6 +1,6 @@
 //! Bodies: kept whole where they are small, passed on frame by frame where they are not.
 
-use crate::request::Fault;
+use crate::fault::Fault;
 use crate::stream::Stream;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -18,8 +18,6 @@
 pub const WHOLE: usize = 64 * 1024;
 /// The largest body on either side.
 pub const MOST: u64 = 32 * 1024 * 1024;
-/// A client sends no byte of its body for so long: with the head's time under the 3 s that any client is owed.
-const STALL: Duration = Duration::from_millis(1500);
 /// After this time a body comes at the least rate, in bytes a second: an eighth of the slowest client's.
 const GRACE: Duration = Duration::from_secs(2);
 const LEAST_RATE: f64 = 8192.0;
@@ -85,16 +83,18 @@
     /// Told when it is whole or at fault.
     over: Notify,
     client: Stream,
+    /// Its client may rest for so long.
+    stall: Duration,
 }
 
 /// Reads the body up to its end, or until it is too much to keep.
 pub async fn gather(
-    mut body: Incoming, length: Option<u64>, client: &Stream, budget: &Budget,
+    mut body: Incoming, length: Option<u64>, client: &Stream, budget: &Budget, stall: Duration,
 ) -> Result<(Payload, Kept), Fault> {
     let mut kept = budget.keep();
     let (begun, mut read) = (Instant::now(), BytesMut::new());
     loop {
-        let frame = match tokio::time::timeout(STALL, body.frame()).await {
+        let frame = match tokio::time::timeout(stall, body.frame()).await {
             Err(_) => return Err(Fault::Slow),
             Ok(None) => break,
             Ok(Some(Err(_))) => return Err(Fault::Body),
@@ -112,7 +112,8 @@
             let (first, read) = (RefCell::new(read.clone().freeze()), Cell::new(read.len() as u64));
             let (rest, client, over) = (RefCell::new(Some(body)), client.clone(), Notify::new());
             let (touched, whole, fault) = (Cell::new(false), Cell::new(false), Cell::new(None));
-            let upload = Upload { first, rest, length, read, begun, touched, whole, fault, over, client };
+            let upload =
+                Upload { first, rest, length, read, begun, touched, whole, fault, over, client, stall };
             return Ok((Payload::Flow(Rc::new(upload)), kept));
         }
     }
@@ -185,9 +186,9 @@
     /// reads would be lost on its way.
     pub fn drain(&self) {
         let Some(mut rest) = self.rest.take() else { return };
-        let (mut read, begun) = (self.read.get(), self.begun);
+        let (mut read, begun, stall) = (self.read.get(), self.begun, self.stall);
         tokio::task::spawn_local(async move {
-            while let Ok(Some(Ok(frame))) = tokio::time::timeout(STALL, rest.frame()).await {
+            while let Ok(Some(Ok(frame))) = tokio::time::timeout(stall, rest.frame()).await {
                 read += frame.data_ref().map_or(0, |d| d.len() as u64);
                 if read > MOST || !in_time(begun, read) {
                     return;
@@ -268,7 +269,7 @@
         let got = match upload.poll_rest(cx) {
             Poll::Ready(got) => got,
             Poll::Pending => {
-                let wait = || Box::pin(tokio::time::sleep(STALL));
+                let wait = || Box::pin(tokio::time::sleep(upload.stall));
                 ready!(self.stall.get_or_insert_with(wait).as_mut().poll(cx));
                 Some(Err(Fault::Slow))
             }
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,12 +1,12 @@
-//! `NODE_CONFIG`: what this proxy is told at its start.
+//! The node configuration: what this proxy is told at its start.
 
 use crate::discovery::List;
-use lotusdeck_policy::settings::Settings;
+use lotusdeck_policy::settings::{Faults, Settings};
 use serde::Deserialize;
 use serde_json::Value;
-use std::fmt;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
 
 /// Everything that the program starts with.
 pub struct Node {
@@ -27,31 +27,28 @@
 }
 
 /// Why there is no usable configuration.
-#[derive(Debug)]
+#[derive(Debug, Error)]
 pub enum NodeError {
-    Unset,
+    /// The file cannot be read.
+    #[error("cannot read {0}: {1}")]
     Unreadable(String, std::io::Error),
+    /// It is no JSON, or not of this form.
+    #[error("{0}: {1}")]
     Malformed(String, serde_json::Error),
-    Settings(String),
+    /// Its settings are at fault.
+    #[error("settings: {0}")]
+    Settings(#[from] Faults),
+    /// The module does not take them.
+    #[error("settings: {0}")]
+    Unsound(#[from] lotusdeck_policy::ConfigError),
+    /// The seed is no number.
+    #[error("seed: expected a number or up to 16 hex digits")]
+    Seed,
+    /// A key that the file in force has.
+    #[error("{0}: missing, though the file in force has it")]
     Missing(String),
-    Admin(String),
 }
 
-impl fmt::Display for NodeError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            NodeError::Unset => write!(f, "NODE_CONFIG is not set: expected the path of the configuration"),
-            NodeError::Unreadable(path, e) => write!(f, "cannot read NODE_CONFIG {path}: {e}"),
-            NodeError::Malformed(path, e) => write!(f, "NODE_CONFIG {path}: {e}"),
-            NodeError::Settings(text) => write!(f, "settings: {text}"),
-            NodeError::Missing(key) => write!(f, "{key}: missing, though the file in force has it"),
-            NodeError::Admin(text) => write!(f, "NODE_ADMIN_ADDR: expected address:port, got {text:?}"),
-        }
-    }
-}
-
-impl std::error::Error for NodeError {}
-
 #[derive(Deserialize)]
 struct File {
     name: String,
@@ -81,26 +78,39 @@
 }
 
 /// The file in force, and where it lies.
-pub struct InForce(Value);
+pub struct InForce {
+    path: PathBuf,
+    whole: Value,
+}
 
 /// What a new file may change while the program runs.
 pub struct Change {
+    /// Where discovery is.
     pub discovery: SocketAddr,
+    /// All else that may change.
     pub settings: Settings,
+    whole: Value,
 }
 
 impl InForce {
+    /// The change is taken: what it was read from is the file in force now.
+    pub fn replace(&mut self, by: &mut Change) {
+        self.whole = by.whole.take();
+    }
+
     /// The file as it is now, whole: where anything is wrong with it nothing of it is taken.
-    pub fn reread(&mut self) -> Result<Change, NodeError> {
-        let (path, text) = text()?;
+    ///
+    /// # Errors
+    /// The first thing that is wrong with it.
+    pub fn reread(&self) -> Result<Change, NodeError> {
+        let (path, text) = text(&self.path)?;
         let new = serde_json::from_str(&text).map_err(|e| NodeError::Malformed(path.clone(), e))?;
-        if let Some(key) = missing(&self.0, &new, "") {
+        if let Some(key) = missing(&self.whole, &new, "") {
             return Err(NodeError::Missing(key));
         }
         let file = File::deserialize(&new).map_err(|e| NodeError::Malformed(path, e))?;
-        let settings = Settings::read(&file.settings).map_err(NodeError::Settings)?;
-        self.0 = new;
-        Ok(Change { discovery: file.discovery, settings })
+        let settings = Settings::read(&file.settings)?;
+        Ok(Change { discovery: file.discovery, settings, whole: new })
     }
 }
 
@@ -120,18 +130,10 @@
     })
 }
 
-fn text() -> Result<(String, String), NodeError> {
-    let path = std::env::var("NODE_CONFIG").map_err(|_| NodeError::Unset)?;
-    let text = std::fs::read_to_string(&path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
-    Ok((path, text))
-}
-
-/// The environment's word goes before the file's: it is the process's own, the file may be shared.
-fn admin(file: Option<SocketAddr>) -> Result<Option<SocketAddr>, NodeError> {
-    match std::env::var("NODE_ADMIN_ADDR") {
-        Ok(text) if !text.is_empty() => text.parse().map(Some).map_err(|_| NodeError::Admin(text)),
-        _ => Ok(file),
-    }
+fn text(path: &Path) -> Result<(String, String), NodeError> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| NodeError::Unreadable(name.clone(), e))?;
+    Ok((name, text))
 }
 
 impl Node {
@@ -142,25 +144,29 @@
         std::env::temp_dir().join(format!("lotusdeck-{own}"))
     }
 
-    pub fn read() -> Result<Node, NodeError> {
-        let (path, text) = text()?;
+    /// Reads and checks the file. `admin`: where operators call whatever the file says, as the file may be shared.
+    ///
+    /// # Errors
+    /// The first thing that is wrong with it; `lotusdeck check` tells all.
+    pub fn read(path: &Path, admin: Option<SocketAddr>) -> Result<Node, NodeError> {
+        let at = path.to_path_buf();
+        let (path, text) = text(path)?;
         let whole: Value = serde_json::from_str(&text).map_err(|e| NodeError::Malformed(path.clone(), e))?;
         let file = File::deserialize(&whole).map_err(|e| NodeError::Malformed(path, e))?;
-        let settings = Settings::read(&file.settings).map_err(NodeError::Settings)?;
+        let settings = Settings::read(&file.settings)?;
         let hex = file.seed.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
         let seed = hex.or(file.seed.as_u64());
-        let bad_seed = || NodeError::Settings("seed: expected a number or up to 16 hex digits".into());
         Ok(Node {
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
-            admin: admin(file.admin_addr)?,
-            seed: seed.ok_or_else(bad_seed)?,
+            admin: admin.or(file.admin_addr),
+            seed: seed.ok_or(NodeError::Seed)?,
             sockets: file.limits.sockets.max(64),
             memory: file.limits.memory_mb << 20,
             known: file.known,
             settings,
-            file: InForce(whole),
+            file: InForce { path: at, whole },
         })
     }
 }
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,12 +1,12 @@
 //! Discovery: the backend list in its JSON form, and the watch that keeps it up to date.
 
-use crate::host::Host;
+use crate::exchange::driven;
 use crate::stream::Stream;
-use crate::upstream::driven;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper::Request;
+use lotusdeck_core::{Endpoint, Host};
 use lotusdeck_policy::settings::Row;
 use lotusdeck_policy::{Backend, BackendState, CellId, Discovery, ListUpdate, Time};
 use serde::Deserialize;
@@ -35,14 +35,6 @@
     pub endpoints: Vec<Value>,
 }
 
-/// An entry that made sense.
-pub struct Endpoint {
-    pub name: String,
-    pub address: SocketAddr,
-    pub state: BackendState,
-    pub row: Row,
-}
-
 #[derive(Deserialize)]
 struct Entry {
     name: String,
@@ -58,7 +50,7 @@
     since_ms: f64,
 }
 
-impl Endpoint {
+impl Entry {
     fn read(value: &Value) -> Result<Endpoint, String> {
         let e = Entry::deserialize(value).map_err(|e| e.to_string())?;
         let state = match e.status.as_str() {
@@ -81,7 +73,7 @@
     pub fn entries(&self) -> Vec<Endpoint> {
         let (mut skipped, mut sample) = (0, None);
         let read = |value: &Value| {
-            let got = Endpoint::read(value);
+            let got = Entry::read(value);
             got.map_err(|e| {
                 skipped += 1;
                 sample.get_or_insert_with(|| format!("{e}: {value:.200}"));
@@ -90,7 +82,7 @@
         };
         let entries = self.endpoints.iter().filter_map(read).collect();
         if let Some(sample) = sample {
-            warn!("{skipped} discovery entries skipped, the first: {sample:.400}");
+            warn!(skipped, first = format!("{sample:.400}"), "discovery entries skipped");
         }
         entries
     }
@@ -161,14 +153,14 @@
         match call.await.unwrap_or(Err(WatchError::Silent)) {
             Ok(list) => {
                 if failures > 0 {
-                    info!("discovery is back at {}", list.index);
+                    info!(index = list.index, "discovery is back");
                 }
                 (failures, wait) = (0, WAIT);
                 // Changes against a newer list than the answer's: discovery began anew, so take it whole.
                 let gap = !list.snapshot && (whole || list.index < index);
                 if !gap {
                     let update = if list.snapshot { ListUpdate::Full } else { ListUpdate::Changes };
-                    host.members(update, &list);
+                    host.members(update, list.entries());
                     index = list.index;
                 }
                 if gap && whole {
@@ -181,10 +173,10 @@
                 link = None;
                 failures += 1;
                 if failures == 1 {
-                    warn!("discovery failed: {e}");
+                    warn!(error = %e, "discovery failed");
                 }
                 if asked {
-                    host.members(ListUpdate::Lost, &List::default());
+                    host.members(ListUpdate::Lost, Vec::new());
                     host.followed().await; // when to ask again is the module's to say
                     wait = Duration::ZERO;
                 } else {
--- /dev/null
+++ b/crates/proxy/src/pool.rs
@@ -0,0 +1,242 @@
+//! Connections to backends: which are open, kept and closed.
+
+use crate::body::Budget;
+use crate::pauses::Shared;
+use crate::stream::Stream;
+use lotusdeck_core::{span, Lines};
+use lotusdeck_policy::settings::Network;
+use lotusdeck_policy::{BackendId, Outcome};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// Part of the backends' idle limit after which a connection is no longer used: well inside it, as their
+/// clock may have started earlier than ours.
+const IDLE_PART: f64 = 0.6;
+/// A connection is not used again so soon after an answer: what a backend sends behind one in a segment of its
+/// own would pass for the answer to the next request.
+const QUIET: Duration = Duration::from_millis(2);
+/// How often idle connections are looked over.
+const SWEEP: Duration = Duration::from_millis(500);
+
+/// A connection and its place among the open ones. hyper drives it for one request at a time and leaves
+/// nothing of its own behind; dropping it closes the socket, which is how an attempt is cancelled.
+pub(crate) struct Conn {
+    pub stream: Stream,
+    to: SocketAddr,
+    since: Instant,
+    _slot: Slot,
+}
+
+/// Counts an open (or opening) connection.
+struct Slot(Rc<Cell<usize>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// What is kept of a backend that may be sent requests.
+#[derive(Default)]
+struct Line {
+    /// Idle connections, the most recently used last.
+    idle: Vec<Conn>,
+    heard: Option<Instant>,
+}
+
+pub struct Pool {
+    /// One for each backend that may be sent requests, and for no other.
+    lines: RefCell<HashMap<BackendId, Line>>,
+    open: Rc<Cell<usize>>,
+    max: Cell<usize>,
+    keep: Cell<Duration>,
+    connect_timeout: Cell<Duration>,
+    pub opened: Cell<u64>,
+    pub(crate) budget: Budget,
+    pub(crate) pauses: Shared,
+}
+impl Pool {
+    /// No connection is open yet.
+    pub fn new(network: &Network, budget: Budget, pauses: Shared) -> Pool {
+        Pool {
+            lines: RefCell::default(),
+            open: Rc::default(),
+            max: Cell::new(usize::MAX),
+            keep: Cell::new(span(network.conn_idle.times(IDLE_PART))),
+            connect_timeout: Cell::new(span(network.connect_timeout)),
+            opened: Cell::new(0),
+            budget,
+            pauses,
+        }
+    }
+
+    /// Another bound: idle connections beyond it are closed at once.
+    pub fn bound(&self, max: usize) {
+        self.max.set(max);
+        while self.open.get() > max && self.close_oldest() {}
+    }
+
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    fn usable(&self, c: &Conn) -> bool {
+        c.since.elapsed() < self.keep.get() && !c.stream.stirred()
+    }
+
+    /// A warm connection, checked at this moment.
+    pub(crate) fn take(&self, id: BackendId, to: SocketAddr) -> Option<Conn> {
+        let mut lines = self.lines.borrow_mut();
+        let line = lines.get_mut(&id)?;
+        line.idle.retain(|c| c.to == to && self.usable(c));
+        let quiet = line.idle.iter().rposition(|c| c.since.elapsed() >= QUIET)?;
+        Some(line.idle.remove(quiet))
+    }
+
+    pub(crate) fn put(&self, id: BackendId, mut c: Conn) {
+        if let Some(line) = self.lines.borrow_mut().get_mut(&id) {
+            c.since = Instant::now();
+            c.stream.mark_idle();
+            line.idle.push(c);
+        }
+    }
+
+    /// Closes the connection that was idle longest; false when there is none.
+    pub fn close_oldest(&self) -> bool {
+        let mut lines = self.lines.borrow_mut();
+        let idle = lines.values_mut().map(|line| &mut line.idle).filter(|idle| !idle.is_empty());
+        idle.min_by_key(|idle| idle[0].since).map(|idle| idle.remove(0)).is_some()
+    }
+
+    /// Something was heard of a backend.
+    pub(crate) fn heard(&self, id: BackendId) {
+        if let Some(line) = self.lines.borrow_mut().get_mut(&id) {
+            line.heard = Some(Instant::now());
+        }
+    }
+
+    /// Retires what stood idle too long or was closed from the other side.
+    pub async fn sweep(self: Rc<Pool>) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            self.lines.borrow_mut().values_mut().for_each(|line| line.idle.retain(|c| self.usable(c)));
+        }
+    }
+
+    pub(crate) async fn connect(&self, to: SocketAddr) -> Result<Conn, Outcome> {
+        // At the bound an idle connection makes room; where there is none the backend is not to blame.
+        if self.open.get() >= self.max.get() && !self.close_oldest() {
+            return Err(Outcome::NeverSent);
+        }
+        self.open.set(self.open.get() + 1);
+        let slot = Slot(self.open.clone());
+        self.opened.set(self.opened.get() + 1);
+        let dial = tokio::time::timeout(self.connect_timeout.get(), TcpStream::connect(to)).await;
+        let stream = match dial {
+            Ok(Ok(tcp)) => Stream::new(tcp),
+            // Out of descriptors: that is this proxy's own trouble, and no sign of the backend's.
+            Ok(Err(e)) if matches!(e.raw_os_error(), Some(23 | 24)) => return Err(Outcome::NeverSent),
+            Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
+        };
+        Ok(Conn { stream, to, since: Instant::now(), _slot: slot })
+    }
+}
+
+impl Lines for Pool {
+    /// Other figures from now on.
+    fn adopt(&self, network: &Network) {
+        self.keep.set(span(network.conn_idle.times(IDLE_PART)));
+        self.connect_timeout.set(span(network.connect_timeout));
+    }
+
+    /// These backends may be sent requests. Nothing is kept of any other.
+    fn serve(&self, ids: &HashSet<BackendId>) {
+        let mut lines = self.lines.borrow_mut();
+        lines.retain(|id, _| ids.contains(id));
+        for id in ids {
+            lines.entry(*id).or_default();
+        }
+    }
+
+    /// An attempt sent at `sent` was given up unanswered. Where nothing at all was heard of the backend since,
+    /// its machine may be cut off and its idle connections dead without a sign: what is written to one of
+    /// those may have run for all one can tell, while a new connection that does not come up proves that
+    /// it did not.
+    fn unanswered(&self, id: BackendId, sent: Instant) {
+        if let Some(line) = self.lines.borrow_mut().get_mut(&id) {
+            if line.heard.is_none_or(|at| at < sent) {
+                line.idle.clear();
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::attempt::Call;
+    use crate::body::Payload;
+    use bytes::Bytes;
+    use hyper::{HeaderMap, Method, Uri};
+    use lotusdeck_core::Lines;
+    use lotusdeck_policy::Micros;
+    use std::io::Read;
+
+    fn pool(max: usize) -> Rc<Pool> {
+        let (connect_timeout, conn_idle) = (Micros(5_000_000), Micros(60_000_000));
+        let network =
+            Network { connect_timeout, conn_idle, max_retry_after: Micros(0), deadlines: Vec::new() };
+        let pool = Rc::new(Pool::new(&network, Budget::new(1 << 20), Shared::default()));
+        pool.bound(max);
+        pool
+    }
+
+    fn call() -> Call {
+        let uri = Uri::from_static("/pay/k");
+        Call {
+            method: Method::POST,
+            uri,
+            headers: HeaderMap::new(),
+            body: Payload::Whole(Bytes::from_static(b"cash")),
+        }
+    }
+
+    fn soon() -> Instant {
+        Instant::now() + Duration::from_secs(20)
+    }
+
+    /// The backend begins to drain while the connection comes up: not a byte goes out on it.
+    #[tokio::test]
+    async fn a_backend_that_drains_while_connecting_is_sent_nothing() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let (pool, to) = (pool(4), listener.local_addr().unwrap());
+        let ended = pool.attempt(BackendId(0), to, &call(), soon(), || false).await;
+        assert_eq!(ended.0, Outcome::NeverSent);
+        let mut peer = listener.accept().unwrap().0;
+        drop(pool);
+        let mut got = Vec::new();
+        peer.read_to_end(&mut got).unwrap();
+        assert!(got.is_empty(), "{got:?}");
+    }
+
+    /// At the bound the backend is not called ill, and an idle connection to another makes room first.
+    #[tokio::test]
+    async fn the_bound_on_connections_holds_and_the_idle_make_way() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let (pool, to) = (pool(1), listener.local_addr().unwrap());
+        let busy = pool.connect(to).await.ok().unwrap();
+        let refused = pool.connect(to).await.err();
+        assert_eq!((refused, pool.open()), (Some(Outcome::NeverSent), 1));
+        pool.serve(&HashSet::from([BackendId(0)]));
+        pool.put(BackendId(0), busy);
+        let other = pool.connect(to).await;
+        assert!(other.is_ok() && pool.open() == 1);
+        drop(other);
+        assert_eq!(pool.open(), 0);
+    }
+}
--- a/crates/simwire/src/wire.rs
+++ b/crates/simwire/src/wire.rs
@@ -146,7 +146,8 @@
             return Err(f.bad(0, "an instance such as proxy-3"));
         }
         let seed = f.whole(1, "a seed")?;
-        let made = lotusdeck_policy::settings::read(&f.values[2]).and_then(|(config, names)| {
+        let read = lotusdeck_policy::settings::read(&f.values[2]).map_err(|e| e.to_string());
+        let made = read.and_then(|(config, names)| {
             Balancer::new(config, seed).map(|b| (b, names)).map_err(|e| e.to_string())
         });
         let instance = match made {
