--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -2,6 +2,7 @@
 
 use crate::cordon::{Cordon, CordonError, LOOK};
 use crate::counts::Counts;
+use crate::journal::{Journal, Labels};
 use crate::registry::{Endpoint, Registry};
 use crate::status::{BackendStatus, KindStatus, Status};
 use crate::timers::Timers;
@@ -42,6 +43,8 @@
     answer: oneshot::Sender<Answer>,
     deadline: Time,
     attempts: u32,
+    /// The journal is told of it.
+    journaled: bool,
 }
 
 struct Flight {
@@ -50,6 +53,8 @@
     /// When its last byte came: its time counts from then.
     began: Time,
     task: AbortHandle,
+    /// The journal is told of its end, and the work knows how that was.
+    journaled: Option<Rc<dyn Work>>,
 }
 
 struct State {
@@ -76,6 +81,7 @@
     pub clock: Clock,
     lines: Vec<Rc<dyn Lines>>,
     cordon: Cordon,
+    journal: Option<Rc<dyn Journal>>,
     timers: Timers,
     follow: Notify,
 }
@@ -84,6 +90,7 @@
     /// A host that has taken no request yet; `lines` are those of all protocols.
     pub fn new(
         balancer: Balancer, settings: Settings, clock: Clock, lines: Vec<Rc<dyn Lines>>, cordon: Cordon,
+        journal: Option<Rc<dyn Journal>>,
     ) -> Rc<Host> {
         let state = State {
             balancer,
@@ -100,7 +107,7 @@
             before: Counts::default(),
         };
         let (state, timers, follow) = (RefCell::new(state), Timers::default(), Notify::new());
-        Rc::new(Host { state, clock, lines, cordon, timers, follow })
+        Rc::new(Host { state, clock, lines, cordon, journal, timers, follow })
     }
 
     /// The generation of settings under which a request that comes now is taken.
@@ -129,9 +136,11 @@
         Micros((MARGIN.0 + self.timers.lag().0).min(MOST_MARGIN.0))
     }
 
-    /// Takes a request; `arrival.request` is given here.
+    /// Takes a request; `arrival.request` is given here. `labels` name it in the journal, where there is one and
+    /// the request must never run twice.
     pub fn request(
         self: &Rc<Self>, mut arrival: Arrival, work: Rc<dyn Work>, effect: Effect,
+        labels: impl FnOnce() -> Labels,
     ) -> (RequestId, oneshot::Receiver<Answer>) {
         let (answer, wait) = oneshot::channel();
         let id = {
@@ -139,12 +148,25 @@
             s.last += 1;
             let id = RequestId(s.last);
             let deadline = self.clock.now() + arrival.time_left;
+            let journal = self.journal.as_ref().filter(|_| effect == Effect::Unsafe);
             let window = match effect {
                 Effect::Keyed(_, window) => Some(window),
                 _ => None,
             };
-            s.requests.insert(id, Live { work, window, ran: None, answer, deadline, attempts: 0 });
+            s.requests.insert(
+                id,
+                Live { work, window, ran: None, answer, deadline, attempts: 0, journaled: false },
+            );
             s.counts.requests += 1;
+            if let Some(journal) = journal {
+                if let Some(come_again) = journal.refuses() {
+                    s.counts.refused += 1;
+                    self.finish(&mut s, id, Answer::Refused(come_again));
+                    return (id, wait);
+                }
+                journal.taken(id, labels());
+                s.requests.entry(id).and_modify(|live| live.journaled = true);
+            }
             id
         };
         arrival.request = id;
@@ -156,9 +178,8 @@
     pub fn client_gone(self: &Rc<Self>, id: RequestId) {
         {
             let mut s = self.state.borrow_mut();
-            if s.requests.remove(&id).is_none() {
-                return;
-            }
+            let Some(live) = s.requests.remove(&id) else { return };
+            self.settled(id, &live);
             s.counts.gone += 1;
         }
         self.tell(Event::ClientGone { request: id });
@@ -174,6 +195,7 @@
         let live = self.state.borrow_mut().requests.remove(&id);
         if let Some(live) = live {
             warn!(request = id.0, attempts = live.attempts, "no decision by the deadline");
+            self.settled(id, &live);
             self.state.borrow_mut().counts.timed_out += 1;
             let _ = live.answer.send(Answer::TimedOut);
             self.tell(Event::ClientGone { request: id });
@@ -274,6 +296,7 @@
             let Some(flight) = s.attempts.remove(&(request, attempt)) else { return };
             flight.task.abort(); // closes its connection, if it is still on one
             s.counts.ended(outcome);
+            self.journal_end(request, attempt, outcome, &flight);
             if outcome == Outcome::TimedOut {
                 self.unanswered(&flight);
             }
@@ -282,7 +305,7 @@
             }
             if outcome == Outcome::Ok && s.requests.contains_key(&request) {
                 s.counts.served += 1;
-                finish(&mut s, request, Answer::Served(attempt));
+                self.finish(&mut s, request, Answer::Served(attempt));
             }
             if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
                 let backend = flight.backend.0;
@@ -301,6 +324,26 @@
         AttemptEnd { request, attempt, outcome, latency, settled: live.is_none(), spent }
     }
 
+    fn journal_end(&self, request: RequestId, attempt: AttemptNo, outcome: Outcome, flight: &Flight) {
+        if let Some((journal, work)) = self.journal.as_ref().zip(flight.journaled.as_ref()) {
+            journal.ended(request, attempt, outcome, work.status(attempt));
+        }
+    }
+
+    fn settled(&self, request: RequestId, live: &Live) {
+        if let Some(journal) = self.journal.as_ref().filter(|_| live.journaled) {
+            journal.settled(request);
+        }
+    }
+
+    /// The final answer.
+    fn finish(&self, s: &mut State, request: RequestId, answer: Answer) {
+        if let Some(live) = s.requests.remove(&request) {
+            self.settled(request, &live);
+            let _ = live.answer.send(answer);
+        }
+    }
+
     fn unanswered(&self, flight: &Flight) {
         let sent = self.clock.instant(flight.sent);
         self.lines.iter().for_each(|lines| lines.unanswered(flight.backend, sent));
@@ -325,15 +368,16 @@
             Action::Dispatch { request, backend } => self.dispatch(s, now, request, backend),
             Action::Refuse { request, retry_after } => {
                 s.counts.refused += 1;
-                finish(s, request, Answer::Refused(retry_after));
+                self.finish(s, request, Answer::Refused(retry_after));
             }
             Action::Fail { request } => {
                 s.counts.failed += 1;
-                finish(s, request, Answer::Failed);
+                self.finish(s, request, Answer::Failed);
             }
             Action::Cancel { request, attempt } => {
                 let Some(flight) = s.attempts.remove(&(request, attempt)) else { return };
                 flight.task.abort();
+                self.journal_end(request, attempt, Outcome::Cancelled, &flight);
                 self.unanswered(&flight);
                 let end = self.end(s, request, attempt, Outcome::Cancelled, now - flight.began);
                 s.events.push_back(Event::AttemptEnded(end));
@@ -350,6 +394,7 @@
         live.attempts += 1;
         s.counts.attempts += 1;
         let (work, deadline) = (live.work.clone(), self.clock.instant(live.deadline));
+        let (journaled, its) = (live.journaled, live.journaled.then(|| live.work.clone()));
         let Some(address) = s.registry.get(backend).map(|b| b.address) else { return };
         // A keyed repeat that leaves after the window, its connection being slow to come up, would run again.
         let earlier = (0..attempt.0).filter_map(|no| s.attempts.get(&(request, AttemptNo(no))));
@@ -357,12 +402,17 @@
         let send_by = first.zip(live.window).map(|(at, window)| at + window);
         let (host, asked) = (self.clone(), self.clone());
         let gate = Box::new(move || asked.may_send(request, backend, send_by));
-        let leg = Leg { attempt, backend, address, deadline, gate };
+        // It is written down while the connection comes up.
+        let clearance = self.journal.as_ref().filter(|_| journaled).map(|journal| {
+            let name = s.registry.get(backend).map_or("", |b| &b.name);
+            journal.intent(request, attempt, name, address)
+        });
+        let leg = Leg { attempt, backend, address, deadline, gate, clearance: clearance.into() };
         let task = tokio::task::spawn_local(async move {
             let outcome = work.attempt(leg).await;
             host.attempt_ended(request, attempt, outcome);
         });
-        let flight = Flight { backend, sent: now, began: now, task: task.abort_handle() };
+        let flight = Flight { backend, sent: now, began: now, task: task.abort_handle(), journaled: its };
         s.attempts.insert((request, attempt), flight);
     }
 
@@ -460,18 +510,13 @@
             open_attempts: s.attempts.len(),
             timer_lag_us: self.timers.lag().0,
             counts,
+            ledger: self.journal.as_ref().map(|j| j.status()),
             kinds: s.balancer.kinds().map(kind).collect(),
             backends: s.balancer.backends().filter_map(backend).collect(),
         }
     }
 }
 
-fn finish(s: &mut State, request: RequestId, answer: Answer) {
-    if let Some(live) = s.requests.remove(&request) {
-        let _ = live.answer.send(answer);
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -488,6 +533,9 @@
         fn spent(&self) -> bool {
             false
         }
+        fn status(&self, _: AttemptNo) -> Option<u16> {
+            None
+        }
     }
 
     /// Each thing that may change while a connection comes up stops the send: the list, the request's end,
@@ -507,7 +555,7 @@
         };
         let balancer = Balancer::new(Config::example(), 1).unwrap();
         let none = std::env::temp_dir().join("lotusdeck-no-such-proxy");
-        let host = Host::new(balancer, settings, Clock::new(), Vec::new(), Cordon::load(&none));
+        let host = Host::new(balancer, settings, Clock::new(), Vec::new(), Cordon::load(&none), None);
         let news = |state| {
             let row = Row::new("b", "127.0.0.1:9", "", "", Backend { state, ..Backend::default() });
             vec![Endpoint { name: "b".into(), address: "127.0.0.1:9".parse().unwrap(), state, row }]
@@ -525,7 +573,7 @@
                     repeat: false,
                     uploading: false,
                 };
-                let (id, _wait) = host.request(arrival, Rc::new(Endless), Effect::Free);
+                let (id, _wait) = host.request(arrival, Rc::new(Endless), Effect::Free, || unreachable!());
                 let (now, b) = (host.clock.now(), BackendId(0));
                 assert!(host.may_send(id, b, None) && host.may_send(id, b, Some(now + Micros(60_000_000))));
                 assert!(!host.may_send(id, b, Some(now)), "the window is over");
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cordon;
 mod counts;
 mod host;
+mod journal;
 mod registry;
 mod status;
 mod timers;
@@ -13,6 +14,7 @@
 
 pub use clock::{span, Clock};
 pub use host::{Answer, Host};
+pub use journal::{Clearance, Journal, JournalStatus, Labels};
 pub use registry::Endpoint;
 pub use status::{BackendStatus, KindStatus, Status};
 pub use work::{Leg, Lines, Sending, Work};
--- a/crates/core/src/status.rs
+++ b/crates/core/src/status.rs
@@ -1,6 +1,7 @@
 //! What the proxy knows and does at this moment, for operators.
 
 use crate::counts::Counts;
+use crate::journal::JournalStatus;
 use serde::Serialize;
 
 /// One document on the whole process.
@@ -16,6 +17,8 @@
     pub timer_lag_us: u64,
     /// Since the start.
     pub counts: Counts,
+    /// The journal of requests that must never run twice, where there is one.
+    pub ledger: Option<JournalStatus>,
     /// By kind of machine.
     pub kinds: Vec<KindStatus>,
     /// In the order in which they were met.
--- a/crates/core/src/work.rs
+++ b/crates/core/src/work.rs
@@ -1,7 +1,9 @@
 //! What a protocol brings to the core.
 
+use crate::journal::Clearance;
 use lotusdeck_policy::settings::Network;
 use lotusdeck_policy::{AttemptNo, BackendId, Outcome};
+use std::cell::RefCell;
 use std::collections::HashSet;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -15,12 +17,16 @@
 /// One request, as its protocol sends it. It may be sent several times, by [`Leg::attempt`] told apart; a served
 /// answer stays with the work until its front fetches it.
 pub trait Work {
-    /// Sends it once and waits for the answer, or for its beginning where it is large. [`Leg::may_send`] has to be
-    /// asked at the moment of the first byte, and nothing sent where it says no: [`Outcome::NeverSent`].
+    /// Sends it once and waits for the answer, or for its beginning where it is large. [`Leg::cleared`] has to be
+    /// awaited and [`Leg::may_send`] asked at the moment of the first byte, and nothing sent where either says no:
+    /// [`Outcome::NeverSent`].
     fn attempt(self: Rc<Self>, leg: Leg) -> Sending;
 
     /// Part of it is gone: no other attempt can send it.
     fn spent(&self) -> bool;
+
+    /// The status of the answer that ended an attempt, as its protocol counts; `None` where there was no answer.
+    fn status(&self, attempt: AttemptNo) -> Option<u16>;
 }
 
 /// Where and until when an attempt goes.
@@ -35,9 +41,21 @@
     pub deadline: Instant,
     /// Asked at the moment of the first byte.
     pub(crate) gate: Box<dyn Fn() -> bool>,
+    /// What has to be written down before it.
+    pub(crate) clearance: RefCell<Option<Clearance>>,
 }
 
 impl Leg {
+    /// Waits until the attempt is written down, where that has to be. To be awaited once a connection stands, before
+    /// [`Leg::may_send`] is asked; the wait is bounded. No means that not a byte may be sent.
+    pub async fn cleared(&self) -> bool {
+        let clearance = self.clearance.take();
+        match clearance {
+            Some(clearance) => clearance.await,
+            None => true,
+        }
+    }
+
     /// The backend may still be sent to, the request still waits, and a repeat is still one that is dropped. It may
     /// have become otherwise while a connection came up.
     pub fn may_send(&self) -> bool {
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,24 @@
+//! A journal of requests that must never run twice. After any crash it tells for each of them whether it was never
+//! sent, sent to a named backend (and how that ended), or possibly sent. It is never wrong, only sometimes uncertain.
+//!
+//! [`Writer`] appends records to segments on a [`Disk`]; [`History`] reads folders back and draws conclusions.
+//! Neither starts a thread nor reads a clock. [`Ledger`] runs a writer on a thread of its own.
+
+mod disk;
+mod frame;
+mod history;
+mod index;
+pub mod memory;
+mod record;
+mod segment;
+mod thread;
+mod writer;
+
+pub use disk::{Disk, Folder};
+pub use frame::{decode, encode, Damage, Frame, HEADER};
+pub use history::{Attempt, Fate, History, Request, Verdict};
+pub use index::Index;
+pub use record::{End, Millis, Record};
+pub use segment::{read_segment, Found, Head, Scan, HEAD_LEN, VERSION};
+pub use thread::{Durable, Ledger, Shown};
+pub use writer::{Mode, OnFailure, Options, WriteError, Writer};
--- a/crates/lotusdeck/src/check.rs
+++ b/crates/lotusdeck/src/check.rs
@@ -24,11 +24,9 @@
 pub fn main(args: &Args) -> ExitCode {
     if args.keys {
         for k in &KEYS {
-            let (least, most) = k.range;
-            say(&format!(
-                "{}: {} to {} {}, default {}: {}\n",
-                k.path, least, most, k.unit, k.default, k.about
-            ));
+            let text =
+                format!("{}: {}, default {}: {}\n", k.path, k.sort.expected(), k.sort.default(), k.about);
+            say(&text);
         }
     }
     let mut sound = true;
--- /dev/null
+++ b/crates/lotusdeck/src/journaling.rs
@@ -0,0 +1,148 @@
+//! The ledger as the core's journal.
+
+use crate::operator::LedgerSettings;
+use lotusdeck_core::{Clearance, Journal, JournalStatus, Labels};
+use lotusdeck_ledger::{End, Folder, Ledger, Mode, OnFailure, Options, Record};
+use lotusdeck_policy::{AttemptNo, Micros, Outcome, RequestId};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tracing::{info, warn};
+
+/// Advice to clients while nothing can be written: a new segment is tried for twice a second.
+const COME_AGAIN: Micros = Micros(1_000_000);
+/// How long the end of the process waits for its last record.
+const CLOSE: Duration = Duration::from_millis(100);
+
+/// The journal of this process.
+pub struct Journaling {
+    ledger: Ledger,
+    wait: Duration,
+    warn_free: u64,
+    /// The ids of requests that are not settled.
+    ids: RefCell<HashMap<RequestId, String>>,
+    warned: Cell<bool>,
+}
+
+fn now() -> u64 {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    unix.as_millis() as u64
+}
+
+impl Journaling {
+    /// Starts a generation in the folder that the operators named; `None` where they named none.
+    ///
+    /// # Errors
+    /// Where the folder cannot be made or no thread started.
+    pub fn start(
+        settings: &LedgerSettings, proxy: &str, seed: u64,
+    ) -> std::io::Result<Option<Rc<Journaling>>> {
+        let Some(folder) = &settings.folder else { return Ok(None) };
+        let mut options = Options::new(
+            proxy,
+            if settings.power { Mode::Power } else { Mode::Process },
+            if settings.go_on { OnFailure::GoOn } else { OnFailure::Refuse },
+        );
+        let day = 24 * 3600 * 1000;
+        (options.segment_bytes, options.keep_bytes) = (settings.segment_mb << 20, settings.keep_mb << 20);
+        (options.keep, options.keep_unresolved) =
+            (settings.keep_days * day, settings.keep_unresolved_days * day);
+        let disk = Folder::open(folder)?;
+        // Starts of one proxy differ in their seeds; the time makes sure where a seed is given twice.
+        let generation = now() << 20 | seed & 0xf_ffff;
+        let ledger = Ledger::start(disk, options, generation)?;
+        let shown = ledger.shown();
+        info!(folder = %folder.display(), generation, free = shown.free, failing = shown.failing, "ledger starts");
+        let journaling = Journaling {
+            ledger,
+            wait: settings.wait,
+            warn_free: settings.warn_free_mb << 20,
+            ids: RefCell::default(),
+            warned: Cell::new(false),
+        };
+        Ok(Some(Rc::new(journaling)))
+    }
+
+    /// Lines for the log on what changed: called every few seconds.
+    pub fn report(&self) {
+        for segment in self.ledger.dropped() {
+            info!(segment, "ledger segment dropped");
+        }
+        let shown = self.ledger.shown();
+        let short = shown.failing || shown.free < self.warn_free;
+        if short != self.warned.replace(short) {
+            warn!(failing = shown.failing, free = shown.free, failed = shown.failed, short, "ledger space");
+        }
+        if shown.records > 0 {
+            info!(
+                records = shown.records,
+                depth = shown.depth,
+                writes = shown.writes,
+                syncs = shown.syncs,
+                failed = shown.failed,
+                "ledger"
+            );
+        }
+    }
+
+    /// Ends the generation in order.
+    pub async fn close(&self) {
+        let _ = tokio::time::timeout(CLOSE, self.ledger.close()).await; // it then reads as one that crashed
+    }
+}
+
+impl Journal for Journaling {
+    fn refuses(&self) -> Option<Micros> {
+        (!self.ledger.goes_on() && self.ledger.shown().failing).then_some(COME_AGAIN)
+    }
+
+    fn taken(&self, request: RequestId, labels: Labels) {
+        let id = Ledger::text(&labels.id);
+        self.ids.borrow_mut().insert(request, id.clone());
+        let (class, key) = (Ledger::text(&labels.class), Ledger::text(&labels.key));
+        self.ledger.note(Record::Taken { request: request.0, at: now(), id, class, key });
+    }
+
+    fn intent(
+        &self, request: RequestId, attempt: AttemptNo, backend: &str, address: SocketAddr,
+    ) -> Clearance {
+        let id = self.ids.borrow().get(&request).cloned().unwrap_or_default();
+        let (backend, address) = (Ledger::text(backend), address.to_string());
+        let record =
+            Record::Intent { request: request.0, attempt: attempt.0, at: now(), id, backend, address };
+        let (durable, wait) = (self.ledger.before(record), self.wait);
+        let goes_on = self.ledger.goes_on();
+        Box::pin(async move { tokio::time::timeout(wait, durable).await.unwrap_or(false) || goes_on })
+    }
+
+    fn ended(&self, request: RequestId, attempt: AttemptNo, outcome: Outcome, status: Option<u16>) {
+        let end = match (outcome, status) {
+            (outcome, _) if outcome.never_ran() => End::NeverSent,
+            (_, Some(status)) => End::Answered(status),
+            _ => End::Unanswered,
+        };
+        self.ledger.note(Record::Ended { request: request.0, attempt: attempt.0, at: now(), end });
+    }
+
+    fn settled(&self, request: RequestId) {
+        self.ids.borrow_mut().remove(&request);
+        self.ledger.note(Record::Settled { request: request.0 });
+    }
+
+    fn status(&self) -> JournalStatus {
+        let s = self.ledger.shown();
+        JournalStatus {
+            depth: s.depth,
+            records: s.records,
+            writes: s.writes,
+            syncs: s.syncs,
+            bytes: s.bytes,
+            failed: s.failed,
+            last_write_us: s.last_write_us,
+            free_bytes: s.free,
+            failing: s.failing,
+        }
+    }
+}
--- a/crates/lotusdeck/src/main.rs
+++ b/crates/lotusdeck/src/main.rs
@@ -2,6 +2,8 @@
 
 mod admin;
 mod check;
+mod journaling;
+mod ledger;
 mod locate;
 mod logging;
 mod operator;
@@ -29,6 +31,8 @@
     Check(check::Args),
     /// Call a running proxy.
     Admin(admin::Args),
+    /// Read the journal of requests that must never run twice.
+    Ledger(ledger::Args),
     /// Print a completion script.
     Completions {
         /// For this shell.
@@ -41,6 +45,7 @@
         Command::Serve(args) => serve::main(args),
         Command::Check(args) => check::main(&args),
         Command::Admin(args) => admin::main(&args),
+        Command::Ledger(args) => ledger::main(&args),
         Command::Completions { shell } => {
             let mut out = Vec::new();
             clap_complete::generate(shell, &mut Cli::command(), "lotusdeck", &mut out);
--- a/crates/lotusdeck/src/operator.rs
+++ b/crates/lotusdeck/src/operator.rs
@@ -8,57 +8,179 @@
 use toml::de::{DeTable, DeValue};
 use toml::Spanned;
 
+/// What a key holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sort {
+    /// A whole number of that unit, from the least to the most, and its default.
+    Number(&'static str, i64, i64, i64),
+    /// One of these words; the first is the default.
+    Choice(&'static [&'static str]),
+    /// Text; empty by default.
+    Text,
+}
+
 /// One key: all that is said of it in docs/configuration.md.
 pub struct Key {
     /// Table and name.
     pub path: &'static str,
-    /// What its number counts.
-    pub unit: &'static str,
-    /// Least and most.
-    pub range: (i64, i64),
-    /// What holds where it is absent.
-    pub default: i64,
+    /// What it holds.
+    pub sort: Sort,
     /// What it does.
     pub about: &'static str,
 }
 
+const fn number(
+    path: &'static str, unit: &'static str, range: (i64, i64), default: i64, about: &'static str,
+) -> Key {
+    Key { path, sort: Sort::Number(unit, range.0, range.1, default), about }
+}
+
 /// Every key that there is.
-pub const KEYS: [Key; 4] = [
+pub const KEYS: [Key; 13] = [
+    number(
+        "http.answer_gap_ms",
+        "ms",
+        (10, 60_000),
+        300,
+        "an answer that has begun and rests for longer is a failed attempt",
+    ),
+    number(
+        "http.answer_silence_ms",
+        "ms",
+        (100, 600_000),
+        10_000,
+        "a large answer on its way to the client that rests for longer is cut",
+    ),
+    number(
+        "http.upload_stall_ms",
+        "ms",
+        (50, 60_000),
+        1_500,
+        "a client whose body rests for longer is answered 408",
+    ),
+    number(
+        "http.upload_unread_ms",
+        "ms",
+        (50, 60_000),
+        3_000,
+        "a backend that takes nothing of a body for longer has gone",
+    ),
     Key {
-        path: "http.answer_gap_ms",
-        unit: "ms",
-        range: (10, 60_000),
-        default: 300,
-        about: "an answer that has begun and rests for longer is a failed attempt",
+        path: "ledger.folder",
+        sort: Sort::Text,
+        about: "where the journal of requests that must never run twice lies; empty: there is none",
     },
     Key {
-        path: "http.answer_silence_ms",
-        unit: "ms",
-        range: (100, 600_000),
-        default: 10_000,
-        about: "a large answer on its way to the client that rests for longer is cut",
+        path: "ledger.mode",
+        sort: Sort::Choice(&["process", "power"]),
+        about: "what a record survives before its request is sent: the process's death, or the loss of power",
     },
     Key {
-        path: "http.upload_stall_ms",
-        unit: "ms",
-        range: (50, 60_000),
-        default: 1_500,
-        about: "a client whose body rests for longer is answered 408",
-    },
-    Key {
-        path: "http.upload_unread_ms",
-        unit: "ms",
-        range: (50, 60_000),
-        default: 3_000,
-        about: "a backend that takes nothing of a body for longer has gone",
+        path: "ledger.on_failure",
+        sort: Sort::Choice(&["refuse", "go-on"]),
+        about: "while nothing can be written such requests get 503, or are sent and read as uncertain later",
     },
+    number("ledger.wait_ms", "ms", (1, 60_000), 200, "an attempt waits so long at most for its record"),
+    number("ledger.segment_mb", "MB", (1, 1024), 16, "room of a segment, reserved when it is made"),
+    number(
+        "ledger.keep_mb",
+        "MB",
+        (1, 1_000_000),
+        1_024,
+        "beyond it the oldest resolved segments are dropped",
+    ),
+    number("ledger.keep_days", "days", (1, 36_500), 90, "resolved segments are dropped at this age"),
+    number("ledger.keep_unresolved_days", "days", (1, 36_500), 180, "all others at this one"),
+    number("ledger.warn_free_mb", "MB", (0, 1_000_000), 256, "with less space than this a line warns"),
 ];
 
+/// `[ledger]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LedgerSettings {
+    /// Where it lies; `None` where there is none.
+    pub folder: Option<PathBuf>,
+    /// Records survive the loss of power.
+    pub power: bool,
+    /// Requests are sent while nothing can be written.
+    pub go_on: bool,
+    /// An attempt waits so long at most for its record.
+    pub wait: Duration,
+    /// Room of a segment.
+    pub segment_mb: u64,
+    /// Space of all segments.
+    pub keep_mb: u64,
+    /// Age of resolved segments.
+    pub keep_days: u64,
+    /// Age of the others.
+    pub keep_unresolved_days: u64,
+    /// Free space below which a line warns.
+    pub warn_free_mb: u64,
+}
+
+impl Default for LedgerSettings {
+    fn default() -> LedgerSettings {
+        LedgerSettings {
+            folder: None,
+            power: false,
+            go_on: false,
+            wait: Duration::from_millis(200),
+            segment_mb: 16,
+            keep_mb: 1024,
+            keep_days: 90,
+            keep_unresolved_days: 180,
+            warn_free_mb: 256,
+        }
+    }
+}
+
 /// What the file says, defaults filled in.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Operator {
     /// `[http]`.
     pub pauses: Pauses,
+    /// `[ledger]`.
+    pub ledger: LedgerSettings,
+}
+
+/// A value that fits its key.
+enum Value {
+    Number(u64),
+    Text(String),
+}
+
+impl Sort {
+    /// What is expected, in words.
+    pub fn expected(&self) -> String {
+        match self {
+            Sort::Number(unit, least, most, _) => format!("a whole number of {unit} from {least} to {most}"),
+            Sort::Choice(words) => words.join(" or "),
+            Sort::Text => "text".into(),
+        }
+    }
+
+    /// What holds where the key is absent, as it would be written.
+    pub fn default(&self) -> String {
+        match self {
+            Sort::Number(_, _, _, default) => default.to_string(),
+            Sort::Choice(words) => format!("\"{}\"", words.first().unwrap_or(&"")),
+            Sort::Text => "\"\"".into(),
+        }
+    }
+
+    fn fit(&self, value: &DeValue) -> Option<Value> {
+        match (self, value) {
+            (Sort::Number(_, least, most, _), DeValue::Integer(n)) => {
+                let digits: String = n.as_str().chars().filter(|c| *c != '_').collect();
+                let n = i64::from_str_radix(&digits, n.radix()).ok()?;
+                (least..=most).contains(&&n).then_some(Value::Number(n.unsigned_abs()))
+            }
+            (Sort::Choice(words), DeValue::String(s)) => {
+                words.contains(&s.as_ref()).then(|| Value::Text(s.to_string()))
+            }
+            (Sort::Text, DeValue::String(s)) => Some(Value::Text(s.to_string())),
+            _ => None,
+        }
+    }
 }
 
 /// One thing that is wrong with a file.
@@ -110,23 +232,18 @@
     KEYS.iter().filter_map(|k| k.path.split_once('.').map(|p| p.0))
 }
 
-fn value(path: &str, value: &Spanned<DeValue>) -> Result<i64, Fault> {
+fn value(path: &str, value: &Spanned<DeValue>) -> Result<Value, Fault> {
     let at = value.span().start;
     let Some(key) = KEYS.iter().find(|k| k.path == path) else {
         return Err(Fault { at, text: unknown("key", path, KEYS.iter().map(|k| k.path)) });
     };
-    let (least, most) = key.range;
-    let expected = |got: String| {
-        let text =
-            format!("{path}: expected a whole number of {} from {least} to {most}, got {got}", key.unit);
-        Fault { at, text }
-    };
-    let DeValue::Integer(n) = value.get_ref() else {
-        return Err(expected(kind(value.get_ref()).into()));
+    let got = match value.get_ref() {
+        DeValue::Integer(n) => n.as_str().to_string(),
+        DeValue::String(s) => format!("{s:?}"),
+        other => kind(other).into(),
     };
-    let digits: String = n.as_str().chars().filter(|c| *c != '_').collect();
-    let got = i64::from_str_radix(&digits, n.radix()).ok().filter(|n| (least..=most).contains(n));
-    got.ok_or_else(|| expected(n.as_str().into()))
+    let wrong = || Fault { at, text: format!("{path}: expected {}, got {got}", key.sort.expected()) };
+    key.sort.fit(value.get_ref()).ok_or_else(wrong)
 }
 
 impl Operator {
@@ -157,7 +274,7 @@
             for (key, entry) in keys {
                 let path = format!("{name}.{}", key.get_ref());
                 match value(&path, entry) {
-                    Ok(n) => operator.set(&path, n),
+                    Ok(value) => operator.set(&path, value),
                     Err(fault) => faults.push(fault),
                 }
             }
@@ -184,14 +301,33 @@
         })
     }
 
-    fn set(&mut self, path: &str, n: i64) {
-        let span = Duration::from_millis(n.unsigned_abs());
-        match path {
-            "http.answer_gap_ms" => self.pauses.answer_gap = span,
-            "http.answer_silence_ms" => self.pauses.answer_silence = span,
-            "http.upload_stall_ms" => self.pauses.upload_stall = span,
-            "http.upload_unread_ms" => self.pauses.upload_unread = span,
-            _ => unreachable!("a key of the list that nobody reads: {path}"),
+    fn set(&mut self, path: &str, value: Value) {
+        let (pauses, ledger) = (&mut self.pauses, &mut self.ledger);
+        match value {
+            Value::Number(n) => {
+                let span = Duration::from_millis(n);
+                match path {
+                    "http.answer_gap_ms" => pauses.answer_gap = span,
+                    "http.answer_silence_ms" => pauses.answer_silence = span,
+                    "http.upload_stall_ms" => pauses.upload_stall = span,
+                    "http.upload_unread_ms" => pauses.upload_unread = span,
+                    "ledger.wait_ms" => ledger.wait = span,
+                    "ledger.segment_mb" => ledger.segment_mb = n,
+                    "ledger.keep_mb" => ledger.keep_mb = n,
+                    "ledger.keep_days" => ledger.keep_days = n,
+                    "ledger.keep_unresolved_days" => ledger.keep_unresolved_days = n,
+                    "ledger.warn_free_mb" => ledger.warn_free_mb = n,
+                    _ => unreachable!("a key of the list that nobody reads: {path}"),
+                }
+            }
+            Value::Text(text) => match path {
+                "ledger.folder" => {
+                    ledger.folder = Some(PathBuf::from(text)).filter(|p| !p.as_os_str().is_empty())
+                }
+                "ledger.mode" => ledger.power = text == "power",
+                "ledger.on_failure" => ledger.go_on = text == "go-on",
+                _ => unreachable!("a key of the list that nobody reads: {path}"),
+            },
         }
     }
 }
@@ -204,10 +340,16 @@
     fn every_key_is_read_and_its_default_is_what_holds_without_it() {
         for key in &KEYS {
             let (table, name) = key.path.split_once('.').unwrap();
-            let with = |n: i64| Operator::parse(&format!("[{table}]\n{name} = {n}\n"));
-            assert_eq!(with(key.default), Ok(Operator::default()), "{}", key.path);
-            assert_ne!(with(key.range.1), Ok(Operator::default()), "{}", key.path);
-            assert!(with(key.range.0 - 1).is_err() && with(key.range.1 + 1).is_err(), "{}", key.path);
+            let with = |value: &str| Operator::parse(&format!("[{table}]\n{name} = {value}\n"));
+            assert_eq!(with(&key.sort.default()), Ok(Operator::default()), "{}", key.path);
+            let (other, wrong) = match key.sort {
+                Sort::Number(_, least, most, _) => (most.to_string(), vec![least - 1, most + 1]),
+                Sort::Choice(words) => (format!("{:?}", words[1]), vec![1]),
+                Sort::Text => ("\"x\"".into(), vec![1]),
+            };
+            let read = with(&other);
+            assert!(read.is_ok() && read != Ok(Operator::default()), "{}", key.path);
+            assert!(wrong.iter().all(|w| with(&w.to_string()).is_err()), "{}", key.path);
         }
         assert_eq!(Operator::parse(""), Ok(Operator::default()));
     }
@@ -222,7 +364,7 @@
             told,
             [
                 "http.answer_gap: no such key; did you mean http.answer_gap_ms?",
-                "http.upload_stall_ms: expected a whole number of ms from 50 to 60000, got text",
+                "http.upload_stall_ms: expected a whole number of ms from 50 to 60000, got \"x\"",
                 "http.answer_silence_ms: expected a whole number of ms from 100 to 600000, got 1",
                 "htpp: no such table; did you mean http?",
             ]
@@ -236,14 +378,12 @@
     fn the_page_lists_every_key_as_it_is() {
         let page = include_str!("../../../docs/configuration.md");
         for k in &KEYS {
-            let row = format!(
-                "| `{}` | {} | {} to {} | {} | {} |",
-                k.path, k.unit, k.range.0, k.range.1, k.default, k.about
-            );
+            let row =
+                format!("| `{}` | {} | {} | {} |", k.path, k.sort.expected(), k.sort.default(), k.about);
             assert!(page.contains(&row), "docs/configuration.md lacks this row:\n{row}");
         }
-        let rows = page.lines().filter(|l| l.starts_with("| `http.")).count();
-        assert_eq!(rows, KEYS.iter().filter(|k| k.path.starts_with("http.")).count());
+        let rows = page.lines().filter(|l| tables().any(|t| l.starts_with(&format!("| `{t}.")))).count();
+        assert_eq!(rows, KEYS.len());
     }
 
     /// The file under deploy/ changes nothing as it stands, and names every key.
@@ -253,7 +393,7 @@
         assert_eq!(Operator::parse(text), Ok(Operator::default()));
         for k in &KEYS {
             let (_, name) = k.path.split_once('.').unwrap();
-            assert!(text.contains(&format!("{name} = {}", k.default)), "{}", k.path);
+            assert!(text.contains(&format!("{name} = {}", k.sort.default())), "{}", k.path);
         }
     }
 }
--- a/crates/lotusdeck/src/serve.rs
+++ b/crates/lotusdeck/src/serve.rs
@@ -1,9 +1,10 @@
 //! `lotusdeck serve`: start-up, signals, and what goes on beside requests.
 
+use crate::journaling::Journaling;
 use crate::logging::{self, Format};
-use crate::operator::{Operator, OperatorError};
+use crate::operator::{LedgerSettings, Operator, OperatorError};
 use lotusdeck_core::cordon::Cordon;
-use lotusdeck_core::{Clock, Host, Lines};
+use lotusdeck_core::{Clock, Host, Journal, Lines};
 use lotusdeck_policy::{Balancer, Discovery, ListUpdate};
 use lotusdeck_proxy::admin::{Admin, MAX_CALLERS};
 use lotusdeck_proxy::body::Budget;
@@ -29,6 +30,8 @@
 const OVER_BOUND: usize = 24;
 /// Bodies that are kept whole may take this part of the memory, for two processes at a time.
 const BODIES_PART: usize = 8;
+/// signal(7): a file-size limit was exceeded.
+const SIGXFSZ: i32 = 25;
 const REPORT_EVERY: Duration = Duration::from_secs(5);
 
 /// What it is started with.
@@ -64,6 +67,10 @@
     Signals(std::io::Error),
     #[error("no event loop: {0}")]
     Loop(std::io::Error),
+    #[error("ledger: {0}")]
+    Ledger(std::io::Error),
+    #[error("[ledger] has changed: that needs a new start")]
+    LedgerChanged,
     #[error("cannot listen {0} on {1}: {2}")]
     Listen(&'static str, SocketAddr, std::io::Error),
 }
@@ -107,6 +114,7 @@
     file: InForce,
     operator: Option<PathBuf>,
     pauses: Shared,
+    ledger: LedgerSettings,
     moved: watch::Sender<(SocketAddr, Discovery)>,
 }
 
@@ -114,6 +122,9 @@
     /// Takes both files whole or nothing of either.
     fn take(&mut self) -> Result<(SocketAddr, String), ServeError> {
         let operator = Operator::load(self.operator.as_deref())?;
+        if operator.ledger != self.ledger {
+            return Err(ServeError::LedgerChanged);
+        }
         let mut change = self.file.reread()?;
         self.file.replace(&mut change);
         self.pauses.set(operator.pauses);
@@ -151,6 +162,8 @@
     let on = |kind| signal(kind).map_err(ServeError::Signals);
     let hangup = on(SignalKind::hangup())?;
     let (mut term, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
+    // A file that grows past its limit is an error to be told, not the end of the program.
+    let _file_size = on(SignalKind::from_raw(SIGXFSZ))?;
     let inherited = handover::listener().map_err(|e| ServeError::Inherited(e.to_string()))?;
     let operator = Operator::load(args.operator.as_deref())?;
     let node = Node::read(&args.config, args.admin)?;
@@ -166,7 +179,9 @@
     let mode = node.settings.config.discovery;
     let balancer = Balancer::new(node.settings.config.clone(), node.seed).map_err(NodeError::Unsound)?;
     let lines: Vec<Rc<dyn Lines>> = vec![pool.clone()];
-    let host = Host::new(balancer, node.settings, clock, lines, cordon);
+    let ledger = Journaling::start(&operator.ledger, &node.name, node.seed).map_err(ServeError::Ledger)?;
+    let journal = ledger.clone().map(|l| l as Rc<dyn Journal>);
+    let host = Host::new(balancer, node.settings, clock, lines, cordon, journal);
     // The list from before the restart is in place before anything is served.
     host.members(ListUpdate::Cached, node.known.entries());
     let handed_down = inherited.is_some();
@@ -183,7 +198,8 @@
     tokio::task::spawn_local(pool.clone().sweep());
     let (moved, discovery) = watch::channel((node.discovery, mode));
     tokio::task::spawn_local(discovery::watch(host.clone(), discovery, node.known.index));
-    let adoption = Adoption { host: host.clone(), file: node.file, operator: args.operator, pauses, moved };
+    let (file, operator, ledger_settings) = (node.file, args.operator, operator.ledger);
+    let adoption = Adoption { host: host.clone(), file, operator, pauses, ledger: ledger_settings, moved };
     tokio::task::spawn_local(adoption.heed(hangup));
     let server = Server::new(host.clone(), pool.clone(), budget);
     let shared = peer.alive();
@@ -198,12 +214,13 @@
         tokio::task::spawn_local(Admin::new(host.clone(), server.clone()).run(calls));
     }
     tokio::task::spawn_local(host.clone().heed_cordons());
-    let (reporter, reported) = (server.clone(), host.clone());
+    let (reporter, reported, ledgered) = (server.clone(), host.clone(), ledger.clone());
     tokio::task::spawn_local(async move {
         loop {
             tokio::time::sleep(REPORT_EVERY).await;
             reported.report();
             reporter.report();
+            ledgered.iter().for_each(|l| l.report());
         }
     });
     let stop = async {
@@ -214,6 +231,9 @@
         info!("stopping");
     };
     server.run(listener, handed_down, stop).await;
+    if let Some(ledger) = ledger {
+        ledger.close().await;
+    }
     info!("stopped");
     Ok(())
 }
--- a/crates/lotusdeck/tests/command.rs
+++ b/crates/lotusdeck/tests/command.rs
@@ -62,9 +62,8 @@
     assert_eq!(lotusdeck(&["admin", "--addr", "127.0.0.1:1", "health"]).status.code(), Some(1));
     let completions = lotusdeck(&["completions", "bash"]);
     assert!(completions.status.success() && said(&completions).contains("lotusdeck"));
-    assert!(
-        said(&lotusdeck(&["check", "--keys"])).contains("http.answer_gap_ms: 10 to 60000 ms, default 300")
-    );
+    assert!(said(&lotusdeck(&["check", "--keys"]))
+        .contains("http.answer_gap_ms: a whole number of ms from 10 to 60000, default 300"));
 }
 
 /// What operators need to see of backends, learned speeds and counts, as a table and as a document.
--- /dev/null
+++ b/crates/lotusdeck/tests/ledger.rs
@@ -0,0 +1,111 @@
+//! The ledger in the program: what it tells after real requests, a kill, and on a disk that takes nothing.
+
+mod rig;
+
+use rig::*;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::Arc;
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("lotusdeck-ledger-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+/// An operator file that switches the ledger on.
+fn on(folder: &Path, more: &str) -> PathBuf {
+    let path = folder.join("operator.toml");
+    let at = folder.join("ledger").display().to_string();
+    std::fs::write(&path, format!("[ledger]\nfolder = \"{at}\"\nsegment_mb = 1\n{more}\n")).unwrap();
+    path
+}
+
+fn ledger(folder: &Path, args: &[&str]) -> String {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lotusdeck"));
+    let output = command.arg("ledger").args(args).arg(folder.join("ledger")).output().unwrap();
+    String::from_utf8(output.stdout).unwrap()
+}
+
+fn id(request: &str) -> &str {
+    request.split("X-Correlation-Id: ").nth(1).unwrap().split("\r\n").next().unwrap()
+}
+
+/// While it runs and after a kill: answered, turned away, possibly sent; and nothing of what may be repeated.
+#[test]
+fn every_non_repeatable_request_is_told_of() {
+    for mode in ["process", "power"] {
+        let place = folder(mode);
+        let gate = Arc::new(Gate::default());
+        let shut = gate.clone();
+        let backend = BackendServer::start(move |n| match n {
+            0 => ok("paid"),
+            1 => Reply::Answer(200, "", "read".into()),
+            2 => Reply::Answer(500, "", "no".into()),
+            _ => Reply::Gate(shut.clone()),
+        });
+        let list = [entry("b0", backend.address, "SERVING")];
+        let mut proxy = Proxy::operated(&list, &on(&place, &format!("mode = \"{mode}\"")));
+        let (paid, failed, cut) = (pay(3.0), pay(3.0), pay(3.0));
+        assert_eq!(proxy.ask(&paid).status(), 200);
+        assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+        assert_eq!(proxy.ask(&failed).status(), 502);
+        let told = ledger(&place, &["query", "--id", id(&paid)]);
+        assert!(told.contains("pay/k1") && told.contains(": sent\n"), "{told}");
+        assert!(told.contains("0: b0 at ") && told.contains("sent, answered 200"), "{told}");
+        let mut client = proxy.client();
+        client.send(&cut);
+        (0..4).for_each(|_| drop(backend.request())); // the last one has reached the backend
+        proxy.child.kill().unwrap();
+        proxy.child.wait().unwrap();
+        let told = ledger(&place, &["query", "--state", "possibly-sent", "--format", "csv"]);
+        assert_eq!(told.lines().count(), 2, "{told}");
+        assert!(told.contains(id(&cut)) && told.contains("b0,"), "{told}");
+        let told = ledger(&place, &["query", "--backend", "b0", "--format", "json"]);
+        assert_eq!(told.lines().count(), 3, "{told}");
+        assert!(told.contains("{\"answered\":500}"), "{told}");
+        assert!(ledger(&place, &["query", "--id", "never-seen"]).contains("it was never sent"));
+        assert!(ledger(&place, &["verify"]).contains("3 requests, 1 possibly sent"));
+        gate.open();
+    }
+}
+
+/// Where nothing can be written such requests are refused at once with the time to come again, and none is sent; the
+/// others go on. Going on without records starts only once there is a segment to tell of it.
+#[test]
+fn a_disk_that_takes_nothing_refuses_only_what_must_be_written_down() {
+    for more in ["on_failure = \"refuse\"", "on_failure = \"go-on\""] {
+        let place = folder(&more[14..20].replace('"', ""));
+        let backend = BackendServer::start(|_| ok("x"));
+        let list = [entry("b0", backend.address, "SERVING")];
+        let proxy = Proxy::operated_within(&list, &on(&place, more), Some(64));
+        let answer = proxy.ask(&pay(3.0));
+        assert_eq!(answer.status(), 503, "{more}");
+        assert!(answer.header("retry-after").is_some());
+        assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+        assert_eq!(backend.count(), 1, "{more}");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_lotusdeck"));
+        let status =
+            command.args(["admin", "--addr", &proxy.admin.to_string(), "status", "--format", "json"]);
+        let document: serde_json::Value = serde_json::from_slice(&status.output().unwrap().stdout).unwrap();
+        assert_eq!(document["ledger"]["failing"], true, "{document}");
+    }
+}
+
+/// A process that ends in order says so: nothing is uncertain then.
+#[test]
+fn an_orderly_end_leaves_nothing_uncertain() {
+    let place = folder("orderly");
+    let backend = BackendServer::start(|_| ok("x"));
+    let more = "on_failure = \"go-on\"";
+    let mut proxy = Proxy::operated(&[entry("b0", backend.address, "SERVING")], &on(&place, more));
+    assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
+    let open = ledger(&place, &["query", "--id", "unknown"]);
+    assert!(open.contains("nothing is proved"), "it runs, and may go on without records: {open}");
+    proxy.signal("TERM");
+    proxy.child.wait().unwrap();
+    let closed = ledger(&place, &["query", "--id", "unknown"]);
+    assert!(closed.contains("it was never sent"), "{closed}");
+    assert!(ledger(&place, &["verify"]).contains("nothing is damaged"));
+}
--- a/crates/lotusdeck/tests/rig/mod.rs
+++ b/crates/lotusdeck/tests/rig/mod.rs
@@ -342,9 +342,14 @@
 
     /// With an operator file.
     pub fn operated(known: &[String], operator: &Path) -> Proxy {
+        Proxy::operated_within(known, operator, None)
+    }
+
+    /// With an operator file, and no file longer than so many blocks of 512 bytes.
+    pub fn operated_within(known: &[String], operator: &Path, blocks: Option<u32>) -> Proxy {
         let tmp = std::env::temp_dir().join(format!("lotusdeck-{}-{}", std::process::id(), next()));
         let discovery = Rc::new(DiscoveryServer::start());
-        Proxy::run_with(known, 1024, SETTINGS, 1024, tmp, None, discovery, Some(operator))
+        Proxy::run_with(known, 1024, SETTINGS, 1024, tmp, None, discovery, Some((operator, blocks)))
     }
 
     /// On a listening socket that somebody else holds.
@@ -369,7 +374,8 @@
     #[allow(clippy::too_many_arguments)]
     fn run_with(
         known: &[String], sockets: u32, settings: &str, descriptors: u32, tmp: PathBuf,
-        listener: Option<&TcpListener>, discovery: Rc<DiscoveryServer>, operator: Option<&Path>,
+        listener: Option<&TcpListener>, discovery: Rc<DiscoveryServer>,
+        operator: Option<(&Path, Option<u32>)>,
     ) -> Proxy {
         let at = discovery.address;
         let known = list(4, true, known);
@@ -385,8 +391,9 @@
             let socket: OwnedFd = listener.try_clone().unwrap().into();
             command.stdin(socket).env("NODE_SOCKET_FD", "3");
         }
-        if let Some(operator) = operator {
+        if let Some((operator, blocks)) = operator {
             command.env("NODE_OPERATOR", operator);
+            blocks.map(|blocks| command.env("FILE_BLOCKS", blocks.to_string()));
         }
         let mut child = command.env("TMPDIR", &tmp).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
@@ -473,7 +480,9 @@
 fn limited(config: Option<&Path>, descriptors: u32) -> Command {
     let mut command = Command::new("sh");
     // A socket that is handed down comes as the standard input and becomes descriptor 3, as in service.
-    let line = format!("ulimit -n {descriptors}; exec \"$0\" serve 3<&0 </dev/null");
+    let line = format!(
+        "ulimit -n {descriptors}; ulimit -f ${{FILE_BLOCKS:-unlimited}}; exec \"$0\" serve 3<&0 </dev/null"
+    );
     command.args(["-c", &line, env!("CARGO_BIN_EXE_lotusdeck")]);
     command
         .env_remove("NODE_ADMIN_ADDR")
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
-use lotusdeck_core::{Answer, Clock, Host};
+use lotusdeck_core::{Answer, Clock, Host, Labels};
 use lotusdeck_policy::*;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -80,9 +80,17 @@
         let uri = origin.and_then(Result::ok).ok_or(Fault::Target)?;
         let upload = body.flow().cloned();
         let work = HttpWork::new(self.pool.clone(), Call { method: head.method, uri, headers, body });
+        let (labelled, label) = (work.clone(), name.clone());
+        let labels = move || {
+            let path = labelled.path();
+            let (class, rest) = path.trim_start_matches('/').split_once('/').unwrap_or((path, ""));
+            let key = rest.rsplit('/').next().unwrap_or_default();
+            let id = String::from_utf8_lossy(label.as_bytes()).into_owned();
+            Labels { id, class: class.into(), key: key.into() }
+        };
         let _open = Open::new(&self.ids, name).ok_or(Fault::IdInUse)?;
         client.proven.set(true);
-        let (id, answer) = self.host.request(arrival, work.clone(), effect);
+        let (id, answer) = self.host.request(arrival, work.clone(), effect, labels);
         let mut owed = Owed { host: &self.host, id, open: true };
         let mut answer = pin!(answer);
         let due = async {
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -13,6 +13,7 @@
 use lotusdeck_core::{Leg, Sending, Work};
 use lotusdeck_policy::{AttemptNo, BackendId, Outcome};
 use std::cell::RefCell;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
@@ -33,20 +34,38 @@
     pub body: AnswerBody,
 }
 
-/// How an attempt ended, with the answer where it was served.
-pub type Ended = (Outcome, Option<Served>);
+/// How an attempt ended.
+pub(crate) struct Ended {
+    pub outcome: Outcome,
+    /// Of its answer, where one came.
+    pub status: Option<u16>,
+    /// The answer, where it was served.
+    pub served: Option<Served>,
+}
+
+impl From<Outcome> for Ended {
+    fn from(outcome: Outcome) -> Ended {
+        Ended { outcome, status: None, served: None }
+    }
+}
 
 /// A client's request under way: the core sends it, and the front fetches the answer that was served.
 pub struct HttpWork {
     pool: Rc<Pool>,
     call: Call,
     served: RefCell<Vec<(AttemptNo, Served)>>,
+    statuses: RefCell<Vec<(AttemptNo, u16)>>,
 }
 
 impl HttpWork {
     /// Of a request that was read; attempts go out on the pool's connections.
     pub fn new(pool: Rc<Pool>, call: Call) -> Rc<HttpWork> {
-        Rc::new(HttpWork { pool, call, served: RefCell::default() })
+        Rc::new(HttpWork { pool, call, served: RefCell::default(), statuses: RefCell::default() })
+    }
+
+    /// Its path as the client wrote it.
+    pub fn path(&self) -> &str {
+        self.call.uri.path()
     }
 
     /// The answer of an attempt that was served; it can be fetched once.
@@ -60,38 +79,43 @@
 impl Work for HttpWork {
     fn attempt(self: Rc<Self>, leg: Leg) -> Sending {
         Box::pin(async move {
-            let (outcome, served) = self
-                .pool
-                .attempt(leg.backend, leg.address, &self.call, leg.deadline, || leg.may_send())
-                .await;
-            self.served.borrow_mut().extend(served.map(|s| (leg.attempt, s)));
-            outcome
+            let to = (leg.backend, leg.address);
+            let sent = self.pool.attempt(to, &self.call, leg.deadline, leg.cleared(), || leg.may_send());
+            let ended = sent.await;
+            self.statuses.borrow_mut().extend(ended.status.map(|s| (leg.attempt, s)));
+            self.served.borrow_mut().extend(ended.served.map(|s| (leg.attempt, s)));
+            ended.outcome
         })
     }
 
     fn spent(&self) -> bool {
         self.call.body.spent()
     }
+
+    fn status(&self, attempt: AttemptNo) -> Option<u16> {
+        self.statuses.borrow().iter().find(|s| s.0 == attempt).map(|s| s.1)
+    }
 }
 
 impl Pool {
     /// Sends `call` to a backend and waits for the answer, or for its first bytes where it is large. `may_send` is
     /// asked at the moment of the first byte: the backend may have begun to drain while the connection came up.
     pub(crate) async fn attempt(
-        self: &Rc<Self>, id: BackendId, to: SocketAddr, call: &Call, deadline: Instant,
-        may_send: impl Fn() -> bool,
+        self: &Rc<Self>, (id, to): (BackendId, SocketAddr), call: &Call, deadline: Instant,
+        cleared: impl Future<Output = bool>, may_send: impl Fn() -> bool,
     ) -> Ended {
         let c = match self.take(id, to) {
             Some(c) => c,
             None => match self.connect(to).await {
                 Ok(c) => c,
-                Err(outcome) => return (outcome, None),
+                Err(outcome) => return outcome.into(),
             },
         };
+        let cleared = cleared.await;
         let left = deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() || call.body.spent() || !may_send() {
+        if !cleared || left.is_zero() || call.body.spent() || !may_send() {
             self.put(id, c); // an unused connection stays warm
-            return (Outcome::NeverSent, None);
+            return Outcome::NeverSent.into();
         }
         let mut request = Request::new(Outgoing::new(&call.body));
         *request.method_mut() = call.method.clone();
@@ -112,15 +136,16 @@
         let heard = ended.as_ref().is_ok_and(|e| judge(&e.head) == Outcome::Full);
         if !c.stream.request_written() && !given {
             let outcome = if heard { Outcome::Full } else { Outcome::ConnectFailed };
-            return (outcome, None); // the backend begins with the last byte, and never before it
+            return outcome.into(); // the backend begins with the last byte, and never before it
         }
         let mut reply = match ended {
             Ok(reply) => reply,
-            Err(Broken::Spoilt) => return (Outcome::Error, None),
-            Err(Broken::Ended) => return (Outcome::Reset, None),
+            Err(Broken::Spoilt) => return Outcome::Error.into(),
+            Err(Broken::Ended) => return Outcome::Reset.into(),
         };
         self.heard(id);
         let outcome = judge(&reply.head);
+        let status = Some(reply.head.status.as_u16());
         let close = reply.head.headers.get_all(CONNECTION).iter().any(|v| v != "keep-alive");
         let goes_on =
             reply.head.version == Version::HTTP_11 && !reply.head.status.is_informational() && !close;
@@ -150,7 +175,7 @@
                 AnswerBody::Flow(flow, None)
             }
         };
-        (outcome, (outcome == Outcome::Ok).then_some(Served { headers, body }))
+        Ended { outcome, status, served: (outcome == Outcome::Ok).then_some(Served { headers, body }) }
     }
 }
 
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -215,8 +215,11 @@
     async fn a_backend_that_drains_while_connecting_is_sent_nothing() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let (pool, to) = (pool(4), listener.local_addr().unwrap());
-        let ended = pool.attempt(BackendId(0), to, &call(), soon(), || false).await;
-        assert_eq!(ended.0, Outcome::NeverSent);
+        let to = (BackendId(0), to);
+        let ended = pool.attempt(to, &call(), soon(), std::future::ready(true), || false).await;
+        assert_eq!(ended.outcome, Outcome::NeverSent);
+        let unsafe_to_send = pool.attempt(to, &call(), soon(), std::future::ready(false), || true).await;
+        assert_eq!(unsafe_to_send.outcome, Outcome::NeverSent, "not written down yet");
         let mut peer = listener.accept().unwrap().0;
         drop(pool);
         let mut got = Vec::new();
