--- a/crates/lab/src/drive/mod.rs
+++ b/crates/lab/src/drive/mod.rs
@@ -4,6 +4,7 @@
 pub mod discovery;
 pub mod fleet;
 pub mod proxies;
+pub mod relay;
 pub mod run;
 pub mod usage;
 pub mod wire;
--- a/crates/lab/src/drive/proxies.rs
+++ b/crates/lab/src/drive/proxies.rs
@@ -149,6 +149,11 @@
         call(self.admin, method, path, body).await.is_some_and(|status| (200..300).contains(&status))
     }
 
+    /// The process that plays it now.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref()?.id()
+    }
+
     /// What it uses; its processor time includes that of earlier processes.
     pub fn usage(&self) -> Option<Usage> {
         let now = Usage::of(self.child.as_ref()?.id()?)?;
--- a/crates/lab/src/drive/run.rs
+++ b/crates/lab/src/drive/run.rs
@@ -92,7 +92,7 @@
 }
 
 /// Runs an event loop on a thread of its own.
-fn thread<T, F>(name: &str, work: impl FnOnce() -> F + Send + 'static) -> std::io::Result<Joined<T>>
+pub fn thread<T, F>(name: &str, work: impl FnOnce() -> F + Send + 'static) -> std::io::Result<Joined<T>>
 where
     T: Send + 'static,
     F: Future<Output = T>,
@@ -106,7 +106,8 @@
     Ok(wait)
 }
 
-type Joined<T> = oneshot::Receiver<T>;
+/// What a thread will have returned.
+pub type Joined<T> = oneshot::Receiver<T>;
 
 /// What the stand-ins' thread is told.
 enum Order {
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -339,18 +339,42 @@
 }
 
 impl Experiment {
-    /// Reads and checks a file.
+    /// Reads and checks a file. Where it names another as `extends`, beside it, what it does not say itself is as
+    /// there: a table or an array that it has replaces the other's.
+    ///
+    /// # Errors
+    /// A file that cannot be read, or the first thing that is wrong.
     pub fn load(path: &Path) -> Result<Experiment, ExperimentError> {
         let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|e| ExperimentError::Unreadable(name.clone(), e))?;
-        Experiment::parse(&name, &text)
+        let read = |path: &Path| {
+            let name = path.display().to_string();
+            std::fs::read_to_string(path).map_err(|e| ExperimentError::Unreadable(name, e))
+        };
+        let text = read(path)?;
+        let malformed = |name: &str| {
+            let name = name.to_string();
+            move |e| ExperimentError::Malformed(name, e)
+        };
+        let mut own: toml::Table = text.parse().map_err(malformed(&name))?;
+        let Some(base) = own.remove("extends") else { return Experiment::parse(&name, &text) };
+        let wrong =
+            || ExperimentError::Value(name.clone(), "extends".into(), "the name of a file beside this one");
+        let base = path.with_file_name(base.as_str().ok_or_else(wrong)?);
+        let mut whole: toml::Table = read(&base)?.parse().map_err(malformed(&base.display().to_string()))?;
+        whole.extend(own);
+        let it = Experiment::deserialize(whole).map_err(malformed(&name))?;
+        it.checked(&name)
     }
 
     /// Reads and checks a text; `name` is where it came from.
     pub fn parse(name: &str, text: &str) -> Result<Experiment, ExperimentError> {
         let it: Experiment = toml::from_str(text).map_err(|e| ExperimentError::Malformed(name.into(), e))?;
-        match it.fault() {
-            None => Ok(it),
+        it.checked(name)
+    }
+
+    fn checked(self, name: &str) -> Result<Experiment, ExperimentError> {
+        match self.fault() {
+            None => Ok(self),
             Some((key, expected)) => Err(ExperimentError::Value(name.into(), key, expected)),
         }
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod drive;
 pub mod experiment;
 pub mod oracle;
+pub mod overhead;
 pub mod record;
 pub mod report;
 pub mod session;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,10 +1,13 @@
 //! The lab's command.
 
 use clap::{Parser, Subcommand};
+use lotusdeck_lab::drive::relay;
 use lotusdeck_lab::experiment::Experiment;
+use lotusdeck_lab::overhead;
 use lotusdeck_lab::report::compare;
 use lotusdeck_lab::report::figures::Figures;
 use lotusdeck_lab::session::{self, Options, SessionError};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -38,6 +41,18 @@
         #[arg(long)]
         seed: Option<u64>,
     },
+    /// What a proxy costs: direct, through a plain relay and through lotusdeck, interleaved.
+    Overhead(overhead::Args),
+    /// Copy bytes between sockets: the floor that `overhead` measures against.
+    #[command(hide = true)]
+    Relay {
+        /// Where to listen.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// Where connections go on to, in turn.
+        #[arg(long, required = true)]
+        to: Vec<SocketAddr>,
+    },
     /// Set two folders of results side by side.
     Compare {
         /// The folder of the first.
@@ -67,6 +82,15 @@
             session::say(&session::outline(&Experiment::load(&experiment)?, seed));
             Ok(true)
         }
+        Command::Overhead(args) => overhead::main(&args).map(|()| true),
+        Command::Relay { listen, to } => {
+            let fault = |e| SessionError::File(listen.to_string(), e);
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(fault)?;
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, relay::run(listen, to)).map_err(fault)?;
+            Ok(true)
+        }
         Command::Compare { a, b } => {
             let read = |folder: &Path| -> Result<Vec<Figures>, SessionError> { session::figures(folder) };
             let (a, b) = (read(&a)?, read(&b)?);
--- /dev/null
+++ b/crates/lab/src/overhead.rs
@@ -0,0 +1,338 @@
+//! What a proxy costs: the same load direct, through a plain byte relay, and through lotusdeck, interleaved.
+
+use crate::drive::discovery::Service;
+use crate::drive::proxies::Proxy;
+use crate::drive::run::{thread, RunError};
+use crate::drive::usage::Usage;
+use crate::drive::wire::{listen, Link};
+use crate::drive::{Clock, Log};
+use crate::experiment::{Experiment, ExperimentError};
+use crate::session::{program, say, SessionError};
+use crate::world::plan::Plan;
+use hdrhistogram::Histogram;
+use indicatif::ProgressBar;
+use std::cell::{Cell, RefCell};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::process::{Child, Command};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// What to measure.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Args {
+    /// Rounds; each plays every way once, in turn.
+    #[arg(long, default_value_t = 5)]
+    rounds: usize,
+    /// Seconds of one measurement.
+    #[arg(long, default_value_t = 2.0)]
+    seconds: f64,
+    /// Connections at saturation.
+    #[arg(long, default_value_t = 64)]
+    connections: usize,
+    /// Bytes of an answer.
+    #[arg(long, default_value_t = 512)]
+    bytes: usize,
+    /// Backends.
+    #[arg(long, default_value_t = 10)]
+    backends: usize,
+    /// The lotusdeck to play.
+    #[arg(long)]
+    proxy: Option<PathBuf>,
+    /// Another lotusdeck to play beside it, as a fourth way.
+    #[arg(long)]
+    beside: Option<PathBuf>,
+    /// Where configurations and logs go.
+    #[arg(long, default_value = "lab-runs/overhead")]
+    out: PathBuf,
+}
+
+/// One measurement.
+#[derive(Clone, Copy, Debug, Default)]
+struct Point {
+    rate: f64,
+    p50_us: f64,
+    p99_us: f64,
+    cpu_us: f64,
+    failed: u64,
+}
+
+struct Way {
+    name: &'static str,
+    to: Vec<SocketAddr>,
+    /// The process whose processor time counts.
+    pid: Option<u32>,
+    full: Vec<Point>,
+    alone: Vec<Point>,
+}
+
+/// Backends that answer at once, each on a port of its own.
+async fn backends(count: usize, bytes: usize) -> std::io::Result<Vec<SocketAddr>> {
+    let mut answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {bytes}\r\n\r\n").into_bytes();
+    answer.resize(answer.len() + bytes, b'x');
+    let answer: Rc<[u8]> = answer.into();
+    let mut out = Vec::new();
+    for _ in 0..count {
+        let listener = listen(None)?;
+        out.push(listener.local_addr()?);
+        let answer = answer.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((tcp, _)) = listener.accept().await {
+                let answer = answer.clone();
+                tokio::task::spawn_local(async move {
+                    let mut link = Link::new(tcp);
+                    while let Ok(Some(_)) = link.request().await {
+                        if link.write(&answer).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+    }
+    Ok(out)
+}
+
+/// A closed loop on so many connections for that time.
+async fn load(to: Vec<SocketAddr>, connections: usize, span: Duration) -> (Histogram<u64>, u64, f64) {
+    let latency =
+        Rc::new(RefCell::new(Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds in order")));
+    let (failed, number) = (Rc::new(Cell::new(0u64)), Rc::new(Cell::new(0u64)));
+    let (began, mut tasks) = (Instant::now(), Vec::new());
+    for n in 0..connections {
+        let (latency, failed, number) = (latency.clone(), failed.clone(), number.clone());
+        let at = to[n % to.len()];
+        tasks.push(tokio::task::spawn_local(async move {
+            let mut link: Option<Link> = None;
+            while began.elapsed() < span {
+                number.set(number.get() + 1);
+                let asked = Instant::now();
+                let served = ask(&mut link, at, number.get()).await;
+                if served {
+                    latency.borrow_mut().saturating_record(asked.elapsed().as_nanos() as u64 / 1000);
+                } else {
+                    failed.set(failed.get() + 1);
+                }
+            }
+        }));
+    }
+    for task in tasks {
+        let _ = task.await;
+    }
+    let histogram = latency.borrow().clone();
+    (histogram, failed.get(), began.elapsed().as_secs_f64())
+}
+
+async fn ask(kept: &mut Option<Link>, to: SocketAddr, number: u64) -> bool {
+    let mut link = match kept.take() {
+        Some(link) => link,
+        None => match tokio::net::TcpStream::connect(to).await {
+            Ok(tcp) => Link::new(tcp),
+            Err(_) => return false,
+        },
+    };
+    let request = format!(
+        "GET /read/k{} HTTP/1.1\r\nHost: fleet\r\nX-Correlation-Id: {number:016x}\r\nX-Time-Left: 5.000\r\n\r\n",
+        number % 1000
+    );
+    if link.write(request.as_bytes()).await.is_err() {
+        return false;
+    }
+    match link.answer().await {
+        Ok(answer) => {
+            if !answer.close {
+                *kept = Some(link);
+            }
+            answer.status == 200
+        }
+        Err(_) => false,
+    }
+}
+
+/// Keeps a process, or this thread, on some processors, so that the rest are for the stand-ins.
+fn pin(pid: Option<u32>, processors: std::ops::Range<usize>) {
+    let mut set = rustix::thread::CpuSet::new();
+    processors.for_each(|p| set.set(p));
+    let pid = pid.and_then(|p| rustix::process::Pid::from_raw(p as i32));
+    let _ = rustix::thread::sched_setaffinity(pid, &set); // where it is not allowed the figures are noisier
+}
+
+fn experiment(backends: usize) -> Result<Experiment, ExperimentError> {
+    let text = format!(
+        "name = 'overhead'\nduration_s = 1.0\nproxies = 1\nload = {{ rps = 1.0 }}\n\
+         class = [{{ name = 'read', effect = 'free', share = 1.0, aim_ms = 1000, deadline_ms = 5000, work_ms = 1 }}]\n\
+         kind = [{{ name = 'm', count = {backends} }}]\n"
+    );
+    Experiment::parse("overhead", &text)
+}
+
+async fn measure(way: &Way, connections: usize, span: Duration) -> Result<Point, RunError> {
+    let cpu = || way.pid.and_then(Usage::of).map(|u| u.cpu).unwrap_or_default();
+    let (to, before) = (way.to.clone(), cpu());
+    let processors = std::thread::available_parallelism().map_or(1, usize::from);
+    let done = thread("load", move || {
+        if processors > 2 {
+            pin(None, 2..processors);
+        }
+        load(to, connections, span)
+    })?;
+    let (latency, failed, took) = done.await.map_err(|_| RunError::Thread)?;
+    let used = cpu().saturating_sub(before).as_secs_f64();
+    let count = latency.len().max(1) as f64;
+    Ok(Point {
+        rate: latency.len() as f64 / took,
+        p50_us: latency.value_at_quantile(0.5) as f64,
+        p99_us: latency.value_at_quantile(0.99) as f64,
+        cpu_us: used * 1e6 / count,
+        failed,
+    })
+}
+
+fn median(points: &[Point], of: impl Fn(&Point) -> f64) -> f64 {
+    let mut values: Vec<f64> = points.iter().map(of).collect();
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(0.0)
+}
+
+fn report(ways: &[Way], args: &Args) -> String {
+    let mut out = format!(
+        "medians of {} rounds of {} s; {} backends, {}-byte answers, {} connections at saturation, proxy on one core\n",
+        args.rounds, args.seconds, args.backends, args.bytes, args.connections
+    );
+    let _ = writeln!(
+        out,
+        "{:<12} {:>10} {:>8} {:>9} {:>9} | alone: {:>8} {:>8} | {:>7}",
+        "way", "req/s", "cpu us", "p50 us", "p99 us", "p50 us", "p99 us", "failed"
+    );
+    for w in ways {
+        let failed: u64 = w.full.iter().chain(&w.alone).map(|p| p.failed).sum();
+        let _ = writeln!(
+            out,
+            "{:<12} {:>10.0} {:>8.1} {:>9.0} {:>9.0} | alone: {:>8.0} {:>8.0} | {:>7}",
+            w.name,
+            median(&w.full, |p| p.rate),
+            median(&w.full, |p| p.cpu_us),
+            median(&w.full, |p| p.p50_us),
+            median(&w.full, |p| p.p99_us),
+            median(&w.alone, |p| p.p50_us),
+            median(&w.alone, |p| p.p99_us),
+            failed
+        );
+    }
+    let by = |name: &str| ways.iter().find(|w| w.name == name);
+    if let (Some(direct), Some(relay)) = (by("direct"), by("relay")) {
+        for w in ways.iter().filter(|w| w.name != "direct" && w.name != "relay") {
+            let ratio = |a: f64, b: f64| a / b.max(1e-9);
+            let _ = writeln!(
+                out,
+                "{}: {:.2} of the relay's rate, {:.2} times its processor time; adds {:.0} us at p50 and {:.0} us at p99 alone, the relay {:.0} and {:.0}",
+                w.name,
+                ratio(median(&w.full, |p| p.rate), median(&relay.full, |p| p.rate)),
+                ratio(median(&w.full, |p| p.cpu_us), median(&relay.full, |p| p.cpu_us)),
+                median(&w.alone, |p| p.p50_us) - median(&direct.alone, |p| p.p50_us),
+                median(&w.alone, |p| p.p99_us) - median(&direct.alone, |p| p.p99_us),
+                median(&relay.alone, |p| p.p50_us) - median(&direct.alone, |p| p.p50_us),
+                median(&relay.alone, |p| p.p99_us) - median(&direct.alone, |p| p.p99_us),
+            );
+        }
+    }
+    out
+}
+
+/// The relay in a process of its own, so that its processor time can be told.
+fn start_relay(to: &[SocketAddr]) -> std::io::Result<(Child, SocketAddr)> {
+    let at = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    let mut command = Command::new(std::env::current_exe()?);
+    command.args(["relay", "--listen", &at.to_string()]);
+    for t in to {
+        command.args(["--to", &t.to_string()]);
+    }
+    command.stdin(Stdio::null()).kill_on_drop(true);
+    Ok((command.spawn()?, at))
+}
+
+/// Measures and prints.
+pub fn main(args: &Args) -> Result<(), SessionError> {
+    let own = program(args.proxy.as_deref())?;
+    let file = |e| SessionError::File("overhead".into(), e);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(file)?;
+    let text = runtime.block_on(all(args, &own))?;
+    say(&text);
+    Ok(())
+}
+
+async fn all(args: &Args, own: &Path) -> Result<String, SessionError> {
+    let plan = Arc::new(Plan::draw(&experiment(args.backends)?, 1));
+    let (count, bytes, its) = (args.backends, args.bytes, plan.clone());
+    let (ready, standing) = oneshot::channel();
+    let (stop, stopped) = oneshot::channel::<()>();
+    let served = thread("backends", move || async move {
+        let started = backends(count, bytes).await;
+        let clock = Clock::default();
+        clock.start_in(Duration::ZERO);
+        let log = Log::new(clock.clone());
+        let all = started.and_then(|to| {
+            let (service, at) = Service::start(its, clock, log, to.clone())?;
+            Ok((to, at, service.whole()))
+        });
+        let _ = ready.send(all);
+        let _ = stopped.await;
+    })
+    .map_err(RunError::Io)?;
+    let (to, discovery, known) = standing.await.map_err(|_| RunError::Thread)?.map_err(RunError::Io)?;
+    let (relay, relay_at) = start_relay(&to).map_err(RunError::Io)?;
+    let mut ways = vec![way("direct", to, None), way("relay", vec![relay_at], relay.id())];
+    let mut proxies = Vec::new();
+    for (name, program) in [("lotusdeck", Some(own)), ("beside", args.beside.as_deref())] {
+        let Some(program) = program else { continue };
+        let folder = args.out.join(name);
+        let mut proxy =
+            Proxy::prepare(0, &plan, program, &folder, discovery[0], &known).map_err(RunError::Proxy)?;
+        proxy.start().await.map_err(RunError::Proxy)?;
+        ways.push(way(name, vec![proxy.address], proxy.pid()));
+        proxies.push(proxy);
+    }
+    ways.iter().filter_map(|w| w.pid).for_each(|pid| pin(Some(pid), 0..1));
+    let bar = ProgressBar::new((args.rounds * ways.len() * 2) as u64);
+    for _ in 0..args.rounds {
+        for w in &mut ways {
+            let span = Duration::from_secs_f64(args.seconds);
+            let full = measure(w, args.connections, span).await?;
+            let alone = measure(w, 1, span / 2).await?;
+            bar.inc(2);
+            w.full.push(full);
+            w.alone.push(alone);
+        }
+    }
+    bar.finish_and_clear();
+    for mut proxy in proxies {
+        proxy.kill().await;
+    }
+    drop(relay);
+    let _ = stop.send(());
+    let _ = served.await;
+    Ok(report(&ways, args))
+}
+
+fn way(name: &'static str, to: Vec<SocketAddr>, pid: Option<u32>) -> Way {
+    Way { name, to, pid, full: Vec::new(), alone: Vec::new() }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn medians_are_of_the_middle() {
+        let of = |rates: &[f64]| -> Vec<Point> {
+            rates.iter().map(|r| Point { rate: *r, ..Point::default() }).collect()
+        };
+        assert_eq!(median(&of(&[3.0, 1.0, 100.0]), |p| p.rate), 3.0);
+        assert_eq!(median(&[], |p| p.rate), 0.0);
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/experiments.rs
@@ -0,0 +1,38 @@
+//! The experiments that come with the lab.
+
+use lotusdeck_lab::experiment::Experiment;
+use lotusdeck_lab::world::plan::Plan;
+use std::path::Path;
+
+/// Each is sound, bears its file's name, and gives the same plan for the same seed.
+#[test]
+fn every_experiment_is_sound() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
+    let mut count = 0;
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        let experiment = Experiment::load(&path).unwrap_or_else(|e| panic!("{e}"));
+        assert_eq!(path.file_stem().unwrap().to_str().unwrap(), experiment.name);
+        let (a, b) = (Plan::draw(&experiment, 5), Plan::draw(&experiment, 5));
+        assert_eq!(a.hash, b.hash, "{}", experiment.name);
+        assert!(!a.arrivals.is_empty() && !experiment.about.is_empty());
+        count += 1;
+    }
+    assert!(count >= 8, "{count} experiments");
+}
+
+/// What an experiment says itself goes before what it extends, and a fault names the file.
+#[test]
+fn an_experiment_may_extend_another() {
+    let folder = std::env::temp_dir().join(format!("lotusdeck-extends-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let base = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments/first-look.toml");
+    std::fs::copy(base, folder.join("base.toml")).unwrap();
+    let path = folder.join("own.toml");
+    std::fs::write(&path, "extends = \"base.toml\"\nname = \"own\"\nproxies = 1\n").unwrap();
+    let own = Experiment::load(&path).unwrap();
+    assert!(own.proxies == 1 && own.class.len() == 3);
+    std::fs::write(&path, "extends = \"base.toml\"\nproxeis = 1\n").unwrap();
+    let fault = Experiment::load(&path).unwrap_err().to_string();
+    assert!(fault.contains("proxeis") && fault.contains("own.toml"), "{fault}");
+}
