--- a/crates/lab/src/drive/proxies.rs
+++ b/crates/lab/src/drive/proxies.rs
@@ -73,6 +73,11 @@
         let admin = free(number, base.map(|port| port + 2 * number as u16 + 1))?;
         let config = configuration(plan, number, address, admin, discovery, known);
         std::fs::write(folder.join("config.json"), format!("{config:#}")).map_err(io)?;
+        if let Some(operator) = &plan.experiment.operator {
+            let own = std::path::absolute(&folder).map_err(io)?;
+            let text = operator.replace("{folder}", &own.display().to_string());
+            std::fs::write(folder.join("operator.toml"), text).map_err(io)?;
+        }
         let descriptors = plan.experiment.limits.sockets;
         let program = program.to_path_buf();
         let (child, starts, before) = (None, 0, Duration::ZERO);
@@ -92,6 +97,10 @@
         command.arg(&self.program).arg("serve");
         command.env_remove("NODE_ADMIN_ADDR").env_remove("NODE_SOCKET_FD").env_remove("NODE_OPERATOR");
         command.env("NODE_CONFIG", config).env("TMPDIR", tmp);
+        let operator = std::path::absolute(self.folder.join("operator.toml")).map_err(io)?;
+        if operator.exists() {
+            command.env("NODE_OPERATOR", operator);
+        }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(err).kill_on_drop(true);
         command.process_group(0); // an interrupt at the terminal is the lab's to handle
         self.child = Some(command.spawn().map_err(io)?);
@@ -171,7 +180,8 @@
     tokio::time::timeout(CALL, ask).await.ok()?
 }
 
-fn configuration(
+/// The node configuration of a proxy.
+pub fn configuration(
     plan: &Plan, number: usize, listen: SocketAddr, admin: SocketAddr, discovery: SocketAddr, known: &str,
 ) -> Value {
     let e = &plan.experiment;
--- /dev/null
+++ b/crates/lab/src/duel.rs
@@ -0,0 +1,133 @@
+//! Several policies on the same arrivals and troubles, in virtual time.
+
+use crate::experiment::Experiment;
+use crate::report::compare::interval;
+use crate::report::figures::Figures;
+use crate::session::{say, SessionError};
+use crate::virt::policy::Which;
+use crate::virt::{play, VirtualError};
+use crate::world::plan::Plan;
+use clap::ValueEnum;
+use indicatif::ProgressBar;
+use rayon::prelude::*;
+use std::fmt::Write;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+/// Who plays what, how often.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Args {
+    /// Experiment files.
+    #[arg(required = true)]
+    experiments: Vec<PathBuf>,
+    /// Policies; all where none is named.
+    #[arg(long, value_enum, value_delimiter = ',')]
+    policies: Vec<Which>,
+    /// Seeds for each: the experiment's own and those behind it.
+    #[arg(long, default_value_t = 8)]
+    seeds: u64,
+}
+
+/// The figures of one policy over all seeds, in the order of the seeds.
+pub struct Row {
+    /// Which.
+    pub policy: Which,
+    /// One a seed.
+    pub runs: Vec<Figures>,
+}
+
+/// Plays them all; the same result whatever the number of threads.
+///
+/// # Errors
+/// Where the experiment makes no settings for a proxy.
+pub fn rows(
+    experiment: &Experiment, policies: &[Which], seeds: u64, done: &(dyn Fn() + Sync),
+) -> Result<Vec<Row>, VirtualError> {
+    let plans: Vec<Arc<Plan>> =
+        (0..seeds).into_par_iter().map(|n| Arc::new(Plan::draw(experiment, experiment.seed + n))).collect();
+    let all: Vec<(Which, &Arc<Plan>)> =
+        policies.iter().flat_map(|w| plans.iter().map(move |p| (*w, p))).collect();
+    let played: Vec<Figures> = all
+        .par_iter()
+        .map(|(which, plan)| {
+            let outcome = play(plan, *which)?;
+            done();
+            Ok(Figures::of(plan, &outcome).0)
+        })
+        .collect::<Result<_, VirtualError>>()?;
+    let mut played = played.into_iter();
+    Ok(policies
+        .iter()
+        .map(|w| Row { policy: *w, runs: played.by_ref().take(seeds as usize).collect() })
+        .collect())
+}
+
+fn name(which: Which) -> String {
+    which.to_possible_value().map_or_else(String::new, |v| v.get_name().to_string())
+}
+
+/// A table of rows against the first of them.
+pub fn table(rows: &[Row]) -> String {
+    let mut out = format!(
+        "{:<18} {:>8} {:>20} {:>9} {:>9} {:>9} {:>9} {:>8} {:>7}\n",
+        "policy",
+        "worth",
+        "against the first",
+        "p50 ms",
+        "p99 ms",
+        "refused",
+        "attempts",
+        "weakest",
+        "broken"
+    );
+    for row in rows {
+        let of = |f: &dyn Fn(&Figures) -> f64| -> Vec<f64> { row.runs.iter().map(f).collect() };
+        let mean = |f: &dyn Fn(&Figures) -> f64| interval(&of(f)).0;
+        let worth = of(&|f| f.whole.part());
+        let apart: Vec<f64> = rows[0].runs.iter().zip(&worth).map(|(a, b)| b - a.whole.part()).collect();
+        let (difference, half) = interval(&apart);
+        let against = half.map_or("one seed".into(), |h| format!("{difference:+.4} ± {h:.4}"));
+        let weakest = |f: &Figures| f.classes.iter().map(|c| c.part()).fold(1.0, f64::min);
+        let broken: usize = row.runs.iter().flat_map(|f| &f.broken).map(|b| b.1).sum();
+        let _ = writeln!(
+            out,
+            "{:<18} {:>8.4} {:>20} {:>9.1} {:>9.1} {:>8.2}% {:>9.3} {:>8.4} {:>7}",
+            name(row.policy),
+            interval(&worth).0,
+            against,
+            mean(&|f| f.whole.latency_ms.p50),
+            mean(&|f| f.whole.latency_ms.p99),
+            mean(&|f| f.whole.refused as f64 * 100.0 / f.whole.arrivals.max(1) as f64),
+            mean(&|f| f.attempts),
+            mean(&weakest),
+            broken
+        );
+    }
+    out
+}
+
+/// Plays and prints.
+///
+/// # Errors
+/// An experiment at fault.
+pub fn main(args: &Args) -> Result<(), SessionError> {
+    let all = Which::value_variants().to_vec();
+    let policies = if args.policies.is_empty() { all } else { args.policies.clone() };
+    for path in &args.experiments {
+        let experiment = Experiment::load(path)?;
+        let bar = ProgressBar::new(args.seeds * policies.len() as u64);
+        let rows = rows(&experiment, &policies, args.seeds, &|| bar.inc(1))?;
+        bar.finish_and_clear();
+        let text = table(&rows);
+        say(&format!(
+            "{}: {} seeds, {} backends, {} proxies. {}\n",
+            experiment.name,
+            args.seeds,
+            experiment.kind.iter().map(|k| k.count).sum::<usize>(),
+            experiment.proxies,
+            experiment.about
+        ));
+        say(&text);
+    }
+    Ok(())
+}
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -38,6 +38,9 @@
     /// The first of the proxies' ports, two for each; the kernel picks them where it is absent.
     #[serde(default)]
     pub base_port: Option<u16>,
+    /// The proxies' operator file, TOML; `{folder}` in it stands for a folder of each proxy's own.
+    #[serde(default)]
+    pub operator: Option<String>,
     /// How much comes, and when.
     pub load: Load,
     /// The sorts of requests.
--- /dev/null
+++ b/crates/lab/src/ledger.rs
@@ -0,0 +1,380 @@
+//! The ledger against the truth: kills under load, compared with what the stand-ins saw; and what it costs alone.
+
+use crate::drive::run::{self, Outcome};
+use crate::experiment::{Effect, Experiment, Trouble, What as Happens};
+use crate::oracle::{judge, story};
+use crate::record::{seconds, How, TryId, What};
+use crate::report::figures::Spread;
+use crate::session::{program, say, SessionError};
+use crate::world::dice::Dice;
+use crate::world::plan::Plan;
+use hdrhistogram::Histogram;
+use indicatif::ProgressBar;
+use lotusdeck_ledger::{Disk, End, Fate, Folder, History, Mode, OnFailure, Options, Record, Verdict, Writer};
+use std::collections::{BTreeMap, HashMap};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// A proxy that is killed again and again.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Soak {
+    /// Kills.
+    #[arg(long, default_value_t = 20)]
+    pub kills: usize,
+    /// Requests a second.
+    #[arg(long, default_value_t = 400.0)]
+    pub rps: f64,
+    /// Seed of the plan.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// `process` or `power`.
+    #[arg(long, default_value = "process")]
+    pub mode: String,
+    /// The lotusdeck to play.
+    #[arg(long)]
+    pub proxy: Option<PathBuf>,
+    /// Where the results go.
+    #[arg(long, default_value = "lab-runs/ledger-soak")]
+    pub out: PathBuf,
+}
+
+/// Seconds from one kill to the next, at least and at most.
+const BETWEEN: (f64, f64) = (0.12, 0.42);
+/// A killed proxy is started again after this time, s.
+const BACK: f64 = 0.05;
+
+/// The experiment of a soak: orders and a few reads, backends that die as well, kills at random moments.
+pub fn experiment(kills: usize, rps: f64, seed: u64, mode: &str) -> Result<Experiment, SessionError> {
+    let text = format!(
+        "name = 'ledger-soak'\nduration_s = 1.0\nproxies = 1\nload = {{ rps = {rps} }}\n\
+         operator = \"\"\"\n[ledger]\nfolder = '{{folder}}/ledger'\nmode = '{mode}'\nsegment_mb = 1\n\"\"\"\n\
+         class = [\n\
+           {{ name = 'order', effect = 'single_shot', share = 4.0, aim_ms = 500, deadline_ms = 1000, work_ms = 12 }},\n\
+           {{ name = 'read', effect = 'free', share = 1.0, aim_ms = 500, deadline_ms = 1000, work_ms = 4 }},\n\
+         ]\n\
+         kind = [{{ name = 'm', count = 12, slots = 4, room = 2 }}]\n\
+         clients = {{ shun_ms = 1.0, tries = 3, pause_ms = 50.0 }}\n\
+         discovery = {{ lag_ms = 100.0, detect_ms = 300.0 }}\n"
+    );
+    let mut experiment = Experiment::parse("ledger-soak", &text)?;
+    let mut dice = Dice::new(seed, "kills");
+    let mut at = 0.5;
+    let one = |what, at_s, for_s, proxy, part| Trouble {
+        at_s,
+        what,
+        part,
+        kind: None,
+        proxy,
+        for_s: Some(for_s),
+        factor: None,
+    };
+    for n in 0..kills {
+        experiment.trouble.push(one(Happens::KillProxy, at, BACK, Some(0), None));
+        if n % 5 == 2 {
+            experiment.trouble.push(one(Happens::Kill, at + 0.1, 0.2, None, Some(0.1)));
+        }
+        at += BETWEEN.0 + (BETWEEN.1 - BETWEEN.0) * dice.unit();
+    }
+    experiment.duration_s = at + 0.5;
+    Ok(experiment)
+}
+
+/// The ledger compared with the truth.
+#[derive(Debug, Default)]
+pub struct Compared {
+    /// Non-repeatable requests that clients wrote.
+    pub requests: usize,
+    /// Answers of the ledger that are not true: there must be none.
+    pub wrong: Vec<String>,
+    /// Certainly never sent, certainly sent.
+    pub certain: usize,
+    /// Possibly sent, by what really became of them.
+    pub uncertain: BTreeMap<&'static str, usize>,
+    /// No record, and none is missing.
+    pub absent: usize,
+}
+
+/// What a backend saw of a request.
+#[derive(Default)]
+struct Seen {
+    began: Vec<usize>,
+    served: Vec<usize>,
+    away: Vec<usize>,
+}
+
+/// Compares every answer with what the backends saw.
+pub fn compare(plan: &Plan, outcome: &Outcome, history: &History) -> Compared {
+    let mut truth: HashMap<TryId, Seen> = HashMap::new();
+    for r in &outcome.records {
+        match r.what {
+            What::Asked { id, .. } => drop(truth.entry(id).or_default()),
+            What::Began { id, backend } => truth.entry(id).or_default().began.push(backend),
+            What::Ended { id, backend, how: How::Served } => {
+                truth.entry(id).or_default().served.push(backend)
+            }
+            What::Ended { id, backend, how: How::TurnedAway } => {
+                truth.entry(id).or_default().away.push(backend)
+            }
+            _ => {}
+        }
+    }
+    let number = |name: &str| plan.fleet.iter().position(|b| b.name == name);
+    let requests = history.requests();
+    let told: HashMap<&str, &lotusdeck_ledger::Request> =
+        requests.iter().map(|r| (r.id.as_str(), r)).collect();
+    let mut out = Compared::default();
+    let mut ids: Vec<_> = truth.keys().copied().collect();
+    ids.sort();
+    for id in ids {
+        let single =
+            |a: &crate::world::plan::Arrival| plan.experiment.class[a.class].effect == Effect::SingleShot;
+        if !plan.arrivals.get(id.arrival as usize).is_some_and(single) {
+            continue;
+        }
+        out.requests += 1;
+        let seen = &truth[&id];
+        let ran: Vec<usize> = seen.began.iter().copied().filter(|b| !seen.away.contains(b)).collect();
+        let Some(r) = told.get(id.to_string().as_str()) else {
+            out.absent += 1;
+            if !ran.is_empty() {
+                out.wrong.push(format!("{id}: no record, and backend {} ran it", ran[0]));
+            }
+            continue;
+        };
+        match r.verdict() {
+            Verdict::PossiblySent => {
+                let why = match (ran.is_empty(), seen.served.is_empty()) {
+                    (true, _) => "it had not reached a backend when the proxy was killed",
+                    (false, true) => "a backend had it when the proxy was killed, and had not answered",
+                    (false, false) => {
+                        "a backend had answered it, and the proxy was killed before it wrote that down"
+                    }
+                };
+                *out.uncertain.entry(why).or_default() += 1;
+            }
+            Verdict::NeverSent if !ran.is_empty() => {
+                out.wrong.push(format!("{id}: never sent, and backend {} ran it", ran[0]));
+            }
+            Verdict::NeverSent => out.certain += 1,
+            Verdict::Sent => {
+                out.certain += 1;
+                let listed = |b: &usize| {
+                    r.attempts.iter().any(|a| number(&a.backend) == Some(*b) && a.fate != Fate::NeverSent)
+                };
+                if let Some(b) = ran.iter().find(|b| !listed(b)) {
+                    out.wrong.push(format!("{id}: backend {b} ran it and is not told of"));
+                }
+            }
+        }
+        for a in &r.attempts {
+            let there = number(&a.backend);
+            let had = |list: &[usize]| there.is_some_and(|b| list.contains(&b));
+            match a.fate {
+                Fate::NeverSent if had(&ran) => {
+                    out.wrong.push(format!("{id}: never sent to {}, which ran it", a.backend));
+                }
+                Fate::Answered(200) if !had(&seen.served) => {
+                    out.wrong.push(format!("{id}: answered by {}, which did not", a.backend));
+                }
+                _ => {}
+            }
+        }
+    }
+    out
+}
+
+/// Plays a plan and reads the ledger back.
+///
+/// # Errors
+/// Those of the run and of the folder.
+pub fn play(
+    plan: &Arc<Plan>, program: &Path, folder: &Path, progress: run::Progress<'_>,
+) -> Result<(Outcome, Compared, History), SessionError> {
+    let file = |e| SessionError::File(folder.display().to_string(), e);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(file)?;
+    let outcome = runtime.block_on(run::play(plan.clone(), program, folder, progress))?;
+    let mut history = History::default();
+    let disk = Folder::existing(&folder.join("proxy-0/ledger")).map_err(file)?;
+    history.add("proxy-0", &disk, None).map_err(file)?;
+    let compared = compare(plan, &outcome, &history);
+    Ok((outcome, compared, history))
+}
+
+/// Kills, compares and prints; whether nothing was wrong.
+///
+/// # Errors
+/// Those of the run and of the folder.
+pub fn soak(args: &Soak) -> Result<bool, SessionError> {
+    let own = program(args.proxy.as_deref())?;
+    let plan = Arc::new(Plan::draw(&experiment(args.kills, args.rps, args.seed, &args.mode)?, args.seed));
+    let folder = args.out.join(format!("seed-{}", args.seed));
+    if folder.exists() {
+        std::fs::remove_dir_all(&folder).map_err(|e| SessionError::File(folder.display().to_string(), e))?;
+    }
+    let bar = ProgressBar::new((plan.experiment.duration_s * 1e3) as u64);
+    let progress = |at: lotusdeck_policy::Time| bar.set_position(at.0 / 1000);
+    let (outcome, compared, history) = play(&plan, &own, &folder, &progress)?;
+    bar.finish_and_clear();
+    let broken = judge(&plan, &outcome.records);
+    say(&format!(
+        "{} kills in {}, mode {}: {} non-repeatable requests, {} wrong answers\n",
+        args.kills,
+        seconds(plan.end()),
+        args.mode,
+        compared.requests,
+        compared.wrong.len()
+    ));
+    let of = |n: usize| n as f64 * 100.0 / compared.requests.max(1) as f64;
+    let uncertain: usize = compared.uncertain.values().sum();
+    say(&format!(
+        "certain {} ({:.2} %), never taken {} ({:.2} %), possibly sent {uncertain} ({:.2} %):\n",
+        compared.certain,
+        of(compared.certain),
+        compared.absent,
+        of(compared.absent),
+        of(uncertain)
+    ));
+    compared.uncertain.iter().for_each(|(why, n)| say(&format!("  {n:>6}  {why}\n")));
+    compared.wrong.iter().take(20).for_each(|w| say(&format!("WRONG: {w}\n")));
+    history.faults.iter().take(20).for_each(|f| say(&format!("fault: {f}\n")));
+    for b in broken.iter().take(10) {
+        let story = b.id.map(|id| story(&plan, &outcome.records, id)).unwrap_or_default();
+        say(&format!("oracle \"{}\": {}\n{story}", b.oracle, b.text));
+    }
+    Ok(compared.wrong.is_empty() && broken.is_empty())
+}
+
+/// The writer and the reader alone.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Bench {
+    /// Records to write and to read back.
+    #[arg(long, default_value_t = 1_000_000)]
+    records: u64,
+    /// Records of one write.
+    #[arg(long, default_value_t = 64)]
+    batch: usize,
+    /// Writes of the floor and of each mode that are timed.
+    #[arg(long, default_value_t = 2000)]
+    timed: usize,
+    /// A folder on the disk to measure.
+    #[arg(long, default_value = "lab-runs/ledger-bench")]
+    out: PathBuf,
+}
+
+fn records(request: u64) -> [Record; 4] {
+    let id = format!("{request:016x}");
+    let (class, key, at) =
+        ("print-order".into(), format!("k{}", request % 5000), 1_796_000_000_000 + request);
+    let (backend, address) =
+        (format!("s-{:08x}", request % 40), format!("127.0.0.1:{}", 8000 + request % 40));
+    [
+        Record::Taken { request, at, id: id.clone(), class, key },
+        Record::Intent { request, attempt: 0, at, id, backend, address },
+        Record::Ended { request, attempt: 0, at, end: End::Answered(200) },
+        Record::Settled { request },
+    ]
+}
+
+fn spread(times: &Histogram<u64>) -> String {
+    let s = Spread::of(times);
+    format!("p50 {:.1} us, p99 {:.1} us, worst {:.0} us", s.p50 * 1e3, s.p99 * 1e3, s.max * 1e3)
+}
+
+fn timed(count: usize, mut one: impl FnMut(usize) -> std::io::Result<()>) -> std::io::Result<Histogram<u64>> {
+    let mut out = Histogram::new_with_bounds(1, 3_600_000_000, 3).expect("bounds in order");
+    for n in 0..count {
+        let began = Instant::now();
+        one(n)?;
+        out.saturating_record((began.elapsed().as_nanos() / 1000).max(1) as u64);
+    }
+    Ok(out)
+}
+
+/// Measures and prints.
+///
+/// # Errors
+/// Those of the disk.
+pub fn bench(args: &Bench) -> Result<(), SessionError> {
+    measure(args).map_err(|e| SessionError::File(args.out.display().to_string(), e))
+}
+
+fn measure(args: &Bench) -> std::io::Result<()> {
+    if args.out.exists() {
+        std::fs::remove_dir_all(&args.out)?;
+    }
+    let mut disk = Folder::open(&args.out.join("floor"))?;
+    let mut file = disk.create("bare", 64 << 20)?;
+    let bytes = vec![7u8; 256];
+    let bare = timed(args.timed, |n| disk.write(&mut file, n as u64 * 256, &bytes))?;
+    let synced = timed(args.timed.min(500), |n| {
+        disk.write(&mut file, n as u64 * 256, &bytes)?;
+        disk.sync(&mut file)
+    })?;
+    say(&format!("floor, 256 bytes: write {}; write and fdatasync {}\n", spread(&bare), spread(&synced)));
+    let wrong = |e: lotusdeck_ledger::WriteError| std::io::Error::other(e.to_string());
+    for (name, mode, count) in
+        [("process", Mode::Process, args.timed), ("power", Mode::Power, args.timed.min(500))]
+    {
+        let options = Options::new("bench", mode, OnFailure::Refuse);
+        let (mut writer, begun) = Writer::open(Folder::open(&args.out.join(name))?, options, 1, 0);
+        begun.map_err(wrong)?;
+        let times = timed(count, |n| {
+            let intent = &records(n as u64)[1..2];
+            writer.append(n as u64, intent).map_err(wrong)
+        })?;
+        say(&format!("{name}, one record a write: {}\n", spread(&times)));
+    }
+    let mut options = Options::new("bench", Mode::Process, OnFailure::Refuse);
+    options.keep_bytes = u64::MAX;
+    let many = args.out.join("many");
+    let (mut writer, begun) = Writer::open(Folder::open(&many)?, options, 1, 0);
+    begun.map_err(wrong)?;
+    let bar = ProgressBar::new(args.records);
+    let (began, mut batch, mut written) = (Instant::now(), Vec::with_capacity(args.batch + 4), 0);
+    for request in 0..args.records / 4 {
+        batch.extend(records(request));
+        if batch.len() >= args.batch {
+            writer.append(request, &batch).map_err(wrong)?;
+            written += batch.len() as u64;
+            batch.clear();
+            bar.set_position(written);
+        }
+    }
+    writer.append(0, &batch).map_err(wrong)?;
+    let took = began.elapsed().as_secs_f64();
+    let (_, bytes) = writer.done();
+    bar.finish_and_clear();
+    say(&format!(
+        "{} records in writes of {}: {:.0} a second; {:.0} bytes for each request\n",
+        args.records,
+        args.batch,
+        args.records as f64 / took,
+        bytes as f64 * 4.0 / args.records as f64
+    ));
+    drop(writer);
+    let folder = Folder::existing(&many)?;
+    let began = Instant::now();
+    let mut one = History::default();
+    let id = format!("{:016x}", args.records / 9);
+    one.add("many", &folder, Some(&id))?;
+    let found = one.find(&id).len();
+    say(&format!(
+        "one id: {:.1} ms, {} segments read and {} spared by their index, {found} found\n",
+        began.elapsed().as_secs_f64() * 1e3,
+        one.read.0,
+        one.read.1
+    ));
+    let began = Instant::now();
+    let mut all = History::default();
+    all.add("many", &folder, None)?;
+    let read = began.elapsed().as_secs_f64();
+    let count = all.requests().len();
+    let whole = began.elapsed().as_secs_f64();
+    let memory = crate::drive::usage::Usage::of(std::process::id()).map_or(0, |u| u.memory);
+    say(&format!(
+        "all read back in {read:.2} s, {count} requests concluded in {whole:.2} s, {} MB in memory\n",
+        memory >> 20
+    ));
+    Ok(())
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,10 +2,14 @@
 //! processes on loopback, oracles that judge by what the stand-ins saw, and figures.
 
 pub mod drive;
+pub mod duel;
 pub mod experiment;
+pub mod ledger;
 pub mod oracle;
 pub mod overhead;
+pub mod paper;
 pub mod record;
 pub mod report;
 pub mod session;
+pub mod virt;
 pub mod world;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,10 +3,10 @@
 use clap::{Parser, Subcommand};
 use lotusdeck_lab::drive::relay;
 use lotusdeck_lab::experiment::Experiment;
-use lotusdeck_lab::overhead;
 use lotusdeck_lab::report::compare;
 use lotusdeck_lab::report::figures::Figures;
 use lotusdeck_lab::session::{self, Options, SessionError};
+use lotusdeck_lab::{duel, ledger, overhead, paper};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -43,6 +43,14 @@
     },
     /// What a proxy costs: direct, through a plain relay and through lotusdeck, interleaved.
     Overhead(overhead::Args),
+    /// Play several policies on the same arrivals and troubles, in virtual time.
+    Duel(duel::Args),
+    /// The paper's table and plot, by formula and simulated.
+    Paper(paper::Args),
+    /// Kill a proxy again and again under load, and compare its ledger with what the backends saw.
+    LedgerSoak(ledger::Soak),
+    /// How fast the ledger writes and is read back, beside the machine's own floor.
+    LedgerBench(ledger::Bench),
     /// Copy bytes between sockets: the floor that `overhead` measures against.
     #[command(hide = true)]
     Relay {
@@ -83,6 +91,10 @@
             Ok(true)
         }
         Command::Overhead(args) => overhead::main(&args).map(|()| true),
+        Command::Duel(args) => duel::main(&args).map(|()| true),
+        Command::Paper(args) => paper::main(&args).map(|()| true),
+        Command::LedgerSoak(args) => ledger::soak(&args),
+        Command::LedgerBench(args) => ledger::bench(&args).map(|()| true),
         Command::Relay { listen, to } => {
             let fault = |e| SessionError::File(listen.to_string(), e);
             let runtime =
--- a/crates/lab/src/overhead.rs
+++ b/crates/lab/src/overhead.rs
@@ -47,6 +47,10 @@
     /// Another lotusdeck to play beside it, as a fourth way.
     #[arg(long)]
     beside: Option<PathBuf>,
+    /// Instead: lotusdeck without a ledger, with one that survives the process, and with one that survives power,
+    /// each on requests that must never run twice and on others.
+    #[arg(long)]
+    ledger: bool,
     /// Where configurations and logs go.
     #[arg(long, default_value = "lab-runs/overhead")]
     out: PathBuf,
@@ -67,6 +71,8 @@
     to: Vec<SocketAddr>,
     /// The process whose processor time counts.
     pid: Option<u32>,
+    /// Requests must never run twice.
+    post: bool,
     full: Vec<Point>,
     alone: Vec<Point>,
 }
@@ -99,7 +105,9 @@
 }
 
 /// A closed loop on so many connections for that time.
-async fn load(to: Vec<SocketAddr>, connections: usize, span: Duration) -> (Histogram<u64>, u64, f64) {
+async fn load(
+    to: Vec<SocketAddr>, connections: usize, span: Duration, post: bool,
+) -> (Histogram<u64>, u64, f64) {
     let latency =
         Rc::new(RefCell::new(Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds in order")));
     let (failed, number) = (Rc::new(Cell::new(0u64)), Rc::new(Cell::new(0u64)));
@@ -112,7 +120,7 @@
             while began.elapsed() < span {
                 number.set(number.get() + 1);
                 let asked = Instant::now();
-                let served = ask(&mut link, at, number.get()).await;
+                let served = ask(&mut link, at, number.get(), post).await;
                 if served {
                     latency.borrow_mut().saturating_record(asked.elapsed().as_nanos() as u64 / 1000);
                 } else {
@@ -128,7 +136,7 @@
     (histogram, failed.get(), began.elapsed().as_secs_f64())
 }
 
-async fn ask(kept: &mut Option<Link>, to: SocketAddr, number: u64) -> bool {
+async fn ask(kept: &mut Option<Link>, to: SocketAddr, number: u64, post: bool) -> bool {
     let mut link = match kept.take() {
         Some(link) => link,
         None => match tokio::net::TcpStream::connect(to).await {
@@ -136,9 +144,11 @@
             Err(_) => return false,
         },
     };
+    let (line, end) =
+        if post { ("POST /order", "Content-Length: 4\r\n\r\ncash") } else { ("GET /read", "\r\n") };
+    let key = number % 1000;
     let request = format!(
-        "GET /read/k{} HTTP/1.1\r\nHost: fleet\r\nX-Correlation-Id: {number:016x}\r\nX-Time-Left: 5.000\r\n\r\n",
-        number % 1000
+        "{line}/k{key} HTTP/1.1\r\nHost: fleet\r\nX-Correlation-Id: {number:016x}\r\nX-Time-Left: 5.000\r\n{end}"
     );
     if link.write(request.as_bytes()).await.is_err() {
         return false;
@@ -165,7 +175,10 @@
 fn experiment(backends: usize) -> Result<Experiment, ExperimentError> {
     let text = format!(
         "name = 'overhead'\nduration_s = 1.0\nproxies = 1\nload = {{ rps = 1.0 }}\n\
-         class = [{{ name = 'read', effect = 'free', share = 1.0, aim_ms = 1000, deadline_ms = 5000, work_ms = 1 }}]\n\
+         class = [\n\
+           {{ name = 'read', effect = 'free', share = 1.0, aim_ms = 1000, deadline_ms = 5000, work_ms = 1 }},\n\
+           {{ name = 'order', effect = 'single_shot', share = 1.0, aim_ms = 1000, deadline_ms = 5000, work_ms = 1 }},\n\
+         ]\n\
          kind = [{{ name = 'm', count = {backends} }}]\n"
     );
     Experiment::parse("overhead", &text)
@@ -173,13 +186,13 @@
 
 async fn measure(way: &Way, connections: usize, span: Duration) -> Result<Point, RunError> {
     let cpu = || way.pid.and_then(Usage::of).map(|u| u.cpu).unwrap_or_default();
-    let (to, before) = (way.to.clone(), cpu());
+    let (to, post, before) = (way.to.clone(), way.post, cpu());
     let processors = std::thread::available_parallelism().map_or(1, usize::from);
     let done = thread("load", move || {
         if processors > 2 {
             pin(None, 2..processors);
         }
-        load(to, connections, span)
+        load(to, connections, span, post)
     })?;
     let (latency, failed, took) = done.await.map_err(|_| RunError::Thread)?;
     let used = cpu().saturating_sub(before).as_secs_f64();
@@ -206,7 +219,7 @@
     );
     let _ = writeln!(
         out,
-        "{:<12} {:>10} {:>8} {:>9} {:>9} | alone: {:>8} {:>8} | {:>7}",
+        "{:<16} {:>10} {:>8} {:>9} {:>9} | alone: {:>8} {:>8} | {:>7}",
         "way", "req/s", "cpu us", "p50 us", "p99 us", "p50 us", "p99 us", "failed"
     );
     for w in ways {
@@ -286,15 +299,29 @@
     .map_err(RunError::Io)?;
     let (to, discovery, known) = standing.await.map_err(|_| RunError::Thread)?.map_err(RunError::Io)?;
     let (relay, relay_at) = start_relay(&to).map_err(RunError::Io)?;
-    let mut ways = vec![way("direct", to, None), way("relay", vec![relay_at], relay.id())];
+    let mut ways = Vec::new();
+    let beside = args.beside.as_deref().map(|program| ("beside", program, None));
+    let mut played: Vec<(&'static str, &Path, Option<&str>)> = vec![("lotusdeck", own, None)];
+    if args.ledger {
+        played = vec![("off", own, None), ("process", own, Some("process")), ("power", own, Some("power"))];
+    } else {
+        ways.extend([way("direct", to, None, false), way("relay", vec![relay_at], relay.id(), false)]);
+        played.extend(beside);
+    }
     let mut proxies = Vec::new();
-    for (name, program) in [("lotusdeck", Some(own)), ("beside", args.beside.as_deref())] {
-        let Some(program) = program else { continue };
+    for (name, program, mode) in played {
         let folder = args.out.join(name);
-        let mut proxy =
-            Proxy::prepare(0, &plan, program, &folder, discovery[0], &known).map_err(RunError::Proxy)?;
+        let mut plan = Plan::draw(&experiment(args.backends)?, 1);
+        plan.experiment.operator =
+            mode.map(|mode| format!("[ledger]\nfolder = \"{{folder}}/ledger\"\nmode = \"{mode}\"\n"));
+        let prepared = Proxy::prepare(0, &plan, program, &folder, discovery[0], &known);
+        let mut proxy = prepared.map_err(RunError::Proxy)?;
         proxy.start().await.map_err(RunError::Proxy)?;
-        ways.push(way(name, vec![proxy.address], proxy.pid()));
+        ways.push(way(name, vec![proxy.address], proxy.pid(), args.ledger));
+        if args.ledger {
+            let reads = ["off, reads", "process, reads", "power, reads"][proxies.len()];
+            ways.push(way(reads, vec![proxy.address], proxy.pid(), false));
+        }
         proxies.push(proxy);
     }
     ways.iter().filter_map(|w| w.pid).for_each(|pid| pin(Some(pid), 0..1));
@@ -319,8 +346,8 @@
     Ok(report(&ways, args))
 }
 
-fn way(name: &'static str, to: Vec<SocketAddr>, pid: Option<u32>) -> Way {
-    Way { name, to, pid, full: Vec::new(), alone: Vec::new() }
+fn way(name: &'static str, to: Vec<SocketAddr>, pid: Option<u32>, post: bool) -> Way {
+    Way { name, to, pid, post, full: Vec::new(), alone: Vec::new() }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/lab/src/paper.rs
@@ -0,0 +1,230 @@
+//! The paper's table: how much HALB's split improves the mean response time over a split in proportion to speed, from
+//! the closed formula and from simulated processor-sharing stations, side by side. (Gandhi, Mittal, Zhang: Optimal
+//! Load-Balancing for Heterogeneous Clusters, figure 1.)
+
+use crate::session::{say, SessionError};
+use crate::world::dice::Dice;
+use crate::world::station::{Build, Station};
+use lotusdeck_policy::{halb_shares, Micros, Time};
+use plotters::prelude::*;
+use rayon::prelude::*;
+use std::fmt::Write;
+use std::path::PathBuf;
+
+/// What to reckon and simulate.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Args {
+    /// Jobs of one simulated point.
+    #[arg(long, default_value_t = 200_000)]
+    jobs: usize,
+    /// Seed of the draws.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Where the plot goes.
+    #[arg(long, default_value = "docs/plots/paper.svg")]
+    out: PathBuf,
+}
+
+/// A cluster: for each kind how many servers and their speed, requests a second.
+pub type Kinds = Vec<(f64, f64)>;
+
+/// The mean response time of a split by kind over M/G/1/PS servers, s; infinite where one is overfull.
+pub fn response(kinds: &Kinds, shares: &[f64], rate: f64) -> f64 {
+    let one = |((count, speed), share): (&(f64, f64), &f64)| {
+        let left = speed - rate * share / count;
+        match *share > 0.0 {
+            false => 0.0,
+            true if left > 0.0 => share / left,
+            true => f64::INFINITY,
+        }
+    };
+    kinds.iter().zip(shares).map(one).sum()
+}
+
+/// The split in proportion to speed.
+pub fn proportional(kinds: &Kinds) -> Vec<f64> {
+    let all: f64 = kinds.iter().map(|k| k.0 * k.1).sum();
+    kinds.iter().map(|k| k.0 * k.1 / all).collect()
+}
+
+/// The mean response time of such a split as simulated: Poisson arrivals, exponential work, one station a server.
+/// With the error of the mean, by batches of jobs.
+pub fn simulate(kinds: &Kinds, shares: &[f64], rate: f64, jobs: usize, seed: u64) -> (f64, f64) {
+    const BATCHES: usize = 20;
+    let mut dice = Dice::new(seed, "paper");
+    let build = |speed: f64| Build {
+        cores: 1.0,
+        speed,
+        slots: usize::MAX,
+        room: 0,
+        drag: 0.0,
+        cold_from: 1.0,
+        ramp: Micros(0),
+    };
+    let servers: Vec<(usize, f64)> =
+        kinds.iter().enumerate().flat_map(|(i, k)| vec![(i, k.1); k.0 as usize]).collect();
+    let weights: Vec<f64> = servers.iter().map(|(i, _)| shares[*i] / kinds[*i].0).collect();
+    let mut stations: Vec<Station> =
+        servers.iter().map(|s| Station::new(build(s.1), None, Time(0))).collect();
+    let mut came: Vec<f64> = Vec::with_capacity(jobs);
+    let mut took = vec![0.0; jobs];
+    // A job of mean work 1 ms on a server of 1 req/s takes 1 ms: time is scaled so that microseconds are fine enough.
+    let unit = 1e3;
+    let (mut now, mut ended) = (0.0, Vec::new());
+    for job in 0..jobs {
+        now += dice.exponential(1.0 / rate);
+        let at = Time((now * unit * 1e6) as u64);
+        let server = dice.weighted(&weights);
+        ended.clear();
+        stations[server].due(at, &mut ended);
+        ended
+            .iter()
+            .for_each(|(end, job)| took[*job as usize] = end.0 as f64 / unit / 1e6 - came[*job as usize]);
+        came.push(now);
+        stations[server].bring(at, job as u64, dice.exponential(unit));
+    }
+    ended.clear();
+    stations.iter_mut().for_each(|s| s.due(Time(u64::MAX / 2), &mut ended));
+    ended.iter().for_each(|(end, job)| took[*job as usize] = end.0 as f64 / unit / 1e6 - came[*job as usize]);
+    // The first batch warms the stations up.
+    let size = jobs / BATCHES;
+    let means: Vec<f64> =
+        took.chunks(size).skip(1).take(BATCHES - 1).map(|b| b.iter().sum::<f64>() / b.len() as f64).collect();
+    let (mean, half) = crate::report::compare::interval(&means);
+    (mean, half.unwrap_or(f64::INFINITY))
+}
+
+/// One cluster at one load.
+#[derive(Clone, Copy, Debug)]
+pub struct Point {
+    /// Load, from 0 to 1.
+    pub load: f64,
+    /// Improvement by the closed formula, a part.
+    pub formula: f64,
+    /// ... as simulated, with the half-width of its 95 % interval.
+    pub simulated: f64,
+    /// Half-width of that.
+    pub half: f64,
+}
+
+/// The points of a cluster over its loads.
+pub fn points(kinds: &Kinds, jobs: usize, seed: u64) -> Vec<Point> {
+    let capacity: f64 = kinds.iter().map(|k| k.0 * k.1).sum();
+    let loads = [0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9];
+    let point = |load: &f64| {
+        let rate = load * capacity;
+        let (own, other) = (halb_shares(kinds, Some(rate)), proportional(kinds));
+        let formula = 1.0 - response(kinds, &own, rate) / response(kinds, &other, rate);
+        let (a, ea) = simulate(kinds, &own, rate, jobs, seed);
+        let (b, eb) = simulate(kinds, &other, rate, jobs, seed + 1);
+        let simulated = 1.0 - a / b;
+        let half = (a / b) * ((ea / a).powi(2) + (eb / b).powi(2)).sqrt();
+        Point { load: *load, formula, simulated, half }
+    };
+    loads.par_iter().map(point).collect()
+}
+
+/// The clusters of the table.
+pub fn clusters() -> Vec<(&'static str, Kinds)> {
+    vec![
+        ("5 nodes: 2 of speed 2, 3 of 1", vec![(2.0, 2.0), (3.0, 1.0)]),
+        ("5 nodes: 1 of speed 4, 4 of 1", vec![(1.0, 4.0), (4.0, 1.0)]),
+        ("5 nodes: 2 of speed 3, 3 of 1", vec![(2.0, 3.0), (3.0, 1.0)]),
+        ("10 and 10, speeds 4 and 1", vec![(10.0, 4.0), (10.0, 1.0)]),
+        ("5 and 20, speeds 9 and 1", vec![(5.0, 9.0), (20.0, 1.0)]),
+        ("three kinds: 4 of 6, 8 of 3, 8 of 1", vec![(4.0, 6.0), (8.0, 3.0), (8.0, 1.0)]),
+    ]
+}
+
+fn plot(all: &[(&str, Vec<Point>)], path: &std::path::Path) -> Result<(), Box<dyn std::error::Error>> {
+    let colors = [
+        RGBColor(31, 119, 180),
+        RGBColor(214, 39, 40),
+        RGBColor(44, 160, 44),
+        RGBColor(148, 103, 189),
+        RGBColor(255, 127, 14),
+        RGBColor(80, 80, 80),
+    ];
+    let area = SVGBackend::new(path, (900, 460)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption("HALB over Proportional LB: lines by formula, dots simulated", ("sans-serif", 16))
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..1.0, 0.0..80.0)?;
+    chart.configure_mesh().x_desc("load").y_desc("improvement of the mean response time, %").draw()?;
+    for ((name, points), color) in all.iter().zip(colors.iter().cycle()) {
+        let color = *color;
+        let line = points.iter().map(|p| (p.load, p.formula * 100.0));
+        let drawn = chart.draw_series(LineSeries::new(line, color.stroke_width(2)))?.label(*name);
+        drawn.legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color.stroke_width(2)));
+        chart.draw_series(
+            points.iter().map(|p| Circle::new((p.load, p.simulated * 100.0), 3, color.filled())),
+        )?;
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK.mix(0.2)).draw()?;
+    area.present()?;
+    Ok(())
+}
+
+/// Reckons, simulates, prints and plots.
+///
+/// # Errors
+/// Where the plot cannot be written.
+pub fn main(args: &Args) -> Result<(), SessionError> {
+    let all: Vec<(&str, Vec<Point>)> =
+        clusters().into_iter().map(|(name, kinds)| (name, points(&kinds, args.jobs, args.seed))).collect();
+    let mut out = format!("{:<38}", "improvement, % (formula | simulated)");
+    for p in &all[0].1 {
+        let _ = write!(out, "{:>14}", format!("load {}", p.load));
+    }
+    out.push('\n');
+    let (mut inside, mut count) = (0, 0);
+    for (name, points) in &all {
+        let _ = write!(out, "{name:<38}");
+        for p in points {
+            let _ = write!(out, "{:>14}", format!("{:.1} | {:.1}", p.formula * 100.0, p.simulated * 100.0));
+            inside += usize::from((p.formula - p.simulated).abs() <= p.half);
+            count += 1;
+        }
+        out.push('\n');
+    }
+    let _ = writeln!(out, "{inside} of {count} simulated points hold the formula inside their 95 % interval");
+    say(&out);
+    let file = |e: std::io::Error| SessionError::File(args.out.display().to_string(), e);
+    if let Some(folder) = args.out.parent() {
+        std::fs::create_dir_all(folder).map_err(file)?;
+    }
+    plot(&all, &args.out).map_err(|e| file(std::io::Error::other(e.to_string())))?;
+    say(&format!("plot: {}\n", args.out.display()));
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The module's shares are those of the closed formula: no other split of two kinds is better.
+    #[test]
+    fn no_other_split_is_better() {
+        let kinds = vec![(2.0, 4.0), (3.0, 1.0)];
+        for load in [0.1, 0.4, 0.7, 0.95] {
+            let rate = load * 11.0;
+            let best = response(&kinds, &halb_shares(&kinds, Some(rate)), rate);
+            for p in 0..=1000 {
+                let p = f64::from(p) / 1000.0;
+                assert!(response(&kinds, &[p, 1.0 - p], rate) >= best - 1e-9, "load {load}, split {p}");
+            }
+        }
+    }
+
+    #[test]
+    fn stations_hold_the_formula() {
+        let kinds = vec![(1.0, 4.0), (2.0, 1.0)];
+        let shares = halb_shares(&kinds, Some(3.0));
+        let (mean, half) = simulate(&kinds, &shares, 3.0, 60_000, 4);
+        let due = response(&kinds, &shares, 3.0);
+        assert!((mean - due).abs() < 2.0 * half, "{mean} ± {half}, by formula {due}");
+    }
+}
--- a/crates/lab/src/session.rs
+++ b/crates/lab/src/session.rs
@@ -5,6 +5,8 @@
 use crate::oracle::{story, MOST_TOLD};
 use crate::report::figures::Figures;
 use crate::report::{page, table};
+use crate::virt::policy::Which;
+use crate::virt::{self, VirtualError};
 use crate::world::plan::Plan;
 use indicatif::{ProgressBar, ProgressStyle};
 use std::io::Write;
@@ -27,13 +29,16 @@
     /// Results that cannot be read.
     #[error("{0}: {1}")]
     Results(String, serde_json::Error),
+    /// The run in virtual time is.
+    #[error(transparent)]
+    Virtual(#[from] VirtualError),
     /// There is no proxy to play.
     #[error("no proxy: {0}")]
     Program(String),
 }
 
 /// How to play.
-#[derive(Clone, Debug, Default, clap::Args)]
+#[derive(Clone, Debug, clap::Args)]
 pub struct Options {
     /// Another seed than the experiment's.
     #[arg(long)]
@@ -44,6 +49,12 @@
     /// Where the results go.
     #[arg(long, default_value = "lab-runs")]
     pub out: PathBuf,
+    /// In virtual time: the decision module itself, without processes and sockets.
+    #[arg(long = "virtual")]
+    pub virtual_time: bool,
+    /// Another policy than the product's, in virtual time only.
+    #[arg(long, value_enum, default_value_t = Which::Halb, requires = "virtual_time")]
+    pub policy: Which,
     /// The lotusdeck to play; the one beside this program, or the one that cargo builds, where absent.
     #[arg(long)]
     pub proxy: Option<PathBuf>,
@@ -92,7 +103,10 @@
 
 /// Plays an experiment and writes its results; whether all rules held and all figures count.
 pub fn play(experiment: &Experiment, options: &Options) -> Result<bool, SessionError> {
-    let program = program(options.proxy.as_deref())?;
+    let program = match options.virtual_time {
+        true => PathBuf::new(),
+        false => program(options.proxy.as_deref())?,
+    };
     let folder = options.out.join(&experiment.name);
     file(&folder, std::fs::create_dir_all(&folder))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -125,7 +139,10 @@
                 bar.set_message(run::told(&plan, act));
             }
         };
-        let outcome = runtime.block_on(run::play(plan.clone(), &program, &place, &progress))?;
+        let outcome = match options.virtual_time {
+            true => virt::play(&plan, options.policy)?,
+            false => runtime.block_on(run::play(plan.clone(), &program, &place, &progress))?,
+        };
         bar.finish_and_clear();
         let (figures, broken) = Figures::of(&plan, &outcome);
         say(&table::table(&figures, &stretches(&plan)));
--- /dev/null
+++ b/crates/lab/src/virt/rivals.rs
@@ -0,0 +1,211 @@
+//! Textbook policies, to be played against the module on the same arrivals and troubles. They keep the rules on
+//! repeats and drains, and know nothing of ramps, crowds or worth.
+
+use super::policy::{Policy, Sight};
+use crate::world::dice::Dice;
+use lotusdeck_policy::*;
+use std::collections::{BTreeMap, HashMap};
+
+/// Weight of the newest latency in a peak-EWMA that falls.
+const EWMA_STEP: f64 = 0.1;
+/// Before anything is known of a backend's latency, s.
+const EWMA_START: f64 = 0.01;
+
+/// How a backend is chosen.
+pub enum Choice {
+    Random,
+    RoundRobin,
+    LeastOutstanding,
+    TwoChoices,
+    PeakEwma,
+    /// In proportion to these weights, by the backend's number.
+    Weighted(Vec<f64>),
+    Oracle,
+}
+
+#[derive(Default)]
+struct Peer {
+    held: u32,
+    ewma: f64,
+}
+
+struct Open {
+    class: usize,
+    tried: Vec<(BackendId, Time, bool)>,
+    /// An attempt that ended may have run.
+    ran: bool,
+}
+
+/// One proxy's rival policy.
+pub struct Rival {
+    choice: Choice,
+    config: Config,
+    dice: Dice,
+    ready: Vec<BackendId>,
+    listed: BTreeMap<BackendId, bool>,
+    cordoned: Vec<BackendId>,
+    peers: HashMap<BackendId, Peer>,
+    open: HashMap<RequestId, Open>,
+    turn: usize,
+}
+
+impl Rival {
+    /// One that knows nothing yet.
+    pub fn new(choice: Choice, config: Config, seed: u64) -> Rival {
+        let dice = Dice::new(seed, "rival");
+        let (ready, listed, cordoned) = (Vec::new(), BTreeMap::new(), Vec::new());
+        let (peers, open) = (HashMap::new(), HashMap::new());
+        Rival { choice, config, dice, ready, listed, cordoned, peers, open, turn: 0 }
+    }
+
+    fn list(&mut self) {
+        let may = |(id, ready): (&BackendId, &bool)| (*ready && !self.cordoned.contains(id)).then_some(*id);
+        self.ready = self.listed.iter().filter_map(may).collect();
+    }
+
+    fn draw(&mut self, tried: &[BackendId], sight: Sight) -> Option<BackendId> {
+        let fresh: Vec<BackendId>;
+        let from: &[BackendId] = if tried.is_empty() {
+            &self.ready
+        } else {
+            fresh = self.ready.iter().copied().filter(|b| !tried.contains(b)).collect();
+            &fresh
+        };
+        if from.is_empty() {
+            return None;
+        }
+        let held = |b: &BackendId| self.peers.get(b).map_or(0, |p| p.held);
+        let cost = |b: &BackendId| {
+            let p = self.peers.get(b);
+            p.map_or(EWMA_START, |p| p.ewma.max(EWMA_START) * f64::from(p.held + 1))
+        };
+        let dice = &mut self.dice;
+        let two = [from[dice.below(from.len())], from[dice.below(from.len())]];
+        Some(match &self.choice {
+            Choice::Random => two[0],
+            Choice::RoundRobin => {
+                self.turn += 1;
+                from[self.turn % from.len()]
+            }
+            Choice::LeastOutstanding => {
+                // Ties are broken at random, or all proxies would go the same way.
+                let start = self.dice.below(from.len());
+                let order = (0..from.len()).map(|i| from[(start + i) % from.len()]);
+                order.min_by_key(held)?
+            }
+            Choice::TwoChoices => {
+                if held(&two[1]) < held(&two[0]) {
+                    two[1]
+                } else {
+                    two[0]
+                }
+            }
+            Choice::PeakEwma => {
+                if cost(&two[1]) < cost(&two[0]) {
+                    two[1]
+                } else {
+                    two[0]
+                }
+            }
+            Choice::Weighted(weights) => {
+                let own: Vec<f64> =
+                    from.iter().map(|b| weights.get(b.0 as usize).copied().unwrap_or(0.0)).collect();
+                from[self.dice.weighted(&own)]
+            }
+            Choice::Oracle => {
+                let load = |b: &BackendId| sight.get(b.0 as usize).copied().unwrap_or(f64::INFINITY);
+                *from.iter().min_by(|a, b| load(a).total_cmp(&load(b)))?
+            }
+        })
+    }
+
+    /// Sends a request, or ends it where it may not or cannot be sent again.
+    fn send(&mut self, now: Time, id: RequestId, sight: Sight, actions: &mut Vec<Action>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let free = matches!(self.config.classes[open.class].effect, Effect::Free);
+        let tried: Vec<BackendId> = open.tried.iter().map(|t| t.0).collect();
+        let may = (free || !open.ran) && tried.len() < self.config.max_attempts as usize;
+        let harmless = free || !open.ran;
+        match if may { self.draw(&tried, sight) } else { None } {
+            Some(backend) => {
+                self.peers.entry(backend).or_default().held += 1;
+                if let Some(open) = self.open.get_mut(&id) {
+                    open.tried.push((backend, now, true));
+                }
+                actions.push(Action::Dispatch { request: id, backend });
+            }
+            None => {
+                self.open.remove(&id);
+                let retry_after = Micros(100_000);
+                let refuse = Action::Refuse { request: id, retry_after };
+                actions.push(if harmless { refuse } else { Action::Fail { request: id } });
+            }
+        }
+    }
+
+    fn release(&mut self, backend: BackendId, latency: Option<f64>) {
+        let p = self.peers.entry(backend).or_default();
+        p.held = p.held.saturating_sub(1);
+        if let Some(latency) = latency {
+            let faded = p.ewma + (latency - p.ewma) * EWMA_STEP;
+            p.ewma = if latency > p.ewma { latency } else { faded };
+        }
+    }
+}
+
+impl Policy for Rival {
+    fn handle(&mut self, now: Time, event: Event, sight: Sight, actions: &mut Vec<Action>) {
+        match event {
+            Event::Members { update, backends } => {
+                if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
+                    self.listed.clear();
+                }
+                self.listed.extend(backends.iter().map(|b| (b.id, b.state == BackendState::Ready)));
+                self.list();
+            }
+            Event::Cordoned { backends } => {
+                self.cordoned = backends;
+                self.list();
+            }
+            Event::Settings { config } => self.config = *config,
+            Event::Request(a) => {
+                self.open.insert(a.request, Open { class: a.class.0, tried: Vec::new(), ran: false });
+                self.send(now, a.request, sight, actions);
+            }
+            Event::AttemptEnded(end) => {
+                let Some(open) = self.open.get_mut(&end.request) else { return };
+                let Some(sent) = open.tried.get_mut(end.attempt.0 as usize).filter(|t| t.2) else { return };
+                sent.2 = false;
+                let backend = sent.0;
+                open.ran |= !end.outcome.never_ran();
+                let over = end.settled || end.outcome == Outcome::Ok;
+                self.release(backend, (end.outcome != Outcome::NeverSent).then(|| end.latency.secs()));
+                if over {
+                    self.open.remove(&end.request);
+                } else if end.outcome == Outcome::TimedOut {
+                    self.open.remove(&end.request);
+                    actions.push(Action::Fail { request: end.request });
+                } else {
+                    self.send(now, end.request, sight, actions);
+                }
+            }
+            Event::ClientGone { request } => {
+                let Some(open) = self.open.remove(&request) else { return };
+                for (no, (backend, _, out)) in open.tried.iter().enumerate() {
+                    if *out {
+                        self.release(*backend, None);
+                        actions.push(Action::Cancel { request, attempt: AttemptNo(no as u32) });
+                    }
+                }
+            }
+            Event::Processes { .. }
+            | Event::Uploaded { .. }
+            | Event::StreamStarted { .. }
+            | Event::Timer { .. } => {}
+        }
+    }
+
+    fn sees(&self) -> bool {
+        matches!(self.choice, Choice::Oracle)
+    }
+}
--- a/crates/lab/src/world/backend.rs
+++ b/crates/lab/src/world/backend.rs
@@ -113,6 +113,11 @@
         (self.station.held(), self.station.waiting())
     }
 
+    /// Core-seconds a second that it can do now, warmth included and slowness left out.
+    pub fn capacity(&self, now: Time) -> f64 {
+        self.station.capacity(now) * self.own * self.shared
+    }
+
     /// Core-seconds done by the present process.
     pub fn done(&self) -> f64 {
         self.station.done()
--- /dev/null
+++ b/crates/lab/tests/virtual_time.rs
@@ -0,0 +1,62 @@
+//! The driver in virtual time: the same result every time, near to the sockets, and sharp enough to tell policies
+//! apart.
+
+use lotusdeck_lab::duel::rows;
+use lotusdeck_lab::experiment::Experiment;
+use lotusdeck_lab::oracle::judge;
+use lotusdeck_lab::report::figures::Figures;
+use lotusdeck_lab::virt::play;
+use lotusdeck_lab::virt::policy::Which;
+use lotusdeck_lab::world::plan::Plan;
+use std::path::Path;
+use std::sync::Arc;
+
+fn experiment(name: &str) -> Experiment {
+    let mut e =
+        Experiment::load(&Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments").join(name)).unwrap();
+    e.duration_s = e.duration_s.min(14.0);
+    e
+}
+
+/// The module keeps every rule in every experiment that comes with the lab.
+#[test]
+fn the_module_keeps_the_rules_in_every_experiment() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        let mut e = Experiment::load(&path).unwrap();
+        if e.capacity() > 100.0 {
+            continue; // the large ones are for measurements
+        }
+        e.duration_s = e.duration_s.min(14.0);
+        let plan = Arc::new(Plan::draw(&e, 3));
+        let outcome = play(&plan, Which::Halb).unwrap();
+        let broken = judge(&plan, &outcome.records);
+        assert!(broken.is_empty(), "{}: {:?}", e.name, &broken[..broken.len().min(3)]);
+    }
+}
+
+/// The same plan and policy give the same records, on any number of threads.
+#[test]
+fn the_same_seed_gives_the_same_run() {
+    let e = experiment("fifth-dies-cold.toml");
+    let plan = Arc::new(Plan::draw(&e, 5));
+    let (a, b) = (play(&plan, Which::Halb).unwrap(), play(&plan, Which::Halb).unwrap());
+    assert_eq!(a.records, b.records);
+    let parallel = rows(&e, &[Which::Halb, Which::TwoChoices], 2, &|| {}).unwrap();
+    let first =
+        Figures::of(&Plan::draw(&e, e.seed), &play(&Arc::new(Plan::draw(&e, e.seed)), Which::Halb).unwrap())
+            .0;
+    assert_eq!(parallel[0].runs[0].whole.earned, first.whole.earned);
+    assert_ne!(parallel[1].runs[0].whole.latency_ms, first.whole.latency_ms);
+}
+
+/// A policy that sees every queue is no worse than one that sees nothing, where it matters.
+#[test]
+fn sight_is_worth_something() {
+    let mut e = experiment("first-look.toml");
+    e.load.part = Some(0.8);
+    let rows = rows(&e, &[Which::Oracle, Which::Random], 3, &|| {}).unwrap();
+    let mean = |r: usize| rows[r].runs.iter().map(|f| f.whole.latency_ms.p99).sum::<f64>() / 3.0;
+    assert!(mean(0) * 1.5 < mean(1), "oracle {} ms, random {} ms", mean(0), mean(1));
+}
--- a/crates/lotusdeck/tests/lab.rs
+++ b/crates/lotusdeck/tests/lab.rs
@@ -2,6 +2,7 @@
 
 use lotusdeck_lab::drive::run::play;
 use lotusdeck_lab::experiment::Experiment;
+use lotusdeck_lab::ledger;
 use lotusdeck_lab::report::figures::Figures;
 use lotusdeck_lab::world::plan::Plan;
 use std::path::Path;
@@ -68,3 +69,32 @@
     let fault = runtime.block_on(play(plan, program, &folder, &|_| {})).err().unwrap().to_string();
     assert!(fault.contains(&format!("127.0.0.1:{port} is taken")), "{fault}");
 }
+
+/// Twenty kills at random moments under load: what the ledger tells is never wrong.
+#[test]
+fn the_ledger_is_never_wrong_after_kills() {
+    for mode in ["process", "power"] {
+        let plan = Arc::new(Plan::draw(&ledger::experiment(10, 250.0, 3, mode).unwrap(), 3));
+        let folder = std::env::temp_dir().join(format!("lotusdeck-soak-{}-{mode}", std::process::id()));
+        let program = Path::new(env!("CARGO_BIN_EXE_lotusdeck"));
+        let (_, compared, _) = ledger::play(&plan, program, &folder, &|_| {}).unwrap();
+        assert!(compared.wrong.is_empty(), "{mode}: {:?}", compared.wrong);
+        assert!(compared.certain > 200, "{mode}: {compared:?}");
+    }
+}
+
+/// An experiment that asks for more descriptors than there can be is refused before anything starts.
+#[test]
+fn too_many_descriptors_are_refused_before_the_start() {
+    let text = SHORT.split("trouble = [").next().unwrap().to_string() + "limits = { sockets = 1000000000 }";
+    let plan = Arc::new(Plan::draw(&Experiment::parse("short", &text).unwrap(), 1));
+    let folder = std::env::temp_dir().join(format!("lotusdeck-lab-{}-many", std::process::id()));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let program = Path::new(env!("CARGO_BIN_EXE_lotusdeck"));
+    let fault = runtime.block_on(play(plan, program, &folder, &|_| {})).err().unwrap().to_string();
+    assert!(
+        fault.contains("4000000000 descriptors") || fault.contains("descriptors and this process"),
+        "{fault}"
+    );
+    assert!(!folder.exists(), "nothing was started");
+}
--- /dev/null
+++ b/fuzz/fuzz_targets/ledger.rs
@@ -0,0 +1,14 @@
+//! Whatever the bytes of a segment, reading ends without a panic, and every frame that it tells of is one.
+//! The same body runs as a bounded property test: `any_bytes_can_be_read` in crates/ledger/tests/crash.rs.
+#![no_main]
+
+use libfuzzer_sys::fuzz_target;
+use lotusdeck_ledger::{decode, read_segment};
+
+fuzz_target!(|bytes: &[u8]| {
+    let scan = read_segment(bytes);
+    for (at, frame) in &scan.frames {
+        assert_eq!(decode(&bytes[*at..]).map(|d| d.0).as_ref(), Ok(frame));
+    }
+    assert!(scan.damaged.iter().all(|d| d.start < d.end && d.end <= bytes.len()));
+});
