--- a/crates/lab/src/drive/proxies.rs
+++ b/crates/lab/src/drive/proxies.rs
@@ -128,7 +128,8 @@
 
     /// Ends it without warning.
     pub async fn kill(&mut self) {
-        self.before += self.usage().map(|u| u.cpu).unwrap_or_default();
+        let own = self.pid().and_then(Usage::of); // of this process alone
+        self.before += own.map(|u| u.cpu).unwrap_or_default();
         self.signal(Signal::KILL);
         if let Some(mut child) = self.child.take() {
             let _ = child.wait().await;
@@ -165,7 +166,7 @@
 
     /// What it uses; its processor time includes that of earlier processes.
     pub fn usage(&self) -> Option<Usage> {
-        let now = Usage::of(self.child.as_ref()?.id()?)?;
+        let now = Usage::of(self.pid()?)?;
         Some(Usage { cpu: now.cpu + self.before, ..now })
     }
 }
--- a/crates/lab/src/oracle/answers.rs
+++ b/crates/lab/src/oracle/answers.rs
@@ -102,6 +102,9 @@
         let turn = |proxy, ms, turn| at(ms, What::Proxy { proxy, turn });
         let with = |t| broken(&[asked.clone(), broke(false, false), t]).len();
         assert_eq!(with(turn(1, 40, Turn::Killed)), 0);
+        let dead = [turn(1, 0, Turn::Killed), at(10, What::Asked { id: READ, proxy: 1, left: 500_000 })];
+        let asked_of_the_dead = [dead[0].clone(), dead[1].clone(), broke(false, false)];
+        assert_eq!(broken(&asked_of_the_dead).len(), 0, "its socket outlives it by a moment");
         assert_eq!(with(turn(0, 40, Turn::Killed)), 1, "another proxy");
         assert_eq!(with(turn(1, 400, Turn::Killed)), 1, "later");
         assert_eq!(with(turn(1, 0, Turn::Stopping)), 1, "what comes just after a signal is answered");
--- a/crates/lab/src/oracle/mod.rs
+++ b/crates/lab/src/oracle/mod.rs
@@ -64,6 +64,8 @@
         for (at, _, turn) in turns {
             match turn {
                 Turn::Killed if *at + near >= from && *at <= to + near => return true,
+                // A process that dies still holds its socket for some milliseconds.
+                Turn::Killed => over = from >= *at,
                 Turn::Stopping => over = from >= *at + Micros(700_000),
                 Turn::Ready if *at <= from => over = false,
                 _ => {}
