--- a/crates/lab/src/drive/fleet.rs
+++ b/crates/lab/src/drive/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet on sockets: every backend listens, reads requests and answers when its station is through with them.
 
-use super::wire::{listen, Link, Request, Stir};
+use super::wire::{listen, Link, Request, Reserved, Stir};
 use super::{Clock, Log};
 use crate::experiment::Effect;
 use crate::record::{body, How, TryId, What};
@@ -27,6 +27,8 @@
     life: watch::Sender<Life>,
     sooner: Rc<Notify>,
     accepting: Option<AbortHandle>,
+    /// Its port: nobody gets it while it is dead.
+    _held: Reserved,
 }
 
 /// All backends of a run.
@@ -44,8 +46,10 @@
         let mut slots = Vec::new();
         let mut listeners = Vec::new();
         for spec in &plan.fleet {
-            let listener = listen(None)?;
+            let held = Reserved::take(None)?;
+            let listener = listen(Some(held.address()))?;
             slots.push(Slot {
+                _held: held,
                 model: Backend::new(spec.clone(), plan.fall_rule(), Time(0)),
                 address: listener.local_addr()?,
                 open: HashMap::new(),
--- a/crates/lab/src/drive/proxies.rs
+++ b/crates/lab/src/drive/proxies.rs
@@ -1,7 +1,7 @@
 //! The real processes: their configuration, start, signals and what they use.
 
 use super::usage::Usage;
-use super::wire::Link;
+use super::wire::{Link, Reserved};
 use super::Clock;
 use crate::experiment::Effect;
 use crate::world::plan::Plan;
@@ -48,16 +48,18 @@
     starts: u32,
     /// What earlier processes of it used.
     before: Duration,
+    /// Its ports: nobody gets them between two of its processes.
+    _held: [Reserved; 2],
 }
 
-/// A port of the kernel's choice, or the one asked for, free at this moment.
-fn free(number: usize, port: Option<u16>) -> Result<SocketAddr, ProxyError> {
-    let at = SocketAddr::from(([127, 0, 0, 1], port.unwrap_or(0)));
-    let listener = std::net::TcpListener::bind(at).map_err(|e| match e.kind() {
-        std::io::ErrorKind::AddrInUse => ProxyError::Taken(number, at),
+/// A port of the kernel's choice, or the one asked for, held for as long as the proxy is played.
+fn reserve(number: usize, port: Option<u16>) -> Result<Reserved, ProxyError> {
+    Reserved::take(port).map_err(|e| match e.kind() {
+        std::io::ErrorKind::AddrInUse => {
+            ProxyError::Taken(number, ([127, 0, 0, 1], port.unwrap_or(0)).into())
+        }
         _ => ProxyError::Io(number, e),
-    })?;
-    listener.local_addr().map_err(|e| ProxyError::Io(number, e))
+    })
 }
 
 impl Proxy {
@@ -69,8 +71,10 @@
         let folder = folder.join(format!("proxy-{number}"));
         std::fs::create_dir_all(folder.join("tmp")).map_err(io)?;
         let base = plan.experiment.base_port;
-        let address = free(number, base.map(|port| port + 2 * number as u16))?;
-        let admin = free(number, base.map(|port| port + 2 * number as u16 + 1))?;
+        let ports = [0, 1].map(|n| reserve(number, base.map(|port| port + 2 * number as u16 + n)));
+        let [clients, operators] = ports;
+        let held = [clients?, operators?];
+        let [address, admin] = [held[0].address(), held[1].address()];
         let config = configuration(plan, number, address, admin, discovery, known);
         std::fs::write(folder.join("config.json"), format!("{config:#}")).map_err(io)?;
         if let Some(operator) = &plan.experiment.operator {
@@ -81,7 +85,7 @@
         let descriptors = plan.experiment.limits.sockets;
         let program = program.to_path_buf();
         let (child, starts, before) = (None, 0, Duration::ZERO);
-        Ok(Proxy { number, program, folder, descriptors, address, admin, child, starts, before })
+        Ok(Proxy { number, program, folder, descriptors, address, admin, child, starts, before, _held: held })
     }
 
     /// Starts the process and waits until it takes clients.
--- a/crates/lab/src/drive/wire.rs
+++ b/crates/lab/src/drive/wire.rs
@@ -197,3 +197,27 @@
     socket.bind(at.unwrap_or_else(|| ([127, 0, 0, 1], 0).into()))?;
     socket.listen(1024)
 }
+
+/// A port that is held without listening: nobody else gets it, connections to it are refused, and whoever binds it
+/// with `SO_REUSEADDR` may listen there, again and again.
+pub struct Reserved(socket2::Socket, std::net::SocketAddr);
+
+impl Reserved {
+    /// That port of 127.0.0.1, or one of the kernel's choice.
+    ///
+    /// # Errors
+    /// Where somebody else has it.
+    pub fn take(port: Option<u16>) -> std::io::Result<Reserved> {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], port.unwrap_or(0))).into())?;
+        let at = socket.local_addr()?.as_socket().ok_or(std::io::ErrorKind::AddrNotAvailable)?;
+        Ok(Reserved(socket, at))
+    }
+
+    /// Where it is.
+    pub fn address(&self) -> std::net::SocketAddr {
+        debug_assert!(self.0.local_addr().is_ok());
+        self.1
+    }
+}
--- a/crates/lotusdeck/tests/lab.rs
+++ b/crates/lotusdeck/tests/lab.rs
@@ -4,6 +4,8 @@
 use lotusdeck_lab::experiment::Experiment;
 use lotusdeck_lab::ledger;
 use lotusdeck_lab::report::figures::Figures;
+use lotusdeck_lab::virt;
+use lotusdeck_lab::virt::policy::Which;
 use lotusdeck_lab::world::plan::Plan;
 use std::path::Path;
 use std::sync::Arc;
@@ -70,6 +72,36 @@
     assert!(fault.contains(&format!("127.0.0.1:{port} is taken")), "{fault}");
 }
 
+/// The two drivers play one model: on a calm small fleet what is earned of the worth lies within a twentieth.
+#[test]
+fn virtual_time_and_sockets_lie_near_each_other() {
+    let text = SHORT.split("trouble = [").next().unwrap();
+    let experiment = Experiment::parse("short", text).unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    for seed in 31..34 {
+        let plan = Arc::new(Plan::draw(&experiment, seed));
+        let folder = std::env::temp_dir().join(format!("lotusdeck-near-{}-{seed}", std::process::id()));
+        let program = Path::new(env!("CARGO_BIN_EXE_lotusdeck"));
+        let real = runtime.block_on(play(plan.clone(), program, &folder, &|_| {})).unwrap();
+        let real = Figures::of(&plan, &real).0;
+        if let Some(why) = real.void {
+            println!("seed {seed}: {why}");
+            continue;
+        }
+        let played = Figures::of(&plan, &virt::play(&plan, Which::Halb).unwrap()).0;
+        let apart = (real.whole.part() - played.whole.part()).abs();
+        assert!(
+            apart <= 0.05,
+            "seed {seed}: {} on sockets, {} in virtual time",
+            real.whole.part(),
+            played.whole.part()
+        );
+        assert!((real.attempts - played.attempts).abs() <= 0.05, "{} and {}", real.attempts, played.attempts);
+        return;
+    }
+    panic!("the lab was late three times: no verdict");
+}
+
 /// Twenty kills at random moments under load: what the ledger tells is never wrong.
 #[test]
 fn the_ledger_is_never_wrong_after_kills() {
