--- a/crates/lab/src/drive/clients.rs
+++ b/crates/lab/src/drive/clients.rs
@@ -5,6 +5,7 @@
 use super::{Clock, Log};
 use crate::experiment::Effect;
 use crate::record::{body, TryId, What, LISTEN_ON};
+use crate::world::deal::Deal;
 use crate::world::plan::Plan;
 use hdrhistogram::Histogram;
 use lotusdeck_policy::{Micros, Time};
@@ -35,7 +36,7 @@
     clock: Clock,
     log: Log,
     fronts: RefCell<Vec<Front>>,
-    turn: Cell<usize>,
+    deal: RefCell<Deal>,
     open: Cell<usize>,
     idle: Notify,
     /// How late first tries were sent, in microseconds.
@@ -58,12 +59,13 @@
     pub fn new(plan: Arc<Plan>, clock: Clock, log: Log, proxies: &[SocketAddr]) -> Rc<Clients> {
         let front = |address: &SocketAddr| Front { address: *address, idle: Vec::new(), shunned: Time(0) };
         let late = Histogram::new_with_bounds(1, 3_600_000_000, 2).expect("bounds in order");
+        let deal = Deal::new(proxies.len(), plan.experiment.clients.skew, plan.seed);
         Rc::new(Clients {
             plan,
             clock,
             log,
             fronts: RefCell::new(proxies.iter().map(front).collect()),
-            turn: Cell::new(0),
+            deal: RefCell::new(deal),
             open: Cell::new(0),
             idle: Notify::new(),
             late: RefCell::new(late),
@@ -120,9 +122,7 @@
     async fn once(&self, id: TryId, deadline: Time, leaves: Time) -> Got {
         let a = &self.plan.arrivals[id.arrival as usize];
         let class = &self.plan.experiment.class[a.class];
-        let Some(proxy) = self.deal() else {
-            return Got::Unreached;
-        };
+        let proxy = self.deal();
         let (mut link, reused) = match self.connect(proxy).await {
             Some(got) => got,
             None => {
@@ -181,13 +181,9 @@
     }
 
     /// The next proxy that is not held for dead; any, where all are.
-    fn deal(&self) -> Option<usize> {
-        let fronts = self.fronts.borrow();
-        let now = self.clock.now();
-        let from = self.turn.replace(self.turn.get() + 1);
-        let order = || (0..fronts.len()).map(|i| (from + i) % fronts.len());
-        let alive = order().find(|p| fronts[*p].shunned <= now);
-        alive.or_else(|| order().next())
+    fn deal(&self) -> usize {
+        let (fronts, now) = (self.fronts.borrow(), self.clock.now());
+        self.deal.borrow_mut().next(|p| fronts[p].shunned > now)
     }
 
     async fn connect(&self, proxy: usize) -> Option<(Link, bool)> {
--- a/crates/lab/src/drive/discovery.rs
+++ b/crates/lab/src/drive/discovery.rs
@@ -156,7 +156,14 @@
         }
         {
             let _turn = self.turn.lock().await;
-            tokio::time::sleep(Duration::from_secs_f64(self.plan.experiment.discovery.call_ms / 1e3)).await;
+            let lines = {
+                let model = self.model.borrow();
+                let changes = after.filter(|after| *after <= model.version());
+                changes.map_or_else(|| model.whole().count(), |after| model.since(after).count())
+            };
+            let spec = &self.plan.experiment.discovery;
+            let took = spec.call_ms / 1e3 + spec.line_us / 1e6 * lines as f64;
+            tokio::time::sleep(Duration::from_secs_f64(took)).await;
         }
         let model = self.model.borrow();
         if model.down {
--- a/crates/lab/src/drive/proxies.rs
+++ b/crates/lab/src/drive/proxies.rs
@@ -201,6 +201,7 @@
     let profiles: Vec<Value> = e.class.iter().map(profile).collect();
     let kinds: Vec<&str> = e.kind.iter().map(|k| k.name.as_str()).collect();
     let known: Value = serde_json::from_str(known).unwrap_or_default();
+    let (told, zone) = (e.told_proxies.unwrap_or(e.proxies), &e.zones[number % e.zones.len()]);
     let longest = e.class.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     json!({
         "name": format!("n{number}"), "listen": listen, "admin_addr": admin, "discovery": discovery,
@@ -209,8 +210,8 @@
         "known": known,
         "settings": {
             "blend": {"whole": 0.7, "worst_class": 0.1}, "costs": {"cross_zone": 0.0}, "customers": [],
-            "discovery": "automatic", "position": number, "group_size": e.proxies, "granularity_us": 5000,
-            "kinds": kinds, "my_zone": "east", "zones": ["east"], "over_share_worth": 0.1,
+            "discovery": "automatic", "position": number % told, "group_size": told, "granularity_us": 5000,
+            "kinds": kinds, "my_zone": zone, "zones": e.zones, "over_share_worth": 0.1,
             "limits": {
                 "cancel": true, "max_attempts": e.limits.attempts, "parallel_tries": false,
                 "dial_timeout_us": 300_000, "conn_idle_us": 60_000_000, "max_retry_after_us": us(longest),
--- a/crates/lab/src/duel.rs
+++ b/crates/lab/src/duel.rs
@@ -1,8 +1,9 @@
 //! Several policies on the same arrivals and troubles, in virtual time.
 
 use crate::experiment::Experiment;
+use crate::report::causes::{Losses, CAUSES};
 use crate::report::compare::interval;
-use crate::report::figures::Figures;
+use crate::report::figures::{Figures, Tally};
 use crate::session::{say, SessionError};
 use crate::virt::policy::Which;
 use crate::virt::{play, VirtualError};
@@ -14,6 +15,10 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+/// What follows this long after the troubles is told apart, s: queues and retries have run out by then, unless they
+/// keep themselves alive.
+const AFTER: f64 = 5.0;
+
 /// Who plays what, how often.
 #[derive(Clone, Debug, clap::Args)]
 pub struct Args {
@@ -26,6 +31,9 @@
     /// Seeds for each: the experiment's own and those behind it.
     #[arg(long, default_value_t = 8)]
     seeds: u64,
+    /// Tell also where worth is lost, by cause.
+    #[arg(long)]
+    causes: bool,
 }
 
 /// The figures of one policy over all seeds, in the order of the seeds.
@@ -34,6 +42,8 @@
     pub policy: Which,
     /// One a seed.
     pub runs: Vec<Figures>,
+    /// Where worth was lost, one a seed.
+    pub losses: Vec<Losses>,
 }
 
 /// Plays them all; the same result whatever the number of threads.
@@ -47,22 +57,26 @@
         (0..seeds).into_par_iter().map(|n| Arc::new(Plan::draw(experiment, experiment.seed + n))).collect();
     let all: Vec<(Which, &Arc<Plan>)> =
         policies.iter().flat_map(|w| plans.iter().map(move |p| (*w, p))).collect();
-    let played: Vec<Figures> = all
+    let played: Vec<(Figures, Losses)> = all
         .par_iter()
         .map(|(which, plan)| {
             let outcome = play(plan, *which)?;
             done();
-            Ok(Figures::of(plan, &outcome).0)
+            Ok((Figures::of(plan, &outcome).0, Losses::of(plan, &outcome)))
         })
         .collect::<Result<_, VirtualError>>()?;
     let mut played = played.into_iter();
     Ok(policies
         .iter()
-        .map(|w| Row { policy: *w, runs: played.by_ref().take(seeds as usize).collect() })
+        .map(|w| {
+            let (runs, losses) = played.by_ref().take(seeds as usize).unzip();
+            Row { policy: *w, runs, losses }
+        })
         .collect())
 }
 
-fn name(which: Which) -> String {
+/// The name by which a policy is asked for.
+pub fn name(which: Which) -> String {
     which.to_possible_value().map_or_else(String::new, |v| v.get_name().to_string())
 }
 
@@ -106,6 +120,67 @@
     out
 }
 
+/// The moments of the first and the last thing that happens, s: troubles, and turns of the load.
+fn troubled(experiment: &Experiment) -> Option<(f64, f64)> {
+    let troubles = experiment.trouble.iter().map(|t| (t.at_s, t.at_s + t.for_s.unwrap_or(0.0)));
+    let turns = experiment.load.phase.iter().map(|p| (p.at_s, p.at_s + p.over_s));
+    troubles.chain(turns).reduce(|a, b| (a.0.min(b.0), a.1.max(b.1)))
+}
+
+/// Worth earned of that asked for by arrivals due in whole seconds between two times.
+fn part_between(f: &Figures, from: f64, to: f64) -> f64 {
+    let inside = |s: &&Tally| s.name.parse::<f64>().is_ok_and(|at| at >= from && at + 1.0 <= to);
+    let (asked, earned) =
+        f.seconds.iter().filter(inside).fold((0.0, 0.0), |n, s| (n.0 + s.asked, n.1 + s.earned));
+    if asked > 0.0 {
+        earned / asked
+    } else {
+        f64::NAN
+    }
+}
+
+/// Worth before, during and after the troubles, and where it is lost.
+pub fn details(experiment: &Experiment, rows: &[Row], causes: bool) -> String {
+    let mut out = String::new();
+    if let Some((first, last)) = troubled(experiment) {
+        let end = experiment.duration_s;
+        let _ = writeln!(
+            out,
+            "worth by stretch: to {first} s, to {last} s, to {:.0} s, then to the end",
+            last + AFTER
+        );
+        for row in rows {
+            let mean = |from: f64, to: f64| {
+                interval(&row.runs.iter().map(|f| part_between(f, from, to)).collect::<Vec<_>>()).0
+            };
+            let parts = [(0.0, first), (first.floor(), last.ceil()), (last.ceil(), last.ceil() + AFTER)];
+            let _ = write!(out, "{:<18}", name(row.policy));
+            for (from, to) in parts.into_iter().chain([(last.ceil() + AFTER, end)]) {
+                let part = mean(from, to);
+                let _ = if part.is_nan() { write!(out, " {:>8}", "-") } else { write!(out, " {part:>8.4}") };
+            }
+            out.push('\n');
+        }
+    }
+    if causes {
+        let _ = write!(out, "worth lost, % of all\n{:<18}", "");
+        CAUSES.iter().for_each(|(_, name)| {
+            let _ = write!(out, " {name:>14}");
+        });
+        let _ = writeln!(out, " {:>14}", "work wasted, %");
+        for row in rows {
+            let _ = write!(out, "{:<18}", name(row.policy));
+            for c in 0..CAUSES.len() {
+                let lost: Vec<f64> = row.losses.iter().map(|l| l.by_cause[c] * 100.0).collect();
+                let _ = write!(out, " {:>14.2}", interval(&lost).0);
+            }
+            let wasted: Vec<f64> = row.losses.iter().map(|l| l.wasted * 100.0).collect();
+            let _ = writeln!(out, " {:>14.2}", interval(&wasted).0);
+        }
+    }
+    out
+}
+
 /// Plays and prints.
 ///
 /// # Errors
@@ -128,6 +203,7 @@
             experiment.about
         ));
         say(&text);
+        say(&details(&experiment, &rows, args.causes));
     }
     Ok(())
 }
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -35,6 +35,12 @@
     /// Proxies that share the traffic.
     #[serde(default = "three")]
     pub proxies: usize,
+    /// How many each proxy is told there are, where that figure is stale.
+    #[serde(default)]
+    pub told_proxies: Option<usize>,
+    /// The zones: backends and proxies are dealt out over them in turn.
+    #[serde(default = "east")]
+    pub zones: Vec<String>,
     /// The first of the proxies' ports, two for each; the kernel picks them where it is absent.
     #[serde(default)]
     pub base_port: Option<u16>,
@@ -177,13 +183,15 @@
     pub lag_ms: f64,
     /// It notices a dead backend after this time, ms.
     pub detect_ms: f64,
-    /// Its part of a second for a call; calls are handled in turn, ms.
+    /// What a call takes it; calls are handled in turn, ms.
     pub call_ms: f64,
+    /// ... and for each line that it tells, us.
+    pub line_us: f64,
 }
 
 impl Default for DiscoverySpec {
     fn default() -> DiscoverySpec {
-        DiscoverySpec { lag_ms: 200.0, detect_ms: 2000.0, call_ms: 0.2 }
+        DiscoverySpec { lag_ms: 200.0, detect_ms: 2000.0, call_ms: 0.2, line_us: 0.0 }
     }
 }
 
@@ -203,11 +211,21 @@
     pub zipf: f64,
     /// A dead proxy gets no new connections for so long, ms.
     pub shun_ms: f64,
+    /// Proxies get unequal parts: a proxy's falls with its number, from 1, to this power.
+    pub skew: f64,
 }
 
 impl Default for Clients {
     fn default() -> Clients {
-        Clients { tries: 3, pause_ms: 100.0, impatient: 0.0, keys: 5000, zipf: 0.9, shun_ms: 1000.0 }
+        Clients {
+            tries: 3,
+            pause_ms: 100.0,
+            impatient: 0.0,
+            keys: 5000,
+            zipf: 0.9,
+            shun_ms: 1000.0,
+            skew: 0.0,
+        }
     }
 }
 
@@ -268,12 +286,18 @@
     pub at_s: f64,
     /// What.
     pub what: What,
-    /// To which part of the fleet, drawn at random; or one `kind`, or one `proxy`.
+    /// To which part of the fleet, drawn at random; or one `kind`, one `zone`, or one `proxy`.
     #[serde(default)]
     pub part: Option<f64>,
     /// To the machines of that kind.
     #[serde(default)]
     pub kind: Option<String>,
+    /// To the machines of that zone.
+    #[serde(default)]
+    pub zone: Option<String>,
+    /// Troubles of the same name meet the same machines, where part, kind and zone are the same too.
+    #[serde(default)]
+    pub who: Option<String>,
     /// To that proxy, from 0.
     #[serde(default)]
     pub proxy: Option<usize>,
@@ -319,6 +343,9 @@
 fn three() -> usize {
     3
 }
+fn east() -> Vec<String> {
+    vec!["east".into()]
+}
 fn unit() -> f64 {
     1.0
 }
@@ -392,7 +419,12 @@
             .or_else(|| whole("proxies".into(), self.proxies))
             .or_else(|| whole("class".into(), self.class.len()))
             .or_else(|| whole("kind".into(), self.kind.len()))
+            .or_else(|| whole("zones".into(), self.zones.len()))
+            .or_else(|| self.told_proxies.and_then(|n| whole("told_proxies".into(), n)))
             .or_else(|| whole("clients.tries".into(), self.clients.tries as usize))
+            .or_else(|| {
+                (!(0.0..=8.0).contains(&self.clients.skew)).then(|| ("clients.skew".into(), "from 0 to 8"))
+            })
             .or_else(|| part("rules.cold_from".into(), self.rules.cold_from))
             .or_else(|| part("clients.impatient".into(), self.clients.impatient));
         let load = || match (self.load.part, self.load.rps) {
@@ -436,7 +468,9 @@
                 let proxied = matches!(t.what, What::KillProxy | What::RestartProxy | What::Reload);
                 let proxy = proxied && t.proxy.is_none_or(|p| p >= self.proxies);
                 let slowed = matches!(t.what, What::Slow | What::SharedSlow | What::DiscoveryLag);
+                let zone = t.zone.as_ref().filter(|z| !self.zones.contains(z));
                 kind.map(|_| (key("kind"), "the name of a kind"))
+                    .or_else(|| zone.map(|_| (key("zone"), "one of zones")))
                     .or_else(|| proxy.then(|| (key("proxy"), "the number of a proxy, from 0")))
                     .or_else(|| (slowed && t.factor.is_none()).then(|| (key("factor"), "a number")))
                     .or_else(|| t.part.and_then(|n| part(key("part"), n)))
--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -65,6 +65,8 @@
         what,
         part,
         kind: None,
+        zone: None,
+        who: None,
         proxy,
         for_s: Some(for_s),
         factor: None,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod record;
 pub mod report;
 pub mod session;
+pub mod swings;
 pub mod virt;
 pub mod world;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,7 @@
 use lotusdeck_lab::report::compare;
 use lotusdeck_lab::report::figures::Figures;
 use lotusdeck_lab::session::{self, Options, SessionError};
-use lotusdeck_lab::{duel, ledger, overhead, paper};
+use lotusdeck_lab::{duel, ledger, overhead, paper, swings};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -45,6 +45,8 @@
     Overhead(overhead::Args),
     /// Play several policies on the same arrivals and troubles, in virtual time.
     Duel(duel::Args),
+    /// Whether many proxies swing together: how the kinds' shares move, beyond chance.
+    Swings(swings::Args),
     /// The paper's table and plot, by formula and simulated.
     Paper(paper::Args),
     /// Kill a proxy again and again under load, and compare its ledger with what the backends saw.
@@ -92,6 +94,7 @@
         }
         Command::Overhead(args) => overhead::main(&args).map(|()| true),
         Command::Duel(args) => duel::main(&args).map(|()| true),
+        Command::Swings(args) => swings::main(&args).map(|()| true),
         Command::Paper(args) => paper::main(&args).map(|()| true),
         Command::LedgerSoak(args) => ledger::soak(&args),
         Command::LedgerBench(args) => ledger::bench(&args).map(|()| true),
--- a/crates/lab/src/paper.rs
+++ b/crates/lab/src/paper.rs
@@ -2,11 +2,11 @@
 //! the closed formula and from simulated processor-sharing stations, side by side. (Gandhi, Mittal, Zhang: Optimal
 //! Load-Balancing for Heterogeneous Clusters, figure 1.)
 
+use crate::report::plot::{self, Field, Line};
 use crate::session::{say, SessionError};
 use crate::world::dice::Dice;
 use crate::world::station::{Build, Station};
 use lotusdeck_policy::{halb_shares, Micros, Time};
-use plotters::prelude::*;
 use rayon::prelude::*;
 use std::fmt::Write;
 use std::path::PathBuf;
@@ -136,36 +136,18 @@
     ]
 }
 
-fn plot(all: &[(&str, Vec<Point>)], path: &std::path::Path) -> Result<(), Box<dyn std::error::Error>> {
-    let colors = [
-        RGBColor(31, 119, 180),
-        RGBColor(214, 39, 40),
-        RGBColor(44, 160, 44),
-        RGBColor(148, 103, 189),
-        RGBColor(255, 127, 14),
-        RGBColor(80, 80, 80),
-    ];
-    let area = SVGBackend::new(path, (900, 460)).into_drawing_area();
-    area.fill(&WHITE)?;
-    let mut chart = ChartBuilder::on(&area)
-        .caption("HALB over Proportional LB: lines by formula, dots simulated", ("sans-serif", 16))
-        .margin(10)
-        .x_label_area_size(30)
-        .y_label_area_size(50)
-        .build_cartesian_2d(0.0..1.0, 0.0..80.0)?;
-    chart.configure_mesh().x_desc("load").y_desc("improvement of the mean response time, %").draw()?;
-    for ((name, points), color) in all.iter().zip(colors.iter().cycle()) {
-        let color = *color;
-        let line = points.iter().map(|p| (p.load, p.formula * 100.0));
-        let drawn = chart.draw_series(LineSeries::new(line, color.stroke_width(2)))?.label(*name);
-        drawn.legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color.stroke_width(2)));
-        chart.draw_series(
-            points.iter().map(|p| Circle::new((p.load, p.simulated * 100.0), 3, color.filled())),
-        )?;
+fn field(all: &[(&str, Vec<Point>)]) -> Field {
+    let line = |(name, points): &(&str, Vec<Point>)| Line {
+        name: name.to_string(),
+        points: points.iter().map(|p| (p.load, p.formula * 100.0)).collect(),
+        dots: points.iter().map(|p| (p.load, p.simulated * 100.0)).collect(),
+    };
+    Field {
+        caption: "HALB over Proportional LB: lines by formula, dots simulated".into(),
+        x: ("load".into(), 0.0..1.0),
+        y: ("improvement of the mean response time, %".into(), 0.0..80.0),
+        lines: all.iter().map(line).collect(),
     }
-    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK.mix(0.2)).draw()?;
-    area.present()?;
-    Ok(())
 }
 
 /// Reckons, simulates, prints and plots.
@@ -192,11 +174,7 @@
     }
     let _ = writeln!(out, "{inside} of {count} simulated points hold the formula inside their 95 % interval");
     say(&out);
-    let file = |e: std::io::Error| SessionError::File(args.out.display().to_string(), e);
-    if let Some(folder) = args.out.parent() {
-        std::fs::create_dir_all(folder).map_err(file)?;
-    }
-    plot(&all, &args.out).map_err(|e| file(std::io::Error::other(e.to_string())))?;
+    plot::write(&[field(&all)], &args.out)?;
     say(&format!("plot: {}\n", args.out.display()));
     Ok(())
 }
--- /dev/null
+++ b/crates/lab/src/report/causes.rs
@@ -0,0 +1,198 @@
+//! Where worth is lost: each arrival that earned less than its worth, by cause, from what the stand-ins saw.
+
+use crate::drive::run::Outcome;
+use crate::record::{How, What};
+use crate::world::backend::Health;
+use crate::world::plan::{Act, Plan};
+use lotusdeck_policy::Time;
+use std::collections::HashMap;
+
+/// Why an arrival earned less than it could.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cause {
+    /// Its last word was a refusal, while fewer requests were at the backends than they have cores.
+    RefusedWithRoom,
+    /// ... while the backends had as much as they have cores, or more.
+    RefusedFull,
+    /// Late, mostly because a proxy held it.
+    Held,
+    /// Late, mostly because the backend was slow at it.
+    Slow,
+    /// A backend died or turned it away, or it was withdrawn from one, and no other served it.
+    LostAtBackend,
+    /// Its client left, or no proxy answered.
+    Unanswered,
+}
+
+/// All of them, with their names.
+pub const CAUSES: [(Cause, &str); 6] = [
+    (Cause::RefusedWithRoom, "refused, room"),
+    (Cause::RefusedFull, "refused, full"),
+    (Cause::Held, "held"),
+    (Cause::Slow, "slow"),
+    (Cause::LostAtBackend, "lost there"),
+    (Cause::Unanswered, "unanswered"),
+];
+
+/// The losses of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Losses {
+    /// Worth lost by cause, as a part of all that was asked for, in the order of [`CAUSES`].
+    pub by_cause: [f64; CAUSES.len()],
+    /// Work at backends that served nobody, as a part of all requests that reached one.
+    pub wasted: f64,
+}
+
+/// What became of one arrival.
+#[derive(Clone, Copy, Default)]
+struct Fate {
+    asked: Option<Time>,
+    /// When it last reached a backend.
+    began: Option<Time>,
+    served: Option<Time>,
+    refused: Option<bool>,
+    hurt: bool,
+}
+
+/// Cores that serve, as the plan's acts have it.
+struct Cores {
+    health: Vec<Health>,
+    serving: f64,
+}
+
+impl Cores {
+    fn act(&mut self, plan: &Plan, act: &Act) {
+        let (whom, health) = match act {
+            Act::Kill(w) | Act::Remove(w) => (w, Health::Down),
+            Act::Drain(w) => (w, Health::Draining),
+            Act::Start(w) => (w, Health::Up),
+            Act::Hang(w, silent) => (w, if *silent { Health::Hung } else { Health::Up }),
+            Act::Cordon(w, out) => (w, if *out { Health::Draining } else { Health::Up }),
+            _ => return,
+        };
+        for &b in whom {
+            let cores = plan.fleet[b].build.cores;
+            let was = self.health[b] == Health::Up;
+            self.serving += cores * (f64::from(health == Health::Up) - f64::from(was));
+            self.health[b] = health;
+        }
+    }
+}
+
+impl Losses {
+    /// Of a run.
+    pub fn of(plan: &Plan, outcome: &Outcome) -> Losses {
+        let mut fates = vec![Fate::default(); plan.arrivals.len()];
+        let serving = plan.fleet.iter().map(|b| b.build.cores).sum();
+        let mut cores = Cores { health: vec![Health::Up; plan.fleet.len()], serving };
+        let mut acts = plan.acts.iter().peekable();
+        // What is at each backend, by try.
+        let mut there: HashMap<(u32, u32, usize), u32> = HashMap::new();
+        let (mut held, mut reached, mut used) = (0u64, 0u64, 0u64);
+        for r in &outcome.records {
+            while let Some((_, act)) = acts.next_if(|(at, _)| *at <= r.at) {
+                cores.act(plan, act);
+            }
+            let Some(id) = r.id() else { continue };
+            let Some(fate) = fates.get_mut(id.arrival as usize) else { continue };
+            match r.what {
+                What::Asked { .. } => fate.asked = fate.asked.or(Some(r.at)),
+                What::Began { backend, .. } => {
+                    *there.entry((id.arrival, id.no, backend)).or_default() += 1;
+                    (held, reached) = (held + 1, reached + 1);
+                    fate.began = Some(r.at);
+                }
+                What::Ended { backend, how, .. } => {
+                    if there.remove(&(id.arrival, id.no, backend)).is_some() {
+                        held = held.saturating_sub(1);
+                    }
+                    fate.hurt |= matches!(how, How::Died | How::TurnedAway | How::Withdrawn);
+                    reached -= u64::from(how == How::TurnedAway && reached > 0);
+                }
+                What::Answered { status: 200, own: true, .. } => {
+                    used += u64::from(fate.served.is_none());
+                    fate.served = fate.served.or(Some(r.at));
+                }
+                What::Answered { status, .. } => {
+                    let room = (held as f64) < cores.serving;
+                    fate.refused = matches!(status, 429 | 503).then_some(room);
+                }
+                _ => {}
+            }
+        }
+        let mut out = Losses::default();
+        let mut asked = 0.0;
+        for (arrival, fate) in plan.arrivals.iter().zip(&fates) {
+            let class = &plan.experiment.class[arrival.class];
+            asked += class.worth;
+            let Some((cause, lost)) = judge(class, arrival.at, fate) else { continue };
+            let at = CAUSES.iter().position(|c| c.0 == cause).unwrap_or(0);
+            out.by_cause[at] += lost;
+        }
+        out.by_cause.iter_mut().for_each(|l| *l /= f64::max(asked, 1e-9));
+        out.wasted = reached.saturating_sub(used) as f64 / reached.max(1) as f64;
+        out
+    }
+}
+
+/// Why it earned less than its worth, and by how much.
+fn judge(class: &crate::experiment::Class, due: Time, fate: &Fate) -> Option<(Cause, f64)> {
+    if let Some(at) = fate.served {
+        if (at - due).0 as f64 <= class.aim_ms * 1e3 {
+            return None;
+        }
+        // All before it reached the backend that served it was waiting, at clients and proxies.
+        let there = fate.began.map_or(0, |began| (at - began).0);
+        let cause = if (at - due).0 > 2 * there { Cause::Held } else { Cause::Slow };
+        return Some((cause, class.worth * (1.0 - class.late_worth)));
+    }
+    let cause = match fate.refused {
+        _ if fate.began.is_some() || fate.hurt => Cause::LostAtBackend,
+        Some(true) => Cause::RefusedWithRoom,
+        Some(false) => Cause::RefusedFull,
+        None => Cause::Unanswered,
+    };
+    Some((cause, class.worth))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::oracle::tests::{plan, served, ORDER, READ};
+    use crate::record::{Record, TryId};
+    use hdrhistogram::Histogram;
+
+    #[test]
+    fn each_loss_has_its_cause() {
+        let mut plan = plan();
+        plan.arrivals.truncate(2);
+        plan.arrivals.iter_mut().for_each(|a| a.at = Time(0));
+        let id = |arrival| TryId { arrival, no: 0 };
+        let (read, order) = (READ, ORDER);
+        let cause = |records: Vec<Record>| {
+            let late = Histogram::new(2).unwrap();
+            let outcome = Outcome { records, samples: Vec::new(), late, cut: None };
+            let losses = Losses::of(&plan, &outcome);
+            let some = CAUSES.iter().zip(losses.by_cause).filter(|(_, l)| *l > 0.0);
+            some.map(|((c, _), _)| *c).collect::<Vec<_>>()
+        };
+        let refused = |arrival, at| Record {
+            at: Time(at),
+            what: What::Answered { id: id(arrival), status: 503, retry_after: None, own: false },
+        };
+        // Nothing is anywhere: the second one finds room and is refused all the same.
+        assert_eq!(
+            cause([served(read, 0), vec![refused(order.arrival, 300)]].concat()),
+            [Cause::RefusedWithRoom]
+        );
+        assert_eq!(cause(served(read, 0)), [Cause::Unanswered]);
+        // As many requests as cores are out: full.
+        let cores: f64 = plan.fleet.iter().map(|b| b.build.cores).sum();
+        let out = (0..cores.ceil() as u32).map(|no| Record {
+            at: Time(1),
+            what: What::Began { id: TryId { arrival: read.arrival, no }, backend: 0 },
+        });
+        let full: Vec<Record> = out.chain([refused(order.arrival, 300)]).collect();
+        assert!(cause(full).contains(&Cause::RefusedFull));
+    }
+}
--- a/crates/lab/src/report/mod.rs
+++ b/crates/lab/src/report/mod.rs
@@ -1,6 +1,9 @@
 //! Results: figures, files, tables and pages.
 
+pub mod causes;
 pub mod compare;
 pub mod figures;
 pub mod page;
+pub mod plot;
+pub mod swing;
 pub mod table;
--- /dev/null
+++ b/crates/lab/src/report/swing.rs
@@ -0,0 +1,132 @@
+//! Whether proxies swing together: how a kind's share of the traffic moves, beyond chance, and in what period.
+
+use crate::drive::run::Outcome;
+use crate::record::What;
+use crate::world::plan::Plan;
+use lotusdeck_policy::Micros;
+use std::collections::HashMap;
+
+/// Shares are taken over stretches of this length.
+pub const BIN: Micros = Micros(100_000);
+
+/// One kind's share over a run.
+#[derive(Clone, Debug)]
+pub struct Swing {
+    /// The kind.
+    pub kind: String,
+    /// Its share in each stretch of [`BIN`].
+    pub shares: Vec<f64>,
+    /// Mean of them.
+    pub mean: f64,
+    /// Standard deviation of the share.
+    pub deviation: f64,
+    /// ... and what chance alone makes of it, each request going its own way.
+    pub chance: f64,
+    /// Variance of the kind's requests over the sum of the proxies' own variances: 1 where each goes its own way, the
+    /// number of proxies where all go together.
+    pub in_step: f64,
+    /// The period, s, that stands out of the spectrum, with its power over the mean; `None` where none does.
+    pub period: Option<(f64, f64)>,
+}
+
+/// The power, over the mean, that chance alone reaches in one run of twenty among so many periods (Fisher, 1929).
+fn stands_out(periods: usize) -> f64 {
+    (periods as f64 / 0.05).ln()
+}
+
+/// The strongest period of a series, with its power over the mean of all.
+fn strongest(series: &[f64]) -> Option<(f64, f64)> {
+    let n = series.len();
+    let mean = series.iter().sum::<f64>() / n.max(1) as f64;
+    // From two stretches to a third of the run: slower is a trend.
+    let powers: Vec<(usize, f64)> = (3..n / 2)
+        .map(|k| {
+            let turn = std::f64::consts::TAU * k as f64 / n as f64;
+            let (mut re, mut im) = (0.0, 0.0);
+            for (t, x) in series.iter().enumerate() {
+                re += (x - mean) * (turn * t as f64).cos();
+                im += (x - mean) * (turn * t as f64).sin();
+            }
+            (k, re * re + im * im)
+        })
+        .collect();
+    let all = powers.iter().map(|p| p.1).sum::<f64>() / powers.len().max(1) as f64;
+    let (k, most) = powers.iter().copied().max_by(|a, b| a.1.total_cmp(&b.1))?;
+    let power = most / all.max(1e-12);
+    (power > stands_out(powers.len())).then(|| (n as f64 * BIN.secs() / k as f64, power))
+}
+
+/// The swings of each kind from `from_s` on.
+pub fn swings(plan: &Plan, outcome: &Outcome, from_s: f64) -> Vec<Swing> {
+    let kinds = &plan.experiment.kind;
+    let bins = ((plan.experiment.duration_s - from_s) / BIN.secs()).max(0.0) as usize;
+    let of: Vec<usize> =
+        plan.fleet.iter().map(|b| kinds.iter().position(|k| k.name == b.kind).unwrap_or(0)).collect();
+    let proxies = plan.experiment.proxies;
+    // Requests by stretch, proxy and kind.
+    let mut counts = vec![vec![vec![0.0f64; kinds.len()]; proxies]; bins];
+    let mut asked: HashMap<_, usize> = HashMap::new();
+    for r in &outcome.records {
+        match &r.what {
+            What::Asked { id, proxy, .. } => drop(asked.insert(*id, *proxy)),
+            What::Began { id, backend } => {
+                let at = (r.at.0 as f64 / 1e6 - from_s) / BIN.secs();
+                if let (true, Some(proxy)) = (at >= 0.0, asked.get(id)) {
+                    if let Some(bin) = counts.get_mut(at as usize) {
+                        bin[*proxy][of[*backend]] += 1.0;
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+    let swing = |(k, kind): (usize, &crate::experiment::Kind)| {
+        let of_bin = |bin: &Vec<Vec<f64>>| {
+            let all: f64 = bin.iter().flatten().sum();
+            let own: f64 = bin.iter().map(|p| p[k]).sum();
+            (own, all)
+        };
+        let totals: Vec<(f64, f64)> = counts.iter().map(of_bin).collect();
+        let shares: Vec<f64> = totals.iter().map(|(own, all)| own / all.max(1.0)).collect();
+        let (own, all) = totals.iter().fold((0.0, 0.0), |s, t| (s.0 + t.0, s.1 + t.1));
+        let mean = own / f64::max(all, 1.0);
+        let n = bins.max(1) as f64;
+        let deviation = (shares.iter().map(|s| (s - mean).powi(2)).sum::<f64>() / n).sqrt();
+        let chance = totals.iter().map(|(_, all)| mean * (1.0 - mean) / all.max(1.0)).sum::<f64>() / n;
+        // How far each proxy is from its mean share, in requests.
+        let (mut together, mut apart) = (0.0, 0.0);
+        for bin in &counts {
+            let off = |p: &Vec<f64>| p[k] - mean * p.iter().sum::<f64>();
+            together += bin.iter().map(off).sum::<f64>().powi(2);
+            apart += bin.iter().map(|p| off(p).powi(2)).sum::<f64>();
+        }
+        Swing {
+            kind: kind.name.clone(),
+            mean,
+            deviation,
+            chance: chance.sqrt(),
+            in_step: together / f64::max(apart, 1e-9),
+            period: strongest(&shares),
+            shares,
+        }
+    };
+    kinds.iter().enumerate().map(swing).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::world::dice::Dice;
+
+    /// A wave is found with its period; chance alone stays below the mark.
+    #[test]
+    fn a_period_is_found_and_chance_is_not() {
+        let mut dice = Dice::new(4, "swing");
+        let noise: Vec<f64> = (0..300).map(|_| dice.unit()).collect();
+        assert_eq!(strongest(&noise), None);
+        let wave = |(t, x): (usize, &f64)| x + 0.5 * (std::f64::consts::TAU * t as f64 / 20.0).sin();
+        let waved: Vec<f64> = noise.iter().enumerate().map(wave).collect();
+        let (period, power) = strongest(&waved).unwrap();
+        assert!((period - 2.0).abs() < 0.1 && power > 10.0, "{period} {power}");
+    }
+}
--- /dev/null
+++ b/crates/lab/src/swings.rs
@@ -0,0 +1,107 @@
+//! Whether many proxies that learn alike swing together, policy by policy, with a plot of the shares.
+
+use crate::experiment::Experiment;
+use crate::report::compare::interval;
+use crate::report::plot::{self, Field, Line};
+use crate::report::swing::{swings, Swing, BIN};
+use crate::session::{say, SessionError};
+use crate::virt::play;
+use crate::virt::policy::Which;
+use crate::world::plan::Plan;
+use indicatif::ProgressBar;
+use rayon::prelude::*;
+use std::fmt::Write;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+/// What to play.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Args {
+    /// An experiment file.
+    experiment: PathBuf,
+    /// Policies.
+    #[arg(long, value_enum, value_delimiter = ',', default_value = "halb,true-halb,peak-ewma")]
+    policies: Vec<Which>,
+    /// Seeds for each; the first one is plotted.
+    #[arg(long, default_value_t = 4)]
+    seeds: u64,
+    /// Shares count from this time on, s.
+    #[arg(long, default_value_t = 3.0)]
+    from: f64,
+    /// Where the plot goes; none is made where absent.
+    #[arg(long)]
+    out: Option<PathBuf>,
+}
+
+/// Plays, prints and plots.
+///
+/// # Errors
+/// An experiment at fault, or a plot that cannot be written.
+pub fn main(args: &Args) -> Result<(), SessionError> {
+    let experiment = Experiment::load(&args.experiment)?;
+    let bar = ProgressBar::new(args.seeds * args.policies.len() as u64);
+    let one = |which: Which, seed: u64| -> Result<Vec<Swing>, SessionError> {
+        let plan = Arc::new(Plan::draw(&experiment, experiment.seed + seed));
+        let outcome = play(&plan, which)?;
+        bar.inc(1);
+        Ok(swings(&plan, &outcome, args.from))
+    };
+    let mut out = format!(
+        "{}: {} seeds, {} backends, {} proxies. {}\n{:<18} {:<10} {:>8} {:>18} {:>8} {:>16} {:>24}\n",
+        experiment.name,
+        args.seeds,
+        experiment.kind.iter().map(|k| k.count).sum::<usize>(),
+        experiment.proxies,
+        experiment.about,
+        "policy",
+        "kind",
+        "share",
+        "deviation, points",
+        "chance",
+        "in step",
+        "period that stands out"
+    );
+    let mut fields = Vec::new();
+    for which in &args.policies {
+        let runs: Vec<Vec<Swing>> =
+            (0..args.seeds).into_par_iter().map(|s| one(*which, s)).collect::<Result<_, _>>()?;
+        for k in 0..experiment.kind.len() {
+            let of = |f: &dyn Fn(&Swing) -> f64| interval(&runs.iter().map(|r| f(&r[k])).collect::<Vec<_>>());
+            let (step, half) = of(&|s| s.in_step);
+            let periods: Vec<f64> = runs.iter().filter_map(|r| r[k].period).map(|p| p.0).collect();
+            let stands = match periods.is_empty() {
+                true => "none".into(),
+                false => format!("{:.1} s in {} of {}", interval(&periods).0, periods.len(), runs.len()),
+            };
+            let _ = writeln!(
+                out,
+                "{:<18} {:<10} {:>7.1}% {:>18.2} {:>8.2} {:>16} {:>24}",
+                crate::duel::name(*which),
+                experiment.kind[k].name,
+                of(&|s| s.mean).0 * 100.0,
+                of(&|s| s.deviation).0 * 100.0,
+                of(&|s| s.chance).0 * 100.0,
+                half.map_or(format!("{step:.2}"), |h| format!("{step:.2} ± {h:.2}")),
+                stands
+            );
+        }
+        let line = |s: &Swing| {
+            let at = |i: usize| args.from + BIN.secs() * i as f64;
+            let points = s.shares.iter().enumerate().map(|(i, share)| (at(i), share * 100.0)).collect();
+            Line { name: s.kind.clone(), points, dots: Vec::new() }
+        };
+        fields.push(Field {
+            caption: format!("{}: {}", experiment.name, crate::duel::name(*which)),
+            x: ("time, s".into(), args.from..experiment.duration_s),
+            y: ("share of the traffic, %".into(), 0.0..100.0),
+            lines: runs.first().map(|r| r.iter().map(line).collect()).unwrap_or_default(),
+        });
+    }
+    bar.finish_and_clear();
+    say(&out);
+    if let Some(path) = &args.out {
+        plot::write(&fields, path)?;
+        say(&format!("plot: {}\n", path.display()));
+    }
+    Ok(())
+}
--- a/crates/lab/src/virt/mod.rs
+++ b/crates/lab/src/virt/mod.rs
@@ -9,6 +9,7 @@
 use crate::drive::run::{told, Outcome as Ran};
 use crate::record::{How, Record, TryId, Turn, What, LISTEN_ON};
 use crate::world::backend::{Backend, Health};
+use crate::world::deal::Deal;
 use crate::world::dice::Dice;
 use crate::world::discovery::{Discovery, Line, Status};
 use crate::world::plan::{Act, Plan};
@@ -134,7 +135,8 @@
 
 struct World<'a> {
     plan: &'a Plan,
-    settings: Settings,
+    /// Each proxy's own.
+    settings: Vec<Settings>,
     now: Time,
     queue: BinaryHeap<Reverse<(Time, u64, usize)>>,
     slots: Vec<Option<Happens>>,
@@ -145,10 +147,12 @@
     held: Vec<HashMap<Ticket, Held>>,
     tickets: Ticket,
     discovery: Discovery,
+    /// Discovery is through with the calls that it has.
+    told_at: Time,
     proxies: Vec<Proxy>,
     which: Which,
     waiting: HashMap<TryId, Waiting>,
-    turn: usize,
+    deal: Deal,
     shunned: Vec<Time>,
     records: Vec<Record>,
     dice: Dice,
@@ -161,11 +165,11 @@
 /// Where the experiment makes no settings for a proxy.
 pub fn play(plan: &Arc<Plan>, which: Which) -> Result<Ran, VirtualError> {
     let nowhere = ([127, 0, 0, 1], 1).into();
-    let config = configuration(plan, 0, nowhere, nowhere, nowhere, "{}");
-    let settings = Settings::read(&config["settings"])?;
+    let settings = |p| Settings::read(&configuration(plan, p, nowhere, nowhere, nowhere, "{}")["settings"]);
+    let settings: Vec<Settings> = (0..plan.experiment.proxies).map(settings).collect::<Result<_, _>>()?;
     let mut proxies = Vec::new();
-    for p in 0..plan.experiment.proxies {
-        proxies.push(Proxy::new(p, &settings, plan, which, 0)?);
+    for (p, own) in settings.iter().enumerate() {
+        proxies.push(Proxy::new(p, own, plan, which, 0)?);
     }
     let count = plan.fleet.len();
     let mut world = World {
@@ -184,7 +188,8 @@
         proxies,
         which,
         waiting: HashMap::new(),
-        turn: 0,
+        deal: Deal::new(plan.experiment.proxies, plan.experiment.clients.skew, plan.seed),
+        told_at: Time(0),
         shunned: vec![Time(0); plan.experiment.proxies],
         records: Vec::new(),
         dice: Dice::new(plan.seed, "virtual"),
@@ -344,11 +349,8 @@
         let class = &self.plan.experiment.class[a.class];
         let deadline = a.at + Micros::from_secs(class.deadline_ms / 1e3);
         let leaves = (a.at + a.patience).min(deadline);
-        let count = self.proxies.len();
-        let from = self.turn;
-        self.turn += 1;
-        let order = || (0..count).map(|i| (from + i) % count);
-        let proxy = order().find(|p| self.shunned[*p] <= self.now).unwrap_or(from % count);
+        let (shunned, now) = (&self.shunned, self.now);
+        let proxy = self.deal.next(|p| shunned[p] > now);
         if !self.proxies[proxy].alive() {
             let shun = Micros::from_secs(self.plan.experiment.clients.shun_ms / 1e3);
             self.shunned[proxy] = self.now + shun;
@@ -499,14 +501,21 @@
 
     /// Every proxy is told, in turn.
     fn spread(&mut self) {
-        let call = self.plan.experiment.discovery.call_ms / 1e3;
         for p in 0..self.proxies.len() {
-            let life = self.proxies[p].life();
-            let span = Micros::from_secs(call * (p + 1) as f64);
-            self.after(Micros(span.0 + WAY.0), Happens::Tell { proxy: p, life });
+            let lines = self.discovery.since(self.proxies[p].version()).count();
+            self.call(p, lines);
         }
     }
 
+    /// Discovery tells a proxy so many lines once it is through with the calls before.
+    fn call(&mut self, proxy: usize, lines: usize) {
+        let spec = &self.plan.experiment.discovery;
+        let took = Micros::from_secs(spec.call_ms / 1e3 + spec.line_us / 1e6 * lines as f64);
+        self.told_at = self.told_at.max(self.now) + took;
+        let life = self.proxies[proxy].life();
+        self.at(self.told_at + WAY, Happens::Tell { proxy, life });
+    }
+
     fn follow_news(&mut self) {
         if let Some(at) = self.discovery.next() {
             self.at(at, Happens::News);
@@ -660,9 +669,10 @@
             }
             Act::StartProxy(p) => {
                 let life = self.proxies[*p].life() + 1;
-                self.proxies[*p] = Proxy::new(*p, &self.settings, plan, self.which, life)?;
+                self.proxies[*p] = Proxy::new(*p, &self.settings[*p], plan, self.which, life)?;
                 self.see(What::Proxy { proxy: *p, turn: Turn::Ready });
                 self.list(*p, ListUpdate::Cached);
+                self.call(*p, plan.fleet.len()); // it asks for the whole list, as everyone does at a start
             }
             Act::Reload(_) => {} // the same settings again
         }
--- a/crates/lab/src/virt/proxy.rs
+++ b/crates/lab/src/virt/proxy.rs
@@ -62,8 +62,7 @@
     pub fn new(
         number: usize, settings: &Settings, plan: &Plan, which: Which, life: u32,
     ) -> Result<Proxy, ConfigError> {
-        let mut own = settings.clone();
-        own.config.position = number as u32;
+        let own = settings.clone();
         let seed = plan.seed ^ (number as u64) << 32 ^ u64::from(life) << 48;
         Ok(Proxy {
             policy: which.build(&own, plan, seed)?,
--- /dev/null
+++ b/crates/lab/src/world/deal.rs
@@ -0,0 +1,50 @@
+//! The front that deals clients' requests out among the proxies: in turn, or unevenly by weight, past those that are
+//! held for dead.
+
+use super::dice::Dice;
+
+/// Whose turn it is.
+pub struct Deal {
+    /// A proxy's part of the arrivals; empty where all get the same.
+    weights: Vec<f64>,
+    proxies: usize,
+    turn: usize,
+    dice: Dice,
+}
+
+impl Deal {
+    /// Among so many proxies: the part of each falls with its number, from 1, to the power of `skew`; 0 deals evenly.
+    pub fn new(proxies: usize, skew: f64, seed: u64) -> Deal {
+        let weight = |p: usize| ((p + 1) as f64).powf(-skew);
+        let weights = if skew > 0.0 { (0..proxies).map(weight).collect() } else { Vec::new() };
+        Deal { weights, proxies: proxies.max(1), turn: 0, dice: Dice::new(seed, "deal") }
+    }
+
+    /// The next one's proxy; where all are shunned it is tried all the same.
+    pub fn next(&mut self, shunned: impl Fn(usize) -> bool) -> usize {
+        let from = match self.weights.is_empty() {
+            true => self.turn % self.proxies,
+            false => self.dice.weighted(&self.weights),
+        };
+        self.turn += 1;
+        (0..self.proxies).map(|i| (from + i) % self.proxies).find(|p| !shunned(*p)).unwrap_or(from)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn deals_in_turn_or_by_weight_and_past_the_dead() {
+        let mut even = Deal::new(3, 0.0, 1);
+        assert_eq!((0..4).map(|_| even.next(|_| false)).collect::<Vec<_>>(), [0, 1, 2, 0]);
+        assert_eq!((even.next(|p| p == 1), even.next(|_| true)), (2, 2));
+        let (mut skewed, mut counts) = (Deal::new(3, 1.0, 1), [0.0; 3]);
+        (0..30_000).for_each(|_| counts[skewed.next(|_| false)] += 1.0 / 30_000.0);
+        for (p, got) in counts.iter().enumerate() {
+            let due = 1.0 / (p + 1) as f64 / (11.0 / 6.0);
+            assert!((got - due).abs() < 0.02, "proxy {p}: {got} instead of {due}");
+        }
+    }
+}
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -2,6 +2,7 @@
 //! so that one model serves real sockets and virtual time alike. Time counts from the start of the run.
 
 pub mod backend;
+pub mod deal;
 pub mod dice;
 pub mod discovery;
 pub mod plan;
--- a/crates/lab/src/world/plan.rs
+++ b/crates/lab/src/world/plan.rs
@@ -116,7 +116,7 @@
     let spec = |(i, k): (usize, &crate::experiment::Kind)| Spec {
         name: format!("b-{i:04}"),
         kind: k.name.clone(),
-        zone: "east".into(),
+        zone: experiment.zones[i % experiment.zones.len()].clone(),
         cell: (i / 4) as u64,
         build: Build {
             cores: k.cores,
@@ -169,7 +169,8 @@
 fn acts(experiment: &Experiment, seed: u64, fleet: &[Spec]) -> Vec<(Time, Act)> {
     let mut out = Vec::new();
     for (i, t) in experiment.trouble.iter().enumerate() {
-        let whom = whom(t, fleet, &mut Dice::new(seed, &format!("trouble {i}")));
+        let purpose = t.who.as_ref().map_or(format!("trouble {i}"), |who| format!("trouble of {who}"));
+        let whom = whom(t, fleet, &mut Dice::new(seed, &purpose));
         let (at, end) = (time(t.at_s), t.for_s.map(|span| time(t.at_s + span)));
         let after = |span: f64| time(t.at_s + span);
         let factor = t.factor.unwrap_or(1.0);
@@ -211,8 +212,11 @@
 }
 
 fn whom(t: &Trouble, fleet: &[Spec], dice: &mut Dice) -> Vec<usize> {
-    let of_kind = |i: &usize| t.kind.as_ref().is_none_or(|k| fleet[*i].kind == *k);
-    let may: Vec<usize> = (0..fleet.len()).filter(of_kind).collect();
+    let meant = |i: &usize| {
+        t.kind.as_ref().is_none_or(|k| fleet[*i].kind == *k)
+            && t.zone.as_ref().is_none_or(|z| fleet[*i].zone == *z)
+    };
+    let may: Vec<usize> = (0..fleet.len()).filter(meant).collect();
     let count = t.part.map_or(may.len(), |part| (part * may.len() as f64).round() as usize);
     dice.some(may.len(), count).into_iter().map(|i| may[i]).collect()
 }
--- a/crates/lab/tests/virtual_time.rs
+++ b/crates/lab/tests/virtual_time.rs
@@ -5,6 +5,7 @@
 use lotusdeck_lab::experiment::Experiment;
 use lotusdeck_lab::oracle::judge;
 use lotusdeck_lab::report::figures::Figures;
+use lotusdeck_lab::report::swing::swings;
 use lotusdeck_lab::virt::play;
 use lotusdeck_lab::virt::policy::Which;
 use lotusdeck_lab::world::plan::Plan;
@@ -60,3 +61,17 @@
     let mean = |r: usize| rows[r].runs.iter().map(|f| f.whole.latency_ms.p99).sum::<f64>() / 3.0;
     assert!(mean(0) * 1.5 < mean(1), "oracle {} ms, random {} ms", mean(0), mean(1));
 }
+
+/// Sixty proxies that learn alike go their own ways, also after a kick: a flow of now set beside a latency of then
+/// once had them swing together (in step 4 and more of 60, docs/scale.md).
+#[test]
+fn many_proxies_do_not_swing_together() {
+    let mut e = experiment("swings.toml");
+    e.duration_s = 22.0;
+    e.kind.iter_mut().for_each(|k| k.count /= 2);
+    (e.trouble[0].at_s, e.trouble[0].for_s) = (4.0, Some(3.0));
+    let plan = Arc::new(Plan::draw(&e, 2));
+    for s in swings(&plan, &play(&plan, Which::Halb).unwrap(), 8.0) {
+        assert!(s.in_step < 3.0, "{}: in step {:.1}, deviation {:.3}", s.kind, s.in_step, s.deviation);
+    }
+}
--- /dev/null
+++ b/crates/policy/benches/cost.rs
@@ -0,0 +1,65 @@
+//! What the means of `decision` hide: the worst single decision, allocations, and memory for each backend.
+//! `cargo bench -p lotusdeck-policy --bench cost`; results in docs/scale.md.
+
+use fleet::{change, Bench};
+use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
+use std::alloc::System;
+use std::time::{Duration, Instant};
+
+mod fleet;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const TURNS: usize = 90_000;
+/// The worst of a round may be the machine's, which interrupts; what the program does comes again in every round, so
+/// that the least of so many rounds' worst is told.
+const ROUNDS: usize = 9;
+
+/// Times of so many calls, us: their mean, their 99.9th percentile and the worst, each the least of all rounds.
+fn times(mut call: impl FnMut() -> Duration) -> [f64; 3] {
+    let mut least = [f64::INFINITY; 3];
+    for _ in 0..ROUNDS {
+        let mut round: Vec<f64> = (0..TURNS / ROUNDS).map(|_| call().as_nanos() as f64 / 1e3).collect();
+        round.sort_unstable_by(f64::total_cmp);
+        let at = |part: f64| round[((round.len() - 1) as f64 * part) as usize];
+        let mean = round.iter().sum::<f64>() / round.len() as f64;
+        for (least, got) in least.iter_mut().zip([mean, at(0.999), at(1.0)]) {
+            *least = least.min(got);
+        }
+    }
+    least
+}
+
+fn timed(call: impl FnOnce()) -> Duration {
+    let began = Instant::now();
+    call();
+    began.elapsed()
+}
+
+fn main() {
+    println!(
+        "{:>9} {:>14} {:>18} | request and answer, us: {:>6} {:>7} {:>7} | a line, us: {:>6} {:>7} {:>7}",
+        "backends", "bytes, backend", "allocations, turn", "mean", "p99.9", "worst", "mean", "p99.9", "worst"
+    );
+    for size in [10u32, 100, 1_000, 10_000] {
+        let region = Region::new(ALLOCATOR);
+        let mut bench = Bench::new(size);
+        let held = region.change();
+        let bytes = held.bytes_allocated.saturating_sub(held.bytes_deallocated) as f64 / f64::from(size);
+        let region = Region::new(ALLOCATOR);
+        (0..TURNS).for_each(|_| bench.turn());
+        let allocations = region.change().allocations as f64 / TURNS as f64;
+        let turn = times(|| timed(|| bench.turn()));
+        let mut n = 0;
+        let line = times(|| {
+            n += 1;
+            let change = change(n, size);
+            timed(|| bench.tell(change))
+        });
+        println!(
+            "{size:>9} {bytes:>14.0} {allocations:>18.1} | {:>30.2} {:>7.1} {:>7.1} | {:>18.2} {:>7.1} {:>7.1}",
+            turn[0], turn[1], turn[2], line[0], line[1], line[2]
+        );
+    }
+}
--- /dev/null
+++ b/crates/policy/benches/fleet/mod.rs
@@ -0,0 +1,77 @@
+//! A fleet before one proxy, for benchmarks.
+
+use lotusdeck_policy::*;
+
+/// A line of the list.
+pub fn line(id: u32) -> Backend {
+    Backend {
+        id: BackendId(id),
+        mark: u64::from(id).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 20,
+        kind: KindId(id % 3),
+        state: BackendState::Ready,
+        ..Backend::default()
+    }
+}
+
+/// One proxy of three, warm, with a third of a request held for each backend.
+pub struct Bench {
+    balancer: Balancer,
+    pub now: Time,
+    next: u64,
+    out: std::collections::VecDeque<(RequestId, Time)>,
+    actions: Vec<Action>,
+}
+
+impl Bench {
+    /// Warmed up.
+    pub fn new(size: u32) -> Bench {
+        let config = Config { proxies: 3, ..Config::example() };
+        let balancer = Balancer::new(config, 7).expect("sound");
+        let now = Time(1_000_000_000);
+        let mut b = Bench { balancer, now, next: 0, out: Default::default(), actions: Vec::new() };
+        let backends = (0..size).map(line).collect();
+        b.tell(Event::Members { update: ListUpdate::Full, backends });
+        (0..size / 3 + 1).for_each(|_| b.ask());
+        (0..size * 2).for_each(|_| b.turn());
+        b
+    }
+
+    /// Passes an event on.
+    pub fn tell(&mut self, event: Event) {
+        self.actions.clear();
+        self.balancer.handle(self.now, event, &mut self.actions);
+        // One that had to wait may leave at any event.
+        for action in &self.actions {
+            if let Action::Dispatch { request, .. } = action {
+                self.out.push_back((*request, self.now));
+            }
+        }
+    }
+
+    fn ask(&mut self) {
+        self.next += 1;
+        let request = RequestId(self.next);
+        let (class, time_left) = (ClassId(0), Micros(5_000_000));
+        let (tenant, work_hint, repeat, uploading) = (None, None, false, false);
+        let arrival = Arrival { request, class, tenant, time_left, work_hint, repeat, uploading };
+        self.tell(Event::Request(arrival));
+    }
+
+    /// The oldest request is answered and another one comes.
+    pub fn turn(&mut self) {
+        self.now = self.now + Micros(30);
+        if let Some((request, sent)) = self.out.pop_front() {
+            let (attempt, outcome, latency) = (AttemptNo(0), Outcome::Ok, self.now - sent);
+            let end = AttemptEnd { request, attempt, outcome, latency, settled: true, spent: false };
+            self.tell(Event::AttemptEnded(end));
+        }
+        self.ask();
+    }
+}
+
+/// The n-th change of one line of the list: backends drain and come back in turn.
+pub fn change(n: u32, size: u32) -> Event {
+    let state = if n.is_multiple_of(2) { BackendState::Ready } else { BackendState::Draining };
+    let backends = vec![Backend { state, ..line(n / 2 % size) }];
+    Event::Members { update: ListUpdate::Changes, backends }
+}
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -47,8 +47,14 @@
 /// Extra attempts for each request: the usual tenth, doubled for the time until a failure is seen, and once
 /// more while answers are lost.
 const RETRY_RATIO: f64 = 0.2;
-/// Draws inside a kind before all backends are walked over: where most are open it takes one or two.
+/// Draws inside a kind before others are looked at: where most are open it takes one or two.
 const GLANCES: u32 = 8;
+/// Backends that are looked at then: all of a small fleet; so many of a large one stand for it.
+const SCAN: usize = 256;
+/// Steps of a solution that an event takes in a larger fleet, one backend in one pass: some 20 us.
+const STEPS: usize = 128;
+/// Passes of a solution at most.
+const PASSES: f64 = 5.0;
 /// A request worth less than this part of a first try within quota finds half of the room: the rest is kept.
 const LOW: f64 = 0.5;
 
@@ -88,12 +94,15 @@
     dice: Dice,
     pub(crate) peers: BTreeMap<BackendId, Peer>,
     /// The peers by mark, an order that all proxies share.
-    order: Vec<BackendId>,
+    order: BTreeSet<(u64, BackendId)>,
+    /// Those that have left the list and still hold something.
+    leaving: BTreeSet<BackendId>,
+    /// Those with attempts that look lost.
+    doubted: Vec<BackendId>,
+    /// The ejected ones by the end of their terms.
+    ejected: BTreeSet<(Time, BackendId)>,
     /// The ready peers of each kind with the running sum of their weights: what a draw looks them up in.
     tables: BTreeMap<KindId, Vec<(f64, BackendId)>>,
-    /// No ejected backend is due for a trial before this time, and none shuns a class after that one.
-    trial_at: Time,
-    shunned_until: Time,
     /// Those that operators have taken out, and when those that they gave back came back.
     cordoned: BTreeSet<BackendId>,
     returned: BTreeMap<BackendId, Time>,
@@ -117,6 +126,9 @@
     /// The error share of the middle one of the backends: what is common to all is no fault of any.
     common: f64,
     solve_at: Time,
+    sweep: Sweep,
+    /// The last event.
+    seen: Time,
     /// When time alone may next call for something, and the timer set for that.
     look_at: Time,
     timer: (u64, Time),
@@ -132,10 +144,11 @@
         Ok(Balancer {
             dice: Dice::new(seed),
             peers: BTreeMap::new(),
-            order: Vec::new(),
+            order: BTreeSet::new(),
+            leaving: BTreeSet::new(),
+            doubted: Vec::new(),
+            ejected: BTreeSet::new(),
             tables: BTreeMap::new(),
-            trial_at: Time(u64::MAX),
-            shunned_until: Time(0),
             cordoned: BTreeSet::new(),
             returned: BTreeMap::new(),
             shared_until: Time(0),
@@ -153,6 +166,8 @@
             answered: [LOST_AFTER, SILENT_AFTER].map(|age| (age, Mean { value: 1.0, count: FEW })),
             common: 0.0,
             solve_at: Time(0),
+            sweep: Sweep::default(),
+            seen: Time(0),
             look_at: Time(0),
             timer: (0, Time(u64::MAX)),
             ask: ((cfg.discovery != Discovery::Push).then_some(Time(0)), 0.0),
@@ -169,9 +184,11 @@
         }
         let out = self.attempts.len() as f64;
         self.crowd.pass(now, out);
-        if now >= self.solve_at && (matches!(event, Event::Request(_)) || !self.held.is_empty()) {
+        let due = now >= self.solve_at && (matches!(event, Event::Request(_)) || !self.held.is_empty());
+        if due || self.sweep.pass != Pass::Rest {
             self.solve(now); // never for an idle proxy: a thousand of them would cost all the CPU there is
         }
+        self.seen = now;
         match event {
             Event::Members { update, backends } => self.members(now, update, backends),
             Event::Cordoned { backends } => self.cordon(now, backends),
@@ -219,26 +236,45 @@
         }
         if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
             let ids: BTreeSet<BackendId> = list.iter().map(|b| b.id).collect();
-            let absent = |p: &&mut Peer| !ids.contains(&p.entry.id);
-            self.peers.values_mut().filter(absent).for_each(|p| p.entry.state = BackendState::Gone);
+            for (id, p) in self.peers.iter_mut().filter(|(id, _)| !ids.contains(id)) {
+                p.entry.state = BackendState::Gone;
+                self.leaving.insert(*id);
+            }
         }
-        let (known, count) = (list.iter().all(|b| self.peers.contains_key(&b.id)), self.peers.len());
         for mut entry in list {
             entry.booted = entry.booted.max(self.returned.get(&entry.id).copied());
-            let p = self.peers.entry(entry.id).or_default();
+            let id = entry.id;
+            let p = self.peers.entry(id).or_default();
             if p.entry.booted != entry.booted {
                 // A restarted process has nothing in common with the old one but its address.
+                p.ejected.map(|until| self.ejected.remove(&(until, id)));
                 p.begin_anew();
             }
-            p.cordoned = self.cordoned.contains(&entry.id);
+            p.cordoned = self.cordoned.contains(&id);
+            if p.entry.mark != entry.mark {
+                self.order.remove(&(p.entry.mark, id));
+            }
+            self.order.insert((entry.mark, id));
+            if entry.state == BackendState::Gone {
+                self.leaving.insert(id);
+            }
             p.entry = entry;
         }
-        self.peers.retain(|_, p| p.entry.state != BackendState::Gone || p.out > 0);
-        if !known || count != self.peers.len() {
-            self.order = self.peers.keys().copied().collect();
-            self.order.sort_by_key(|id| self.peers[id].entry.mark);
+        for id in std::mem::take(&mut self.leaving) {
+            match self.peers.get(&id) {
+                Some(p) if p.entry.state == BackendState::Gone && p.out == 0 => {
+                    self.order.remove(&(p.entry.mark, id));
+                    p.ejected.map(|until| self.ejected.remove(&(until, id)));
+                    self.peers.remove(&id);
+                }
+                Some(p) if p.entry.state == BackendState::Gone => drop(self.leaving.insert(id)),
+                _ => {}
+            }
+        }
+        self.solve_at = now;
+        if update == ListUpdate::Lost {
+            self.look_at = now;
         }
-        (self.solve_at, self.look_at) = (now, now);
     }
 
     /// What operators take out is out at once. What they give back is taken for just started: it may have
@@ -247,11 +283,13 @@
         let cordoned: BTreeSet<BackendId> = backends.into_iter().collect();
         self.returned.retain(|id, at| now - *at < self.cfg.ramp && !cordoned.contains(id));
         self.returned.extend(self.cordoned.difference(&cordoned).map(|id| (*id, now)));
+        let changed: Vec<BackendId> = self.cordoned.symmetric_difference(&cordoned).copied().collect();
         self.cordoned = cordoned;
-        for (id, p) in &mut self.peers {
-            let back = p.cordoned && !self.cordoned.contains(id);
-            p.cordoned = self.cordoned.contains(id);
-            if back {
+        for id in changed {
+            let Some(p) = self.peers.get_mut(&id) else { continue };
+            p.cordoned = self.cordoned.contains(&id);
+            if !p.cordoned {
+                p.ejected.map(|until| self.ejected.remove(&(until, id)));
                 p.begin_anew();
                 p.entry.booted = p.entry.booted.max(Some(now));
             }
@@ -349,7 +387,9 @@
                 self.classes[class].latency.add(secs, KIND_SAMPLES);
                 self.overall.add(secs, KIND_SAMPLES);
                 let plain = secs * self.overall.value / self.classes[class].latency.value;
-                self.kinds.entry(p.entry.kind).or_default().latency.add(plain, KIND_SAMPLES);
+                let k = self.kinds.entry(p.entry.kind).or_default();
+                k.latency.add(plain, KIND_SAMPLES);
+                k.flows.add(k.flow, KIND_SAMPLES);
                 (p.answered, p.errors) = (now, p.errors * (1.0 - ERROR_STEP));
                 let part = p.part(class);
                 (part.answered, part.errors) = (now, part.errors * (1.0 - ERROR_STEP));
@@ -358,6 +398,7 @@
                 if p.ejected.is_none() {
                     p.strikes = 0;
                 } else if p.trials >= TRIALS {
+                    p.ejected.map(|until| self.ejected.remove(&(until, id)));
                     (p.ejected, p.errors) = (None, 0.0);
                     p.parts.clear();
                     self.log(now, format!("backend {} is back", id.0));
@@ -403,7 +444,7 @@
         if now >= part.shunned {
             let term = EJECT_TERM * f64::from(part.strikes.min(2)).exp2();
             (part.shunned, part.strikes) = (now + Micros::from_secs(term), part.strikes + 1);
-            self.shunned_until = self.shunned_until.max(part.shunned);
+            self.solve_at = now;
             self.log(now, format!("backend {} gets none of class {class}", id.0));
         }
     }
@@ -412,9 +453,10 @@
         let term = EJECT_TERM * (0.75 + 0.5 * self.dice.unit());
         let Some(p) = self.peers.get_mut(&id) else { return };
         if p.ejected.is_none_or(|until| now >= until) {
-            p.ejected = Some(now + Micros::from_secs(term * f64::from(p.strikes.min(2)).exp2()));
-            (p.strikes, p.trials, p.ready) = (p.strikes + 1, 0, 0.0);
-            self.trial_at = p.ejected.map_or(self.trial_at, |until| self.trial_at.min(until));
+            p.ejected.map(|until| self.ejected.remove(&(until, id)));
+            let until = now + Micros::from_secs(term * f64::from(p.strikes.min(2)).exp2());
+            (p.ejected, p.strikes, p.trials, p.ready) = (Some(until), p.strikes + 1, 0, 0.0);
+            self.ejected.insert((until, id));
             self.look_at = now;
             self.log(now, format!("backend {} ejected: {why:?}", id.0));
         }
@@ -430,13 +472,18 @@
             }
         }
         next = self.ask.0.map_or(next, |at| next.min(at));
-        for p in self.peers.values_mut() {
+        for id in std::mem::take(&mut self.doubted) {
+            let Some(p) = self.peers.get_mut(&id) else { continue };
             (p.lost, p.unheard) = (0, 0);
             p.parts.iter_mut().for_each(|part| part.unheard = 0);
         }
         for &Out { to: backend, class, sent, .. } in self.attempts.values().filter(|a| !a.coming) {
             let (lost, silent) = (sent + self.quiet(class), sent + self.usual(class).times(SILENT_AFTER));
             next = [lost, silent].into_iter().filter(|at| *at > now).fold(next, Time::min);
+            if now < lost.min(silent) {
+                continue;
+            }
+            self.doubted.push(backend);
             let Some(p) = self.peers.get_mut(&backend) else { continue };
             p.lost += u32::from(now >= lost);
             p.unheard += u32::from(now >= silent && p.answered <= sent);
@@ -505,33 +552,150 @@
         self.classes[class].latency.get().map_or(1.0, |own| own / self.overall.value)
     }
 
-    /// Readiness of every backend, speed and share of every kind.
+    /// Takes the solution on: readiness of every backend, speed and share of every kind, each backend's part.
     fn solve(&mut self, now: Time) {
-        let few = FEW / self.rate.per_s().unwrap_or(FEW / SOLVE_EVERY).max(1.0);
-        self.solve_at = now + Micros::from_secs(SOLVE_EVERY.max(few));
-        self.blocked = 0.0;
-        let listed = self.peers.values().filter(|p| p.listed());
-        let (all, out) = listed.fold((0.0, 0.0), |n, p| (n.0 + 1.0, n.1 + f64::from(p.ejected.is_some())));
-        let listed = self.peers.values().filter(|p| p.listed());
-        let mut errors: Vec<f64> = listed.map(|p| p.errors).collect();
-        errors.sort_by(f64::total_cmp);
-        self.common = errors.get(errors.len().saturating_sub(1) / 2).copied().unwrap_or(0.0);
-        self.kinds.values_mut().for_each(|k| k.ready = 0.0);
-        for p in self.peers.values_mut() {
-            let k = self.kinds.entry(p.entry.kind).or_default();
-            let health = match p.ejected {
-                _ if !p.listed() => 0.0,
-                Some(_) => f64::from(out > all * PANIC),
-                None => 1.0 - p.errors,
+        let mut s = std::mem::take(&mut self.sweep);
+        if s.pass == Pass::Rest {
+            let few = FEW / self.rate.per_s().unwrap_or(FEW / SOLVE_EVERY).max(1.0);
+            self.solve_at = now + Micros::from_secs(SOLVE_EVERY.max(few));
+            s.begin(self.classes.len());
+        }
+        // A small fleet's is complete at once, and the first. Else, where events are few each takes more
+        // steps, so that it is complete before the next one is due.
+        let passed = PASSES * self.peers.len() as f64 * (now - self.seen).secs() / SOLVE_EVERY;
+        let at_once = self.tables.is_empty() || self.peers.len() <= SCAN;
+        let mut left = if at_once { usize::MAX } else { STEPS.max(passed as usize) };
+        while s.pass != Pass::Rest {
+            let goes_on = self.step(now, &mut s, &mut left);
+            if let Some(next) = goes_on {
+                s.next = next;
+                break;
+            }
+            s.next = (0, BackendId(0));
+            s.pass = match s.pass {
+                Pass::Count => {
+                    self.common = s.common();
+                    Pass::Ready
+                }
+                Pass::Ready => {
+                    self.share(now, &s);
+                    if self.cfg.cross_zone_cost > 0.0 {
+                        Pass::Due
+                    } else {
+                        Pass::Pull
+                    }
+                }
+                Pass::Due => Pass::Pull,
+                Pass::Pull => Pass::Slice,
+                Pass::Slice | Pass::Rest => {
+                    self.kinds.iter_mut().for_each(|(id, k)| k.pull = s.kinds.get(id).map_or(0.0, |k| k.1));
+                    s.tables.retain(|_, table| !table.is_empty());
+                    std::mem::swap(&mut self.tables, &mut s.tables);
+                    let ready: usize = self.tables.values().map(Vec::len).sum();
+                    let most = |n: &f64| *n > ready as f64 * PANIC;
+                    self.classes.iter_mut().zip(&s.shunned).for_each(|(c, n)| c.shunned = most(n));
+                    self.blocked = 0.0;
+                    Pass::Rest
+                }
             };
-            p.ready = health * warmth(&self.cfg, now, &p.entry);
-            k.ready += p.ready;
         }
+        self.sweep = s;
+    }
+
+    /// Goes on with a pass while steps are left; where it has to go on, if it is not through.
+    fn step(&mut self, now: Time, s: &mut Sweep, left: &mut usize) -> Option<(u64, BackendId)> {
+        let (cfg, kinds, peers) = (&self.cfg, &self.kinds, &mut self.peers);
+        let (at, proxies) = (s.next.1, f64::from(cfg.proxies));
+        let part = |p: &Peer| kinds.get(&p.entry.kind).map_or(0.0, |k| k.share * p.ready / k.ready.max(1e-9));
+        let next = match s.pass {
+            Pass::Rest => None,
+            Pass::Count => walk(peers, at, left, |_, p| {
+                if p.listed() {
+                    (s.listed, s.ejected) = (s.listed + 1.0, s.ejected + f64::from(p.ejected.is_some()));
+                    s.errors.extend((p.errors > 0.0).then_some(p.errors));
+                }
+            }),
+            Pass::Ready => walk(peers, at, left, |_, p| {
+                let health = match p.ejected {
+                    _ if !p.listed() => 0.0,
+                    Some(_) => f64::from(s.ejected > s.listed * PANIC),
+                    None => 1.0 - p.errors,
+                };
+                p.ready = health * warmth(cfg, now, &p.entry);
+                s.kinds.entry(p.entry.kind).or_default().0 += p.ready;
+            }),
+            // Each backend's part of this proxy's traffic: its kind's share by readiness. Where crossing
+            // zones costs traffic stays near so far as all proxies together still give every backend the same
+            // part: a zone whose backends are due less than its proxies bring sends its surplus to the zones
+            // due more.
+            Pass::Due => walk(peers, at, left, |_, p| {
+                if p.ready > 0.0 {
+                    *s.due.entry(p.entry.zone).or_default() += part(p);
+                }
+            }),
+            Pass::Pull => {
+                let zones = s.due.len() as f64;
+                let rich: f64 = s.due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
+                let own = s.due.get(&cfg.zone).copied().unwrap_or(0.0);
+                walk(peers, at, left, |_, p| {
+                    let here = s.due.get(&p.entry.zone).map_or(0.0, |d| d.max(1e-9));
+                    let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
+                    let near = if p.entry.zone == cfg.zone { (own * zones).min(1.0) } else { far };
+                    let bias = if cfg.cross_zone_cost > 0.0 && here > 0.0 { near / here } else { 1.0 };
+                    // Half of the room for all goes by that part, half evenly; each has a room of one at
+                    // least, as more proxies than the hold would wait for turns: `crowded` keeps the hold.
+                    let turn = p.entry.mark.wrapping_add(u64::from(cfg.position));
+                    let coin = ((turn % u64::from(cfg.proxies)) as f64 + 0.5) / proxies;
+                    let fair = HOLD / proxies * p.ready;
+                    p.room = (fair * (0.5 + 0.5 * bias) + coin).floor().max(1.0);
+                    // The trace takes the overflow where all that have a part are full.
+                    let drawn = part(p) * bias;
+                    p.pull = drawn + p.ready * 1e-6;
+                    s.reached += f64::from(drawn > 0.0);
+                    s.kinds.entry(p.entry.kind).or_default().1 += p.pull;
+                })
+            }
+            // This proxy's slice of each kind: the same width for all, begun at evenly spread places, so that
+            // all slices together cover every backend by its pull.
+            Pass::Slice => {
+                let width = (SHARED_BY / proxies * peers.len() as f64 / s.reached.max(1.0)).min(1.0);
+                let start = (f64::from(cfg.position) * 0.618_033_988_749_895).fract();
+                for key in self.order.range(s.next..) {
+                    if *left == 0 {
+                        return Some(*key);
+                    }
+                    *left -= 1;
+                    let Some(p) = peers.get_mut(&key.1) else { continue };
+                    let (_, pull, walked) = s.kinds.entry(p.entry.kind).or_default();
+                    let from = *walked / pull.max(1e-9);
+                    *walked += p.pull;
+                    let to = *walked / pull.max(1e-9);
+                    let inside = |start: f64| (to.min(start + width) - from.max(start)).max(0.0);
+                    p.slice = inside(start) + inside(start - 1.0);
+                    if p.ready > 0.0 {
+                        let table = s.tables.entry(p.entry.kind).or_default();
+                        let sum = table.last().map_or(0.0, |last| last.0);
+                        table.push((sum + p.weight(), key.1));
+                        let shunned = s.shunned.iter_mut().enumerate();
+                        shunned.for_each(|(class, n)| *n += f64::from(p.shuns(now, class)));
+                    }
+                }
+                None
+            }
+        };
+        next.map(|id| (0, id))
+    }
+
+    /// Speed and share of every kind, by the readiness that was added up.
+    fn share(&mut self, now: Time, s: &Sweep) {
+        for id in s.kinds.keys() {
+            self.kinds.entry(*id).or_default();
+        }
+        self.kinds.iter_mut().for_each(|(id, k)| k.ready = s.kinds.get(id).map_or(0.0, |k| k.0));
         self.rate.add(now, 0.0);
         let rate = self.rate.per_s().map(|r| r * self.actors(now));
         for k in self.kinds.values_mut() {
-            let flow = if k.ready > 0.0 { rate.unwrap_or(0.0) * k.share / k.ready } else { 0.0 };
-            k.speed = k.latency.get().map_or(0.0, |t| 1.0 / t + flow);
+            k.speed = k.latency.get().map_or(0.0, |t| 1.0 / t + k.flows.value);
         }
         let speeds = self.kinds.values().filter(|k| k.speed > 0.0).map(|k| k.speed);
         let (sum, count) = speeds.fold((0.0, 0.0), |n, s| (n.0 + s, n.1 + 1.0));
@@ -539,65 +703,10 @@
         self.kinds.values_mut().filter(|k| k.speed == 0.0).for_each(|k| k.speed = mean);
         let table: Vec<(f64, f64)> = self.kinds.values().map(|k| (k.ready, k.speed)).collect();
         let shares = halb_shares(&table, rate.filter(|_| count > 0.0));
-        self.kinds.values_mut().zip(shares).for_each(|(k, share)| k.share = share);
-        self.allot();
-    }
-
-    /// Each backend's part of this proxy's traffic: its kind's share by readiness. Where crossing zones costs
-    /// traffic stays near so far as all proxies together still give every backend the same part: a zone
-    /// whose backends are due less than its proxies bring sends its surplus to the zones due more.
-    fn allot(&mut self) {
-        let proxies = f64::from(self.cfg.proxies);
-        let part = |kinds: &BTreeMap<KindId, Kind>, p: &Peer| {
-            kinds.get(&p.entry.kind).map_or(0.0, |k| k.share * p.ready / k.ready.max(1e-9))
-        };
-        let mut due: BTreeMap<ZoneId, f64> = BTreeMap::new();
-        let ready = self.peers.values().filter(|p| p.ready > 0.0);
-        ready.for_each(|p| *due.entry(p.entry.zone).or_default() += part(&self.kinds, p));
-        let zones = due.len() as f64;
-        let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
-        let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
-        self.kinds.values_mut().for_each(|k| (k.pull, k.walked) = (0.0, 0.0));
-        let mut reached = 0.0;
-        for p in self.peers.values_mut() {
-            let here = due.get(&p.entry.zone).map_or(0.0, |d| d.max(1e-9));
-            let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
-            let near = if p.entry.zone == self.cfg.zone { (own * zones).min(1.0) } else { far };
-            let bias = if self.cfg.cross_zone_cost > 0.0 && here > 0.0 { near / here } else { 1.0 };
-            // Half of the room for all goes by that part, half evenly; each has a room of one at least, as
-            // more proxies than the hold would wait for turns. There `crowded` keeps the hold.
-            let turn = p.entry.mark.wrapping_add(u64::from(self.cfg.position));
-            let coin = ((turn % u64::from(self.cfg.proxies)) as f64 + 0.5) / proxies;
-            let fair = HOLD / proxies * p.ready;
-            p.room = (fair * (0.5 + 0.5 * bias) + coin).floor().max(1.0);
-            // The trace takes the overflow where all that have a part are full.
-            let drawn = part(&self.kinds, p) * bias;
-            p.pull = drawn + p.ready * 1e-6;
-            reached += f64::from(drawn > 0.0);
-            self.kinds.entry(p.entry.kind).or_default().pull += p.pull;
-        }
-        // This proxy's slice of each kind: the same width for all, begun at evenly spread places, so that all
-        // slices together cover every backend by its pull.
-        let width = (SHARED_BY / proxies * self.peers.len() as f64 / reached.max(1.0)).min(1.0);
-        let start = (f64::from(self.cfg.position) * 0.618_033_988_749_895).fract();
-        for id in &self.order {
-            let Some(p) = self.peers.get_mut(id) else { continue };
-            let k = self.kinds.entry(p.entry.kind).or_default();
-            let from = k.walked / k.pull.max(1e-9);
-            k.walked += p.pull;
-            let to = k.walked / k.pull.max(1e-9);
-            let inside = |start: f64| (to.min(start + width) - from.max(start)).max(0.0);
-            p.slice = inside(start) + inside(start - 1.0);
-        }
-        self.tables.values_mut().for_each(Vec::clear);
-        let trials = self.peers.values().filter(|p| p.ready == 0.0 && p.listed()).filter_map(|p| p.ejected);
-        self.trial_at = trials.min().unwrap_or(Time(u64::MAX));
-        for (&id, p) in self.peers.iter().filter(|(_, p)| p.ready > 0.0) {
-            let table = self.tables.entry(p.entry.kind).or_default();
-            let sum = table.last().map_or(0.0, |last| last.0);
-            table.push((sum + p.weight(), id));
-        }
-        self.tables.retain(|_, table| !table.is_empty());
+        for (k, share) in self.kinds.values_mut().zip(shares) {
+            k.share = share;
+            k.flow = if k.ready > 0.0 { rate.unwrap_or(0.0) * share / k.ready } else { 0.0 };
+        }
     }
 
     /// How many act on the same backends: each counts on the others doing as it does.
@@ -653,47 +762,39 @@
     /// A backend for the request: kind by share, backend inside it by readiness, both at random.
     fn draw(&mut self, now: Time, r: &Request) -> Option<BackendId> {
         let work = self.work(r.class);
-        // Where nothing calls for a look at all of them a few draws do: one that is not open is drawn again,
-        // which is the same as never having been among those to draw from.
         let any_free = self.cfg.classes.iter().any(|c| c.effect == Effect::Free && !c.retired);
         let free = self.cfg.classes[r.class].effect == Effect::Free;
-        let may_try = r.sent.is_empty() && (free || !any_free);
-        let mut drawn = None;
-        if (now < self.trial_at || !may_try) && now >= self.shunned_until {
-            let pull = |k: &KindId| (*k, self.kinds.get(k).map_or(0.0, |v| v.pull));
-            let kinds: Vec<_> = self.tables.keys().map(pull).collect();
-            drawn = Some(self.dice.pick(&kinds)?);
-            for _ in 0..GLANCES {
-                let table = drawn.and_then(|k| self.tables.get(&k)).map_or(&[][..], |t| t);
-                let at = self.dice.unit() * table.last().map_or(0.0, |last| last.0);
-                let hit = table.partition_point(|t| t.0 <= at).min(table.len().saturating_sub(1));
-                let peer = table.get(hit).and_then(|t| self.peers.get(&t.1));
-                if let Some(p) = peer.filter(|p| Self::roomy(r, p) && self.open(now, r, p, work, true)) {
-                    return Some(p.entry.id);
-                }
+        let heed = !self.classes[r.class].shunned;
+        // A term is over: one request at a time that may fail without harm tries that backend.
+        if r.sent.is_empty() && (free || !any_free) {
+            let may = |p: &Peer| p.ready == 0.0 && p.out == 0 && self.open(now, r, p, work, heed);
+            let mut due = self.ejected.range(..=(now, BackendId(u32::MAX))).map(|e| e.1).take(SCAN);
+            if let Some(id) = due.find(|id| self.peers.get(id).is_some_and(may)) {
+                return Some(id);
             }
         }
-        let (mut all, mut shunned) = (0.0, 0.0);
-        for p in self.peers.values().filter(|p| p.ready > 0.0) {
-            (all, shunned) = (all + 1.0, shunned + f64::from(p.shuns(now, r.class)));
-        }
-        let heed = shunned <= all * PANIC;
-        let mut open: Vec<(BackendId, KindId, f64)> = Vec::new();
-        for (&b, p) in &self.peers {
-            let trial = p.ejected.filter(|_| p.ready == 0.0);
-            if trial.is_none() && !Self::roomy(r, p) || !self.open(now, r, p, work, heed) {
-                continue;
-            }
-            match trial {
-                // Its term is over: one request at a time that may fail without harm tries it.
-                Some(until) if now >= until && may_try && p.out == 0 => return Some(b),
-                Some(_) => {}
-                None => open.push((b, p.entry.kind, p.weight())),
+        // One that is not open is drawn again, which is as if it had never been among those to draw from.
+        let pull = |k: &KindId| (*k, self.kinds.get(k).map_or(0.0, |v| v.pull));
+        let kinds: Vec<_> = self.tables.keys().map(pull).collect();
+        let (drawn, mut near) = (self.dice.pick(&kinds)?, BackendId(0));
+        for _ in 0..GLANCES {
+            let table = self.tables.get(&drawn).map_or(&[][..], |t| t);
+            let at = self.dice.unit() * table.last().map_or(0.0, |last| last.0);
+            let hit = table.partition_point(|t| t.0 <= at).min(table.len().saturating_sub(1));
+            near = table.get(hit).map_or(near, |t| t.1);
+            let peer = self.peers.get(&near);
+            if let Some(p) = peer.filter(|p| Self::roomy(r, p) && self.open(now, r, p, work, heed)) {
+                return Some(p.entry.id);
             }
         }
+        let near = if self.peers.len() > SCAN { near } else { BackendId(0) };
+        let scan = self.peers.range(near..).chain(self.peers.range(..near)).take(SCAN);
+        let may = |p: &Peer| Self::roomy(r, p) && self.open(now, r, p, work, heed);
+        let open = scan.filter(|(_, p)| may(p)).map(|(b, p)| (*b, p.entry.kind, p.weight()));
+        let open: Vec<(BackendId, KindId, f64)> = open.collect();
         let some = |k: &KindId| open.iter().any(|o| o.1 == *k);
         let kinds: Vec<_> = self.kinds.iter().filter(|k| some(k.0)).map(|(k, v)| (*k, v.pull)).collect();
-        let kind = drawn.filter(some).or_else(|| self.dice.pick(&kinds))?;
+        let kind = Some(drawn).filter(some).or_else(|| self.dice.pick(&kinds))?;
         let inside: Vec<(BackendId, f64)> = open.iter().filter(|o| o.1 == kind).map(|o| (o.0, o.2)).collect();
         self.dice.pick(&inside)
     }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -3,6 +3,7 @@
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
+use std::collections::BTreeMap;
 
 /// The proxy's own random numbers, the same on every machine for the same seed.
 pub(crate) struct Dice(Pcg32);
@@ -114,6 +115,11 @@
 pub(crate) struct Kind {
     /// Seconds from dispatch to answer, of served requests only, with the class mix taken out.
     pub latency: Mean,
+    /// Requests a second that one backend got, over the same requests: a flow of now beside a latency of then
+    /// would have many proxies swing together.
+    pub flows: Mean,
+    /// ... and gets now.
+    pub flow: f64,
     /// Sum of its backends' readiness.
     pub ready: f64,
     /// Requests a second that one backend could serve.
@@ -122,8 +128,74 @@
     pub share: f64,
     /// Part of this proxy's traffic.
     pub pull: f64,
-    /// The pull of its backends passed so far, while slices are cut.
-    pub walked: f64,
+}
+
+/// What a solution does next with each backend, in this order.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) enum Pass {
+    /// Nothing: it is complete.
+    #[default]
+    Rest,
+    Count,
+    Ready,
+    Due,
+    Pull,
+    Slice,
+}
+
+/// A solution in the making: each event takes it some steps on, a step being one backend in one pass, so that
+/// no event walks over a large fleet. What it adds up is here; draws go by the last one until it is complete.
+#[derive(Default)]
+pub(crate) struct Sweep {
+    pub pass: Pass,
+    /// Where the pass goes on; the mark counts for slices only.
+    pub next: (u64, BackendId),
+    /// Listed backends, how many of them are ejected, and the error shares above zero.
+    pub listed: f64,
+    pub ejected: f64,
+    pub errors: Vec<f64>,
+    /// By kind: readiness, pull, and the pull passed so far while slices are cut.
+    pub kinds: BTreeMap<KindId, (f64, f64, f64)>,
+    /// By zone: the part of the traffic that it is due.
+    pub due: BTreeMap<ZoneId, f64>,
+    /// Backends that have a part of this proxy's traffic.
+    pub reached: f64,
+    pub tables: BTreeMap<KindId, Vec<(f64, BackendId)>>,
+    /// By class: ready backends that get none of it.
+    pub shunned: Vec<f64>,
+}
+
+impl Sweep {
+    /// A new one; the room of the last tables is used again.
+    pub fn begin(&mut self, classes: usize) {
+        let mut tables = std::mem::take(&mut self.tables);
+        tables.values_mut().for_each(Vec::clear);
+        *self = Sweep { pass: Pass::Count, tables, shunned: vec![0.0; classes], ..Sweep::default() };
+    }
+
+    /// The error share of the middle one of the listed backends.
+    pub fn common(&mut self) -> f64 {
+        let (all, some) = (self.listed as usize, self.errors.len());
+        match (all.saturating_sub(1) / 2).checked_sub(all - some) {
+            Some(middle) if middle < some => *self.errors.select_nth_unstable_by(middle, f64::total_cmp).1,
+            _ => 0.0,
+        }
+    }
+}
+
+/// Goes over peers from `at` on while steps are left; where the walk has to go on, if it has.
+pub(crate) fn walk(
+    peers: &mut BTreeMap<BackendId, Peer>, at: BackendId, left: &mut usize,
+    mut each: impl FnMut(BackendId, &mut Peer),
+) -> Option<BackendId> {
+    for (&id, p) in peers.range_mut(at..) {
+        if *left == 0 {
+            return Some(id);
+        }
+        *left -= 1;
+        each(id, p);
+    }
+    None
 }
 
 /// What is known of a backend.
@@ -226,6 +298,8 @@
 #[derive(Default)]
 pub(crate) struct ClassState {
     pub latency: Mean,
+    /// More than half of the backends get none of it: then it is not they who fail at it.
+    pub shunned: bool,
 }
 
 /// An attempt of a request.
