Remember a backend's work by ticks: each send walked over all of the last two seconds

A profile of a proxy at saturation (10 backends, 25,000 requests a second) put 12 % of its time into the module, nearly all of it into one line: every send walked over the work sent to that backend inside the fall window, some 5,000 entries. It is kept by ticks now, each entry counted from its tick's end (at most a tick too long, never too short), and only what has run out is looked at.

--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -840,8 +840,7 @@
                 r.sent.push(Sent { to: p.entry.clone(), at: now, out: true, never_ran: false });
                 p.out += 1;
                 p.coming += u32::from(r.uploading);
-                p.spent.retain(|s| now - s.0 < self.cfg.fall_window);
-                p.spent.push((now, work));
+                p.spend(now, work, self.cfg.tick, self.cfg.fall_window);
                 self.attempts
                     .insert((id, no), Out { to: backend, class: r.class, sent: now, coming: r.uploading });
                 self.actions.push(Action::Dispatch { request: id, backend });
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -3,7 +3,7 @@
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// The proxy's own random numbers, the same on every machine for the same seed.
 pub(crate) struct Dice(Pcg32);
@@ -229,8 +229,8 @@
     pub strikes: i32,
     /// Good answers since the ejection.
     pub trials: u32,
-    /// Work sent inside the fall window.
-    pub spent: Vec<(Time, f64)>,
+    /// Work sent inside the fall window, by ticks: see `spend`.
+    pub spent: VecDeque<(Time, f64)>,
     /// The same by class, as far as it has met them: see `part`.
     pub parts: Vec<Part>,
 }
@@ -253,6 +253,19 @@
         *self = Peer { entry, out, coming, spent, cordoned, ..Peer::default() };
     }
 
+    /// Remembers work that is sent to it. What goes in one tick is one entry that counts from the tick's end:
+    /// a busy backend gets thousands in a window.
+    pub fn spend(&mut self, now: Time, work: f64, tick: Micros, window: Micros) {
+        while self.spent.front().is_some_and(|s| now - s.0 >= window) {
+            self.spent.pop_front();
+        }
+        let end = Time((now.0 / tick.0 + 1) * tick.0);
+        match self.spent.back_mut().filter(|s| s.0 == end) {
+            Some(last) => last.1 += work,
+            None => self.spent.push_back((end, work)),
+        }
+    }
+
     /// What is known of it for one class.
     pub fn part(&mut self, class: usize) -> &mut Part {
         if self.parts.len() <= class {
