Carry PostgreSQL sessions to servers that the core chooses: a first crate, not switched on

Tested with a real driver before stand-ins that log what they run: nothing runs twice when a server is lost before or after its answer, and each is told as unknown. The command does not switch it on yet.

--- /dev/null
+++ b/crates/pgfront/src/bridge.rs
@@ -0,0 +1,188 @@
+//! One transaction: bytes pass both ways between a client and the server that the core chose, until the server says that
+//! it is idle.
+
+use crate::track::Track;
+use crate::upstream::{drain, fill, Servers, Upstream};
+use crate::wire::{Pieces, WireError};
+use bytes::BytesMut;
+use lotusdeck_core::{Leg, Sending, Work};
+use lotusdeck_policy::{AttemptNo, Outcome};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// A client's connection, and how far its streams have come.
+pub(crate) struct Client {
+    pub tcp: TcpStream,
+    /// What came and was not passed on yet, and what is to be written.
+    pub input: RefCell<BytesMut>,
+    pub output: RefCell<BytesMut>,
+    /// Where its messages to servers, and theirs to it, are cut at this moment.
+    pub up: RefCell<Pieces>,
+    pub down: RefCell<Pieces>,
+    pub track: Cell<Track>,
+    /// Bytes of the present transaction have gone to a server, and that was lost.
+    pub sent: Cell<bool>,
+    pub lost: Cell<bool>,
+    /// It has left, or says what it cannot say.
+    pub over: Cell<Option<Over>>,
+    pub ended: Notify,
+    /// Where a CancelRequest of its would go.
+    pub at: Cell<Option<(SocketAddr, (i32, i32))>>,
+}
+
+/// Why a session ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Over {
+    Left,
+    /// A message of an impossible length.
+    Unreadable,
+    /// A named prepared statement: not carried from server to server yet.
+    Named,
+}
+
+impl Client {
+    pub fn new(tcp: TcpStream, input: BytesMut) -> Rc<Client> {
+        Rc::new(Client {
+            tcp,
+            input: RefCell::new(input),
+            output: RefCell::default(),
+            up: RefCell::default(),
+            down: RefCell::default(),
+            track: Cell::default(),
+            sent: Cell::new(false),
+            lost: Cell::new(false),
+            over: Cell::new(None),
+            ended: Notify::new(),
+            at: Cell::new(None),
+        })
+    }
+
+    fn end(&self, why: Over) {
+        self.over.set(Some(why));
+        self.ended.notify_one();
+    }
+
+    /// What the client has said goes to `out`, as far as it may.
+    fn pass_up(&self, out: &mut BytesMut) -> Option<Over> {
+        let mut why = None;
+        let see = |head: crate::wire::Head, first: Option<u8>| {
+            why = match head.kind {
+                b'X' => Some(Over::Left),
+                b'P' if first != Some(0) => Some(Over::Named),
+                kind => {
+                    let mut track = self.track.get();
+                    track.sent(kind);
+                    self.track.set(track);
+                    None
+                }
+            };
+            why.is_none()
+        };
+        match self.up.borrow_mut().pass(&mut self.input.borrow_mut(), out, see) {
+            Ok(moved) => {
+                self.sent.set(self.sent.get() || moved > 0);
+                why
+            }
+            Err(_) => Some(Over::Unreadable),
+        }
+    }
+
+    fn pass_down(&self, from: &mut BytesMut) -> Result<(), WireError> {
+        let see = |head: crate::wire::Head, first| {
+            let mut track = self.track.get();
+            track.came(head.kind, first);
+            self.track.set(track);
+            true
+        };
+        self.down.borrow_mut().pass(from, &mut self.output.borrow_mut(), see).map(|_| ())
+    }
+
+    fn idle(&self, upstream: &Upstream) -> bool {
+        let cut = !self.up.borrow().at_boundary() || !self.down.borrow().at_boundary();
+        let waiting = !upstream.input.borrow().is_empty() || !upstream.output.borrow().is_empty();
+        self.track.get().idle() && !cut && !waiting
+    }
+
+    async fn upward(&self, upstream: &Upstream) -> Outcome {
+        loop {
+            let why = self.pass_up(&mut upstream.output.borrow_mut());
+            if drain(&upstream.output, &upstream.tcp).await.is_err() {
+                // Its last words may still say why: the other direction ends with them.
+                std::future::pending::<()>().await;
+            }
+            if let Some(why) = why {
+                self.end(why);
+                std::future::pending::<()>().await; // the session withdraws the request
+            }
+            if !matches!(fill(&self.tcp, &self.input).await, Ok(1..)) {
+                self.end(Over::Left);
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    async fn downward(&self, upstream: &Upstream) -> Outcome {
+        loop {
+            if !matches!(fill(&upstream.tcp, &upstream.input).await, Ok(1..)) {
+                self.lost.set(true);
+                return Outcome::Reset;
+            }
+            let passed = self.pass_down(&mut upstream.input.borrow_mut());
+            if drain(&self.output, &self.tcp).await.is_err() {
+                self.end(Over::Left);
+                std::future::pending::<()>().await;
+            }
+            if passed.is_err() {
+                self.lost.set(true);
+                return Outcome::Error;
+            }
+            if self.idle(upstream) {
+                return Outcome::Ok;
+            }
+        }
+    }
+}
+
+/// A transaction under way.
+pub(crate) struct Transaction {
+    pub client: Rc<Client>,
+    pub servers: Rc<Servers>,
+}
+
+impl Work for Transaction {
+    fn attempt(self: Rc<Self>, leg: Leg) -> Sending {
+        Box::pin(async move {
+            let upstream = match self.servers.take(leg.backend, leg.address).await {
+                Ok(upstream) => upstream,
+                Err(outcome) => return outcome,
+            };
+            if !leg.cleared().await || self.spent() || !leg.may_send() {
+                self.servers.put(leg.backend, upstream);
+                return Outcome::NeverSent;
+            }
+            self.client.at.set(Some((upstream.to, upstream.key)));
+            let outcome = tokio::select! {
+                biased;
+                outcome = self.client.downward(&upstream) => outcome,
+                outcome = self.client.upward(&upstream) => outcome,
+            };
+            self.client.at.set(None);
+            if outcome == Outcome::Ok {
+                self.servers.put(leg.backend, upstream);
+            }
+            outcome
+        })
+    }
+
+    /// What has gone to a server is not kept for another.
+    fn spent(&self) -> bool {
+        self.client.sent.get()
+    }
+
+    fn status(&self, _: AttemptNo) -> Option<u16> {
+        None
+    }
+}
--- /dev/null
+++ b/crates/pgfront/src/session.rs
@@ -0,0 +1,427 @@
+//! Sessions: who a client is, and one request to the core for each transaction.
+
+use crate::bridge::{Client, Over, Transaction};
+use crate::error::Trouble;
+use crate::scram::{Exchange, ScramError, Verifier, MECHANISM};
+use crate::track::Track;
+use crate::upstream::{drain, fill, Servers};
+use crate::wire::{message, opening, put, Opening, Pieces, WireError};
+use base64::prelude::{Engine, BASE64_STANDARD};
+use bytes::{Buf, BufMut, BytesMut};
+use lotusdeck_core::{Answer, Host, Labels};
+use lotusdeck_policy::{Arrival, ClassId, RequestId};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tracing::{info, warn};
+
+/// A client has proved who it is by then, or is let go of.
+const LOGIN: Duration = Duration::from_secs(10);
+/// A message of the login is no longer.
+const MAX_LOGIN: usize = 8 * 1024;
+/// The last words to a client are given up after this time.
+const FAREWELL: Duration = Duration::from_secs(2);
+/// What is told of the server before one was logged in to (ParameterStatus).
+const PARAMS: [(&str, &str); 6] = [
+    ("server_version", "16.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+];
+
+/// Who may come, and what is stored of the password.
+#[derive(Clone, Debug)]
+pub struct User {
+    /// The role.
+    pub name: String,
+    /// Its verifier.
+    pub verifier: Verifier,
+}
+
+/// What a front is told.
+#[derive(Clone, Debug)]
+pub struct FrontSettings {
+    /// Databases that clients may ask for.
+    pub databases: Vec<String>,
+    /// Who may come.
+    pub users: Vec<User>,
+    /// Clients at once.
+    pub clients: usize,
+}
+
+/// Clients of one address.
+pub struct Front {
+    host: Rc<Host>,
+    servers: Rc<Servers>,
+    settings: FrontSettings,
+    /// Salts of users that do not exist.
+    secret: [u8; 32],
+    /// By the figures that a CancelRequest names.
+    sessions: RefCell<HashMap<(i32, i32), Weak<Client>>>,
+    count: Cell<usize>,
+}
+
+/// Why a session did not come to stand.
+enum NoSession {
+    /// The client has left, or was silent.
+    Gone,
+    Trouble(Trouble),
+}
+
+impl From<std::io::Error> for NoSession {
+    fn from(_: std::io::Error) -> NoSession {
+        NoSession::Gone
+    }
+}
+impl From<WireError> for NoSession {
+    fn from(e: WireError) -> NoSession {
+        NoSession::Trouble(Trouble::fatal("08P01", e.to_string()))
+    }
+}
+impl From<ScramError> for NoSession {
+    fn from(e: ScramError) -> NoSession {
+        NoSession::Trouble(match e {
+            ScramError::Wrong => Trouble::fatal("28P01", "password authentication failed"),
+            ScramError::Malformed(what) => Trouble::fatal("08P01", what),
+        })
+    }
+}
+
+/// A connection whose client has not proved anything yet.
+struct Newcomer {
+    tcp: TcpStream,
+    input: RefCell<BytesMut>,
+    output: RefCell<BytesMut>,
+}
+
+impl Newcomer {
+    async fn opening(&self) -> Result<Opening, NoSession> {
+        loop {
+            if let Some(opening) = opening(&mut self.input.borrow_mut())? {
+                return Ok(opening);
+            }
+            self.more().await?;
+        }
+    }
+
+    async fn more(&self) -> Result<(), NoSession> {
+        match fill(&self.tcp, &self.input).await? {
+            0 => Err(NoSession::Gone),
+            _ => Ok(()),
+        }
+    }
+
+    async fn say(&self, kind: u8, body: &[u8]) -> Result<(), NoSession> {
+        put(&mut self.output.borrow_mut(), kind, body);
+        Ok(drain(&self.output, &self.tcp).await?)
+    }
+
+    /// A message of the kind that passwords come in.
+    async fn proof(&self) -> Result<bytes::Bytes, NoSession> {
+        loop {
+            match message(&mut self.input.borrow_mut(), MAX_LOGIN)? {
+                Some((b'p', body)) => return Ok(body),
+                Some((kind, _)) => {
+                    return Err(WireError::Malformed(char::from(kind), "a proof is due").into())
+                }
+                None => {}
+            }
+            self.more().await?;
+        }
+    }
+
+    /// "SASL Authentication", with SCRAM-SHA-256 alone.
+    async fn prove(&self, verifier: Verifier, nonce: &str) -> Result<(), NoSession> {
+        let mut offer = 10u32.to_be_bytes().to_vec();
+        offer.extend(MECHANISM.as_bytes());
+        offer.extend([0, 0]);
+        self.say(b'R', &offer).await?;
+        let mut first = self.proof().await?;
+        let bad = || NoSession::from(WireError::Malformed('p', "no SASLInitialResponse of SCRAM-SHA-256"));
+        let end = first.iter().position(|b| *b == 0).ok_or_else(bad)?;
+        if &first[..end] != MECHANISM.as_bytes() || first.len() < end + 5 {
+            return Err(bad());
+        }
+        first.advance(end + 5);
+        let text = |bytes: &[u8]| String::from_utf8(bytes.to_vec()).map_err(|_| bad());
+        let (exchange, answer) = Exchange::begin(verifier, &text(&first)?, nonce)?;
+        self.say(b'R', &[&11u32.to_be_bytes(), answer.as_bytes()].concat()).await?;
+        let last = self.proof().await?;
+        let answer = exchange.end(&text(&last)?)?;
+        put(&mut self.output.borrow_mut(), b'R', &[&12u32.to_be_bytes(), answer.as_bytes()].concat());
+        Ok(())
+    }
+}
+
+fn random<const N: usize>() -> Result<[u8; N], NoSession> {
+    let mut out = [0; N];
+    getrandom::fill(&mut out)
+        .map_err(|_| NoSession::Trouble(Trouble::fatal("58000", "no random numbers can be had")))?;
+    Ok(out)
+}
+
+fn late() -> Trouble {
+    Trouble::error("57014", "its time was up before its answer came")
+}
+
+/// ReadyForQuery, idle.
+fn ready(out: &mut BytesMut) {
+    put(out, b'Z', b"I");
+}
+
+impl Front {
+    /// A front that accepts nobody yet.
+    ///
+    /// # Errors
+    /// Where the machine has no random numbers.
+    pub fn new(
+        host: Rc<Host>, servers: Rc<Servers>, settings: FrontSettings,
+    ) -> Result<Rc<Front>, std::io::Error> {
+        let mut secret = [0; 32];
+        getrandom::fill(&mut secret).map_err(|e| std::io::Error::other(e.to_string()))?;
+        let (sessions, count) = (RefCell::default(), Cell::new(0));
+        Ok(Rc::new(Front { host, servers, settings, secret, sessions, count }))
+    }
+
+    /// Clients that are connected.
+    pub fn clients(&self) -> usize {
+        self.count.get()
+    }
+
+    /// Accepts for as long as it is polled. Beyond the bound on clients they are told so.
+    pub async fn run(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let tcp = match listener.accept().await {
+                Ok((tcp, _)) => tcp,
+                Err(e) => {
+                    warn!(error = %e, "no client can be accepted");
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                    continue;
+                }
+            };
+            let front = self.clone();
+            self.count.set(self.count.get() + 1);
+            tokio::task::spawn_local(async move {
+                front.client(tcp).await;
+                front.count.set(front.count.get() - 1);
+            });
+        }
+    }
+
+    async fn client(self: &Rc<Self>, tcp: TcpStream) {
+        let _ = tcp.set_nodelay(true); // a socket that cannot be told so works all the same
+        let new = Newcomer { tcp, input: RefCell::default(), output: RefCell::default() };
+        let login = tokio::time::timeout(LOGIN, self.log_in(&new)).await;
+        match login.unwrap_or(Err(NoSession::Gone)) {
+            Ok(None) | Err(NoSession::Gone) => {}
+            Err(NoSession::Trouble(trouble)) => {
+                trouble.put(&mut new.output.borrow_mut());
+                let _ = tokio::time::timeout(FAREWELL, drain(&new.output, &new.tcp)).await;
+            }
+            Ok(Some(key)) => {
+                let client = Client::new(new.tcp, new.input.into_inner());
+                self.sessions.borrow_mut().insert(key, Rc::downgrade(&client));
+                self.serve(&client).await;
+                self.sessions.borrow_mut().remove(&key);
+                let _ = tokio::time::timeout(FAREWELL, drain(&client.output, &client.tcp)).await;
+            }
+        }
+    }
+
+    /// The figures of a session that stands; `None` where none was asked for.
+    async fn log_in(&self, new: &Newcomer) -> Result<Option<(i32, i32)>, NoSession> {
+        let (minor, asked) = loop {
+            match new.opening().await? {
+                Opening::Ssl | Opening::Gss => {
+                    new.output.borrow_mut().put_u8(b'N');
+                    drain(&new.output, &new.tcp).await?;
+                }
+                Opening::Cancel(pid, secret) => {
+                    self.cancel((pid, secret)).await;
+                    return Ok(None);
+                }
+                Opening::Start(minor, asked) => break (minor, asked),
+            }
+        };
+        if self.count.get() > self.settings.clients {
+            return Err(NoSession::Trouble(Trouble::fatal("53300", "too many clients already")));
+        }
+        let of = |name: &str| asked.iter().find(|a| a.0 == name).map(|a| a.1.as_str());
+        let unknown: Vec<&str> =
+            asked.iter().map(|a| a.0.as_str()).filter(|name| name.starts_with("_pq_.")).collect();
+        if minor > 0 || !unknown.is_empty() {
+            let mut body = 0u32.to_be_bytes().to_vec();
+            body.extend((unknown.len() as u32).to_be_bytes());
+            unknown.iter().for_each(|name| body.extend(name.bytes().chain([0])));
+            new.say(b'v', &body).await?;
+        }
+        let Some(user) = of("user").filter(|u| !u.is_empty()) else {
+            return Err(NoSession::Trouble(Trouble::fatal(
+                "28000",
+                "no user is named in the start-up packet",
+            )));
+        };
+        let known = self.settings.users.iter().find(|u| u.name == user).map(|u| u.verifier.clone());
+        let verifier = known.unwrap_or_else(|| Verifier::of_nobody(user, &self.secret));
+        new.prove(verifier, &BASE64_STANDARD.encode(random::<18>()?)).await?;
+        let database = of("database").unwrap_or(user);
+        if !self.settings.databases.iter().any(|d| d == database) {
+            let text = format!("database \"{database}\" is not served here");
+            return Err(NoSession::Trouble(Trouble::fatal("3D000", text)));
+        }
+        let mut key = random::<8>()?;
+        key[0] &= 0x7f;
+        let (pid, secret) = key.split_at(4);
+        let number = |b: &[u8]| i32::from_be_bytes([b[0], b[1], b[2], b[3]]);
+        let mut out = new.output.take();
+        put(&mut out, b'R', &0u32.to_be_bytes());
+        let mut params: Vec<(String, String)> =
+            PARAMS.iter().map(|(n, v)| (n.to_string(), v.to_string())).collect();
+        for (name, value) in self.servers.params() {
+            params.retain(|p| p.0 != name);
+            params.push((name, value));
+        }
+        for (name, value) in params {
+            put(&mut out, b'S', format!("{name}\0{value}\0").as_bytes());
+        }
+        put(&mut out, b'K', &key);
+        ready(&mut out);
+        new.output.replace(out);
+        drain(&new.output, &new.tcp).await?;
+        Ok(Some((number(pid), number(secret))))
+    }
+
+    /// Passed on to the server that runs the session's transaction at this moment, and to no other.
+    async fn cancel(&self, key: (i32, i32)) {
+        let client = self.sessions.borrow().get(&key).and_then(Weak::upgrade);
+        let Some((to, (pid, secret))) = client.and_then(|c| c.at.get()) else { return };
+        let Ok(Ok(tcp)) = tokio::time::timeout(FAREWELL, TcpStream::connect(to)).await else { return };
+        let mut packet = BytesMut::new();
+        [16, 80_877_102, pid, secret].into_iter().for_each(|word| packet.put_i32(word));
+        let _ = drain(&RefCell::new(packet), &tcp).await; // a cancel is a wish
+    }
+
+    async fn serve(self: &Rc<Self>, client: &Rc<Client>) {
+        loop {
+            if client.input.borrow().is_empty() && !matches!(fill(&client.tcp, &client.input).await, Ok(1..))
+            {
+                return;
+            }
+            if client.input.borrow().first() == Some(&b'X') {
+                return;
+            }
+            let answer = self.transaction(client).await;
+            client.at.set(None);
+            let trouble = match (client.over.get(), answer) {
+                (Some(Over::Left), _) => return,
+                (Some(Over::Unreadable), _) => Trouble::fatal("08P01", "a message of an impossible length"),
+                (Some(Over::Named), _) => Trouble::fatal(
+                    "0A000",
+                    "named prepared statements are not carried from server to server yet: use unnamed ones",
+                ),
+                (None, Answer::Served(_)) => continue,
+                (None, Answer::Refused(after)) => Trouble::refused(after),
+                (None, Answer::TimedOut) => late(),
+                // Withdrawn by the module, a moment before the client's time was up.
+                (None, Answer::Failed) if client.sent.get() && !client.lost.get() => late(),
+                (None, Answer::Failed) if client.track.get().unknown() => {
+                    Trouble::error("08007", "the server was lost: whether this was done is not known")
+                }
+                (None, Answer::Failed) => {
+                    Trouble::error("08006", "the server was lost before anything was done")
+                }
+            };
+            if !self.tell(client, trouble).await {
+                return;
+            }
+        }
+    }
+
+    /// One transaction through the core.
+    async fn transaction(self: &Rc<Self>, client: &Rc<Client>) -> Answer {
+        client.sent.set(false);
+        client.lost.set(false);
+        let settings = self.host.settings();
+        let class = ClassId(0);
+        let effect = settings.config.classes[class.0].effect;
+        let time_left = settings.network.deadlines.get(class.0).copied().unwrap_or_default();
+        let arrival = Arrival {
+            request: RequestId(0),
+            class,
+            tenant: None,
+            time_left,
+            work_hint: None,
+            repeat: false,
+            uploading: false,
+        };
+        let work = Rc::new(Transaction { client: client.clone(), servers: self.servers.clone() });
+        let labels = || Labels { id: String::new(), class: "transaction".into(), key: String::new() };
+        let (id, mut answer) = self.host.request(arrival, work, effect, labels);
+        let due = tokio::time::sleep(lotusdeck_core::span(time_left));
+        tokio::pin!(due);
+        let mut late = false;
+        loop {
+            tokio::select! {
+                got = &mut answer => return got.unwrap_or(Answer::Failed),
+                _ = client.ended.notified() => {
+                    self.host.client_gone(id);
+                    return Answer::Failed;
+                }
+                _ = &mut due, if !late => {
+                    late = true;
+                    self.host.deadline(id);
+                }
+            }
+        }
+    }
+
+    /// Tells a client that its transaction has come to nothing, in its turn; whether the session goes on.
+    async fn tell(&self, client: &Rc<Client>, trouble: Trouble) -> bool {
+        info!(code = trouble.code, fatal = trouble.fatal, "transaction not served");
+        if !client.down.borrow().at_boundary() {
+            return false; // half of a message is with the client: nothing can follow it
+        }
+        let track = client.track.get();
+        let waits = track.owed() > 0 || track.unsynced() || !client.sent.get();
+        if trouble.fatal || !waits {
+            Trouble { fatal: true, ..trouble }.put(&mut client.output.borrow_mut());
+            return false; // a transaction that was open, with nobody waiting: the session cannot tell otherwise
+        }
+        trouble.put(&mut client.output.borrow_mut());
+        // What is still owed to it is as many ends; without a Sync it is not listening yet.
+        if (track.owed() == 0 || track.unsynced()) && !self.skip(client).await {
+            return false;
+        }
+        (0..track.owed().max(1)).for_each(|_| ready(&mut client.output.borrow_mut()));
+        client.track.set(Track::default());
+        *client.up.borrow_mut() = Pieces::default();
+        drain(&client.output, &client.tcp).await.is_ok()
+    }
+
+    /// Reads over what belongs to the failed transaction, to the message that asks for its end.
+    async fn skip(&self, client: &Rc<Client>) -> bool {
+        let mut ended = false;
+        loop {
+            let mut sink = BytesMut::new();
+            let see = |head: crate::wire::Head, _: Option<u8>| {
+                let goes = !ended && head.kind != b'X';
+                ended |= matches!(head.kind, b'Q' | b'F' | b'S');
+                goes
+            };
+            let passed = client.up.borrow_mut().pass(&mut client.input.borrow_mut(), &mut sink, see);
+            match passed {
+                Err(_) => return false,
+                Ok(_) if ended && client.up.borrow().at_boundary() => return true,
+                Ok(_) if client.input.borrow().first() == Some(&b'X') => return false,
+                Ok(_) => {}
+            }
+            if !matches!(fill(&client.tcp, &client.input).await, Ok(1..)) {
+                return false;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pgfront/src/upstream.rs
@@ -0,0 +1,318 @@
+//! Connections to servers: how they are made, logged in, kept and closed.
+
+use crate::wire::{message, put, WireError};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use lotusdeck_core::{span, Lines};
+use lotusdeck_policy::settings::Network;
+use lotusdeck_policy::{BackendId, Outcome};
+use postgres_protocol::authentication::sasl::{ChannelBinding, ScramSha256};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tracing::warn;
+
+/// What a server says before it is ready is no longer than this, a message.
+const MAX_GREETING: usize = 64 * 1024;
+/// Read at once.
+pub(crate) const CHUNK: usize = 16 * 1024;
+
+/// Who this proxy is to servers.
+#[derive(Clone, Debug)]
+pub struct Login {
+    /// The role.
+    pub user: String,
+    /// The database.
+    pub database: String,
+    /// For SCRAM-SHA-256; servers that ask for another way are not logged in to.
+    pub password: Option<String>,
+}
+
+/// Waits for bytes and takes them behind what is there; 0 at the end of the stream.
+pub(crate) async fn fill(tcp: &TcpStream, to: &RefCell<BytesMut>) -> std::io::Result<usize> {
+    loop {
+        tcp.readable().await?;
+        let mut to = to.borrow_mut();
+        to.reserve(CHUNK);
+        match tcp.try_read_buf(&mut (&mut *to).limit(CHUNK)) {
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+            done => return done,
+        }
+    }
+}
+
+/// Writes all that is there. What was written has left the buffer, also where this is dropped half-way.
+pub(crate) async fn drain(from: &RefCell<BytesMut>, tcp: &TcpStream) -> std::io::Result<()> {
+    while !from.borrow().is_empty() {
+        tcp.writable().await?;
+        let mut from = from.borrow_mut();
+        match tcp.try_write(&from) {
+            Ok(count) => from.advance(count),
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+/// How many connections are open, and who waits for one.
+#[derive(Default)]
+struct Open {
+    count: Cell<usize>,
+    freed: Notify,
+}
+
+/// Counts an open connection.
+struct Slot(Rc<Open>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.count.set(self.0.count.get() - 1);
+        self.0.freed.notify_one();
+    }
+}
+
+/// A connection that is logged in. Dropping it closes the socket, on which the server rolls back what is open.
+pub(crate) struct Upstream {
+    pub tcp: TcpStream,
+    pub to: SocketAddr,
+    /// What came and was not passed on yet, and what is to be written.
+    pub input: RefCell<BytesMut>,
+    pub output: RefCell<BytesMut>,
+    /// For CancelRequest.
+    pub key: (i32, i32),
+    since: Instant,
+    _slot: Slot,
+}
+
+/// The connections to all servers of a front.
+pub struct Servers {
+    login: Login,
+    idle: RefCell<HashMap<BackendId, Vec<Upstream>>>,
+    open: Rc<Open>,
+    most: usize,
+    keep: Cell<Duration>,
+    connect_timeout: Cell<Duration>,
+    /// What the last server to be logged in to said of itself.
+    params: RefCell<Vec<(String, String)>>,
+}
+
+/// Why a server was not logged in to.
+enum Refusal {
+    Io,
+    Wire(WireError),
+    /// Its own error code.
+    Said(String),
+    /// It asks for what this proxy does not have or do.
+    Way(&'static str),
+}
+
+impl From<std::io::Error> for Refusal {
+    fn from(_: std::io::Error) -> Refusal {
+        Refusal::Io
+    }
+}
+impl From<WireError> for Refusal {
+    fn from(e: WireError) -> Refusal {
+        Refusal::Wire(e)
+    }
+}
+
+impl Servers {
+    /// None is open yet; at most so many will be.
+    pub fn new(login: Login, network: &Network, most: usize) -> Rc<Servers> {
+        Rc::new(Servers {
+            login,
+            idle: RefCell::default(),
+            open: Rc::default(),
+            most,
+            keep: Cell::new(span(network.conn_idle)),
+            connect_timeout: Cell::new(span(network.connect_timeout)),
+            params: RefCell::default(),
+        })
+    }
+
+    /// How many are open.
+    pub fn open(&self) -> usize {
+        self.open.count.get()
+    }
+
+    /// What servers say of themselves: names and values for ParameterStatus.
+    pub fn params(&self) -> Vec<(String, String)> {
+        self.params.borrow().clone()
+    }
+
+    /// One that is logged in and serves nobody. Where as many are open as may be, and all serve somebody, this waits
+    /// for the next that is free, in the order of coming: the core withdraws those whose time is up.
+    pub(crate) async fn take(&self, id: BackendId, to: SocketAddr) -> Result<Upstream, Outcome> {
+        loop {
+            if let Some(kept) = self.kept(id, to) {
+                return Ok(kept);
+            }
+            if self.open() < self.most || self.close_oldest() {
+                return self.connect(to).await;
+            }
+            self.open.freed.notified().await;
+        }
+    }
+
+    fn kept(&self, id: BackendId, to: SocketAddr) -> Option<Upstream> {
+        let mut idle = self.idle.borrow_mut();
+        let of = idle.entry(id).or_default();
+        // One that has something to say has said farewell.
+        let silent = |u: &Upstream| {
+            let read = u.tcp.try_read(&mut [0]);
+            matches!(read, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+        };
+        of.retain(|u| u.to == to && u.since.elapsed() < self.keep.get() && silent(u));
+        of.pop()
+    }
+
+    /// It serves nobody any more.
+    pub(crate) fn put(&self, id: BackendId, mut upstream: Upstream) {
+        if let Some(of) = self.idle.borrow_mut().get_mut(&id) {
+            upstream.since = Instant::now();
+            of.push(upstream);
+            self.open.freed.notify_one();
+        }
+    }
+
+    fn close_oldest(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let some = idle.values_mut().filter(|of| !of.is_empty());
+        some.min_by_key(|of| of[0].since).map(|of| of.remove(0)).is_some()
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Result<Upstream, Outcome> {
+        self.open.count.set(self.open() + 1);
+        let slot = Slot(self.open.clone());
+        let login = tokio::time::timeout(self.connect_timeout.get(), self.log_in(to)).await;
+        match login {
+            Ok(Ok((tcp, input, key))) => {
+                let (input, output) = (RefCell::new(input), RefCell::default());
+                Ok(Upstream { tcp, to, input, output, key, since: Instant::now(), _slot: slot })
+            }
+            Ok(Err(Refusal::Said(code))) if code == "53300" || code == "57P03" => Err(Outcome::Full),
+            Ok(Err(refusal)) => {
+                match refusal {
+                    Refusal::Io => {}
+                    Refusal::Wire(e) => warn!(server = %to, error = %e, "login failed"),
+                    Refusal::Said(code) => warn!(server = %to, code, "login refused"),
+                    Refusal::Way(what) => warn!(server = %to, what, "login failed"),
+                }
+                Err(Outcome::ConnectFailed)
+            }
+            Err(_) => Err(Outcome::ConnectFailed),
+        }
+    }
+
+    async fn log_in(&self, to: SocketAddr) -> Result<(TcpStream, BytesMut, (i32, i32)), Refusal> {
+        let tcp = TcpStream::connect(to).await?;
+        tcp.set_nodelay(true)?;
+        let (input, output) = (RefCell::<BytesMut>::default(), RefCell::<BytesMut>::default());
+        let mut start = BytesMut::new();
+        start.put_u32(3 << 16);
+        for text in
+            ["user", &self.login.user, "database", &self.login.database, "application_name", "lotusdeck"]
+        {
+            start.put_slice(text.as_bytes());
+            start.put_u8(0);
+        }
+        start.put_u8(0);
+        output.borrow_mut().put_u32(start.len() as u32 + 4);
+        output.borrow_mut().put_slice(&start);
+        let (mut scram, mut key, mut params) = (None, (0, 0), Vec::new());
+        loop {
+            drain(&output, &tcp).await?;
+            let next = message(&mut input.borrow_mut(), MAX_GREETING)?;
+            let Some((kind, mut body)) = next else {
+                if fill(&tcp, &input).await? == 0 {
+                    return Err(Refusal::Io);
+                }
+                continue;
+            };
+            match kind {
+                b'R' => self.prove(&mut body, &mut scram, &mut output.borrow_mut())?,
+                b'S' => params.extend(pair(&body)),
+                b'K' if body.len() >= 8 => key = (body.get_i32(), body.get_i32()),
+                b'E' => return Err(Refusal::Said(code(&body))),
+                b'Z' => {
+                    *self.params.borrow_mut() = params;
+                    return Ok((tcp, input.into_inner(), key));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn prove(
+        &self, body: &mut Bytes, scram: &mut Option<ScramSha256>, out: &mut BytesMut,
+    ) -> Result<(), Refusal> {
+        const SHORT: Refusal = Refusal::Wire(WireError::Malformed('R', "too short"));
+        if body.len() < 4 {
+            return Err(SHORT);
+        }
+        match (body.get_u32(), scram.as_mut()) {
+            (0, _) => Ok(()),
+            (10, _) => {
+                let password = self.login.password.as_ref().ok_or(Refusal::Way("it asks for a password"))?;
+                if !body.split(|b| *b == 0).any(|m| m == crate::scram::MECHANISM.as_bytes()) {
+                    return Err(Refusal::Way("it does not offer SCRAM-SHA-256"));
+                }
+                let own = ScramSha256::new(password.as_bytes(), ChannelBinding::unsupported());
+                let mut first = crate::scram::MECHANISM.as_bytes().to_vec();
+                first.push(0);
+                first.extend((own.message().len() as u32).to_be_bytes());
+                first.extend(own.message());
+                put(out, b'p', &first);
+                *scram = Some(own);
+                Ok(())
+            }
+            (11, Some(scram)) => {
+                scram.update(body)?;
+                put(out, b'p', scram.message());
+                Ok(())
+            }
+            (12, Some(scram)) => Ok(scram.finish(body)?),
+            _ => Err(Refusal::Way("it asks for another way than SCRAM-SHA-256")),
+        }
+    }
+}
+
+/// Name and value, each ended by a zero byte.
+fn pair(body: &[u8]) -> Option<(String, String)> {
+    let mut texts = body.split(|b| *b == 0).map(|t| String::from_utf8_lossy(t).into_owned());
+    Some((texts.next()?, texts.next()?))
+}
+
+/// The code of an error.
+fn code(body: &[u8]) -> String {
+    let field = body.split(|b| *b == 0).find(|f| f.first() == Some(&b'C'));
+    field.map(|f| String::from_utf8_lossy(&f[1..]).into_owned()).unwrap_or_default()
+}
+
+impl Lines for Servers {
+    fn serve(&self, backends: &HashSet<BackendId>) {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|id, _| backends.contains(id));
+        for id in backends {
+            idle.entry(*id).or_default();
+        }
+    }
+
+    /// Its idle connections may be dead without a sign.
+    fn unanswered(&self, backend: BackendId, sent: Instant) {
+        if let Some(of) = self.idle.borrow_mut().get_mut(&backend) {
+            of.retain(|u| u.since > sent);
+        }
+    }
+
+    fn adopt(&self, network: &Network) {
+        self.keep.set(span(network.conn_idle));
+        self.connect_timeout.set(span(network.connect_timeout));
+    }
+}
--- /dev/null
+++ b/crates/pgfront/tests/transactions.rs
@@ -0,0 +1,136 @@
+//! A real driver's sessions through the front, before stand-ins that log what they run.
+
+mod rig;
+
+use lotusdeck_policy::{BackendState, Micros};
+use rig::{code, stand_in, value, Rig};
+use std::future::Future;
+use tokio::task::LocalSet;
+
+const LONG: Micros = Micros(20_000_000);
+
+async fn scope(test: impl Future<Output = ()>) {
+    LocalSet::new().run_until(test).await;
+}
+
+/// Simple and extended queries and transactions of a driver, and more clients than connections to servers.
+#[tokio::test]
+async fn drivers_share_connections_by_transaction() {
+    scope(async {
+        let (at, seen) = stand_in().await;
+        let rig = Rig::start(&[at], 1, LONG).await;
+        let (a, b) = (rig.driver("do re mi").await.unwrap(), rig.driver("do re mi").await.unwrap());
+        assert_eq!(value(&a.simple_query("select 1").await.unwrap()), "select 1");
+        a.simple_query("begin").await.unwrap();
+        // The only connection is bound: the other client's statement waits for the transaction's end.
+        let (waits, ends) = tokio::join!(b.simple_query("select 2"), async {
+            a.simple_query("insert").await.unwrap();
+            a.simple_query("commit").await
+        });
+        assert!(value(&waits.unwrap()) == "select 2" && ends.is_ok());
+        let rows = b.query_typed("select 3", &[]).await.unwrap();
+        assert_eq!(rows[0].get::<_, String>(0), "select 3");
+        let order = ["select 1", "begin", "insert", "commit", "select 2", "select 3"];
+        assert_eq!(*seen.statements.borrow(), order);
+        assert_eq!((*seen.logins.borrow(), rig.servers.open()), (1, 1));
+        // What the server says of itself is what later clients are told.
+        let late = rig.driver("do re mi").await.unwrap();
+        assert_eq!(value(&late.simple_query("select 4").await.unwrap()), "select 4");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn strangers_are_told_why_and_names_are_not_given_away() {
+    scope(async {
+        let (at, seen) = stand_in().await;
+        let rig = Rig::start(&[at], 4, LONG).await;
+        assert_eq!(code(rig.driver("fa so la").await), "28P01");
+        assert_eq!(code(rig.driver_of("bob", "do re mi", "scores").await), "28P01");
+        assert_eq!(code(rig.driver_of("ann", "do re mi", "wages").await), "3D000");
+        assert_eq!(*seen.logins.borrow(), 0);
+    })
+    .await;
+}
+
+/// What a lost server may have done is told as unknown, is not sent again, and the session goes on elsewhere.
+#[tokio::test]
+async fn a_lost_server_is_told_and_nothing_runs_twice() {
+    scope(async {
+        let ((one, first), (two, second)) = (stand_in().await, stand_in().await);
+        let rig = Rig::start(&[one, two], 8, LONG).await;
+        let client = rig.driver("do re mi").await.unwrap();
+        for (n, fatal) in ["die", "halt", "die", "halt"].iter().enumerate() {
+            assert_eq!(code(client.simple_query(fatal).await), "08007", "{fatal}");
+            let next = format!("select {n}");
+            assert_eq!(value(&client.simple_query(&next).await.unwrap()), next);
+        }
+        let all = [first.statements.borrow().clone(), second.statements.borrow().clone()].concat();
+        assert_eq!(all.iter().filter(|s| *s == "die").count(), 2, "{all:?}");
+        assert_eq!(all.len(), 8, "{all:?}");
+        // In the extended protocol the client is answered at its Sync.
+        assert_eq!(code(client.query_typed("die", &[]).await), "08007");
+        assert_eq!(value(&client.simple_query("select 9").await.unwrap()), "select 9");
+    })
+    .await;
+}
+
+/// Where no server can be reached the statement is answered, nothing was done, and the session stays.
+#[tokio::test]
+async fn without_a_server_statements_are_refused_and_sessions_stay() {
+    scope(async {
+        let gone = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let (at, seen) = stand_in().await;
+        let rig = Rig::start(&[gone, at], 8, Micros(3_000_000)).await;
+        rig.tell(1, BackendState::Draining);
+        let client = rig.driver("do re mi").await.unwrap();
+        let refused = code(client.simple_query("select 1").await);
+        assert!(["53300", "08006", "57014"].contains(&refused.as_str()), "{refused}");
+        assert_eq!(code(client.query_typed("select 2", &[]).await).len(), 5);
+        assert!(seen.statements.borrow().is_empty(), "a server that drains gets nothing new");
+        rig.tell(1, BackendState::Ready);
+        rig.tell(0, BackendState::Gone);
+        assert_eq!(value(&client.simple_query("select 3").await.unwrap()), "select 3");
+    })
+    .await;
+}
+
+/// A cancel reaches the server that runs the statement; a deadline ends what nobody cancels.
+#[tokio::test]
+async fn cancels_and_deadlines_end_what_stalls() {
+    scope(async {
+        let (at, seen) = stand_in().await;
+        let rig = Rig::start(&[at], 4, Micros(1_500_000)).await;
+        let client = rig.driver("do re mi").await.unwrap();
+        let token = client.cancel_token();
+        token.cancel_query(tokio_postgres::NoTls).await.unwrap(); // nothing runs: it goes nowhere
+        let (ended, ()) = tokio::join!(client.simple_query("stall"), async {
+            while seen.statements.borrow().is_empty() {
+                tokio::task::yield_now().await;
+            }
+            token.cancel_query(tokio_postgres::NoTls).await.unwrap();
+            seen.cancelled.notified().await;
+        });
+        assert_eq!(code(ended), "57014");
+        assert_eq!(*seen.cancels.borrow(), [(1, 77)]);
+        assert_eq!(value(&client.simple_query("select 1").await.unwrap()), "select 1");
+        assert_eq!(*seen.logins.borrow(), 2, "the connection that stalled was closed");
+    })
+    .await;
+}
+
+/// A client that leaves in the middle of its transaction takes the connection with it: the server rolls back.
+#[tokio::test]
+async fn a_client_that_leaves_ends_its_transaction() {
+    scope(async {
+        let (at, seen) = stand_in().await;
+        let rig = Rig::start(&[at], 1, LONG).await;
+        let client = rig.driver("do re mi").await.unwrap();
+        client.simple_query("begin").await.unwrap();
+        drop(client);
+        let next = rig.driver("do re mi").await.unwrap();
+        assert_eq!(value(&next.simple_query("select 1").await.unwrap()), "select 1");
+        assert_eq!(*seen.logins.borrow(), 2);
+    })
+    .await;
+}
