--- a/crates/lotusdeck/src/main.rs
+++ b/crates/lotusdeck/src/main.rs
@@ -7,6 +7,7 @@
 mod locate;
 mod logging;
 mod operator;
+mod postgres;
 mod serve;
 
 use clap::{CommandFactory, Parser, Subcommand};
--- a/crates/lotusdeck/src/operator.rs
+++ b/crates/lotusdeck/src/operator.rs
@@ -1,6 +1,7 @@
 //! The operator file: what an installation sets for itself, as TOML. Every key is optional; without one, or without
 //! the file, all is as the defaults say.
 
+use crate::postgres::{self, Spec};
 use lotusdeck_proxy::pauses::Pauses;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -140,6 +141,8 @@
     pub pauses: Pauses,
     /// `[ledger]`.
     pub ledger: LedgerSettings,
+    /// `[[postgres]]`, one for each front.
+    pub postgres: Vec<Spec>,
 }
 
 /// A value that fits its key.
@@ -259,6 +262,13 @@
         let mut operator = Operator::default();
         for (table, entry) in root.get_ref() {
             let name = table.get_ref();
+            if name.as_ref() == "postgres" && broken.is_empty() {
+                match postgres::read(text) {
+                    Ok(specs) => operator.postgres = specs,
+                    Err(fault) => faults.push(fault),
+                }
+                continue;
+            }
             let DeValue::Table(keys) = entry.get_ref() else {
                 let text = match tables().any(|t| t == name.as_ref()) {
                     true => format!("{name}: expected a table, got {}", kind(entry.get_ref())),
--- /dev/null
+++ b/crates/lotusdeck/src/postgres.rs
@@ -0,0 +1,301 @@
+//! `[[postgres]]` of the operator file, and the fronts that it asks for.
+
+use crate::operator::Fault;
+use lotusdeck_core::cordon::Cordon;
+use lotusdeck_core::{Clock, Endpoint, Host, Lines};
+use lotusdeck_pgfront::scram::{ScramError, Verifier};
+use lotusdeck_pgfront::{Front, FrontSettings, Login, Servers, User};
+use lotusdeck_policy::settings::{Names, Row, Settings};
+use lotusdeck_policy::{
+    Backend, BackendState, Balancer, Class, ConfigError, Discovery, Effect, ListUpdate, Micros, ZoneId,
+};
+use lotusdeck_proxy::discovery;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use thiserror::Error;
+use tokio::sync::watch;
+use tracing::info;
+
+/// One front.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Spec {
+    /// Where clients connect: a loopback address.
+    pub listen: SocketAddr,
+    /// Where the list of servers comes from, in the same form as for HTTP; or else `server`.
+    #[serde(default)]
+    pub discovery: Option<SocketAddr>,
+    /// The servers.
+    #[serde(default)]
+    pub server: Vec<ServerSpec>,
+    /// Databases that clients may ask for.
+    pub databases: Vec<String>,
+    /// Who may come.
+    pub user: Vec<UserSpec>,
+    /// Who this proxy is to servers.
+    pub login: LoginSpec,
+    /// Connections to all servers together.
+    #[serde(default = "connections")]
+    pub connections: usize,
+    /// Clients at once.
+    #[serde(default = "clients")]
+    pub clients: usize,
+    /// A transaction is late after this time, ms.
+    #[serde(default = "aim")]
+    pub aim_ms: u64,
+    /// ... and ended after this one, ms.
+    #[serde(default = "deadline")]
+    pub deadline_ms: u64,
+}
+
+/// One server.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServerSpec {
+    /// Its id, which `cordon` takes.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What sort of machine it is.
+    #[serde(default)]
+    pub kind: String,
+}
+
+/// Who may come.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UserSpec {
+    /// The role.
+    pub name: String,
+    /// What PostgreSQL stores of its password (`pg_authid.rolpassword`).
+    pub verifier: Stored,
+}
+
+/// A verifier as it is stored.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(try_from = "String")]
+pub struct Stored(Verifier);
+
+impl TryFrom<String> for Stored {
+    type Error = ScramError;
+    fn try_from(text: String) -> Result<Stored, ScramError> {
+        Verifier::parse(&text).map(Stored)
+    }
+}
+
+/// Who this proxy is to servers.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoginSpec {
+    /// The role.
+    pub user: String,
+    /// The database.
+    pub database: String,
+    /// A file whose first line is the password.
+    #[serde(default)]
+    pub password_file: Option<PathBuf>,
+}
+
+fn connections() -> usize {
+    40
+}
+fn clients() -> usize {
+    1000
+}
+fn aim() -> u64 {
+    1_000
+}
+fn deadline() -> u64 {
+    30_000
+}
+
+/// All of them, from the text of an operator file.
+///
+/// # Errors
+/// The first thing that is wrong, and where.
+pub fn read(text: &str) -> Result<Vec<Spec>, Fault> {
+    #[derive(Deserialize)]
+    struct File {
+        #[serde(default)]
+        postgres: Vec<toml::Spanned<Spec>>,
+    }
+    let file: File = toml::from_str(text).map_err(|e| Fault {
+        at: e.span().map_or(0, |s| s.start),
+        text: format!("postgres: {}", e.message()),
+    })?;
+    let mut out = Vec::new();
+    for spec in file.postgres {
+        let at = spec.span().start;
+        let spec = spec.into_inner();
+        if let Some(wrong) = spec.fault() {
+            return Err(Fault { at, text: format!("postgres: {wrong}") });
+        }
+        out.push(spec);
+    }
+    Ok(out)
+}
+
+impl Spec {
+    fn fault(&self) -> Option<&'static str> {
+        let twice = |n: usize| self.server[..n].iter().any(|s| s.name == self.server[n].name);
+        let tests = [
+            (self.listen.ip().is_loopback(), "listen: expected a loopback address"),
+            (
+                self.discovery.is_some() == self.server.is_empty(),
+                "expected either discovery or [[postgres.server]]",
+            ),
+            (!(0..self.server.len()).any(twice), "server.name: each may be there once"),
+            (!self.databases.is_empty(), "databases: expected one at least"),
+            (!self.user.is_empty(), "user: expected one at least"),
+            ((1..=100_000).contains(&self.connections), "connections: expected 1 to 100000"),
+            ((1..=100_000).contains(&self.clients), "clients: expected 1 to 100000"),
+            ((1..=self.deadline_ms).contains(&self.aim_ms), "aim_ms: expected 1 to deadline_ms"),
+            (self.deadline_ms <= 86_400_000, "deadline_ms: expected a day at most"),
+        ];
+        tests.into_iter().find(|t| !t.0).map(|t| t.1)
+    }
+
+    /// The module's settings: one class that must never run twice, all else as the node has it.
+    fn settings(&self, node: &Settings) -> Settings {
+        let class = Class {
+            aim: Micros(self.aim_ms * 1000),
+            aim_stretch: 0.0,
+            effect: Effect::Unsafe,
+            worth: 1.0,
+            late_worth: 0.5,
+            retired: false,
+        };
+        let mut out = Settings { names: Names::default(), ..node.clone() };
+        (out.config.classes, out.config.tenants, out.config.zone) = (vec![class], Vec::new(), ZoneId(0));
+        out.config.cross_zone_cost = 0.0;
+        if self.discovery.is_none() {
+            out.config.discovery = Discovery::Push;
+        }
+        out.network.deadlines = vec![Micros(self.deadline_ms * 1000)];
+        out
+    }
+}
+
+/// Why a front does not run.
+#[derive(Debug, Error)]
+pub enum PostgresError {
+    /// The password cannot be read.
+    #[error("postgres: password_file {0}: {1}")]
+    Password(PathBuf, std::io::Error),
+    /// The address is taken, or there are no random numbers.
+    #[error("postgres: {0}: {1}")]
+    Start(SocketAddr, std::io::Error),
+    /// The module does not take its settings.
+    #[error("postgres: {0}")]
+    Unsound(#[from] ConfigError),
+}
+
+/// A front that runs.
+pub struct Running {
+    front: Rc<Front>,
+    host: Rc<Host>,
+    servers: Rc<Servers>,
+}
+
+impl Running {
+    /// One line on it since the last.
+    pub fn report(&self) {
+        self.host.report();
+        info!(clients = self.front.clients(), servers = self.servers.open(), "postgres");
+    }
+
+    /// Sessions end: idle ones now, the others with their transactions.
+    pub fn stop(&self) {
+        self.front.stop();
+    }
+}
+
+/// Starts a front beside the others of this node.
+///
+/// # Errors
+/// Where it cannot run: nothing of it does then.
+pub fn start(
+    spec: &Spec, node: &Settings, seed: u64, clock: Clock, state: &Path,
+) -> Result<Running, PostgresError> {
+    let password = spec.login.password_file.as_ref().map(|path| {
+        let text = std::fs::read_to_string(path).map_err(|e| PostgresError::Password(path.clone(), e))?;
+        Ok::<_, PostgresError>(text.lines().next().unwrap_or_default().to_string())
+    });
+    let login = Login {
+        user: spec.login.user.clone(),
+        database: spec.login.database.clone(),
+        password: password.transpose()?,
+    };
+    let settings = spec.settings(node);
+    let mode = settings.config.discovery;
+    let servers = Servers::new(login, &settings.network, spec.connections);
+    let balancer = Balancer::new(settings.config.clone(), seed)?;
+    let lines: Vec<Rc<dyn Lines>> = vec![servers.clone()];
+    let host = Host::new(balancer, settings, clock, lines, Cordon::load(state), None);
+    let io = |e| PostgresError::Start(spec.listen, e);
+    let listener = lotusdeck_proxy::server::listen(spec.listen).map_err(io)?;
+    let at = listener.local_addr().unwrap_or(spec.listen);
+    let users = spec.user.iter().map(|u| User { name: u.name.clone(), verifier: u.verifier.0.clone() });
+    let told =
+        FrontSettings { databases: spec.databases.clone(), users: users.collect(), clients: spec.clients };
+    let front = Front::new(host.clone(), servers.clone(), told).map_err(io)?;
+    tokio::task::spawn_local(host.clone().timers());
+    tokio::task::spawn_local(host.clone().heed_cordons());
+    match spec.discovery {
+        Some(from) => {
+            let (moved, discovery) = watch::channel((from, mode));
+            let host = host.clone();
+            tokio::task::spawn_local(async move {
+                let _moves = moved; // for as long as it is followed
+                discovery::watch(host, discovery, 0).await;
+            });
+        }
+        None => {
+            let line = |s: &ServerSpec| {
+                let entry = Backend { state: BackendState::Ready, ..Backend::default() };
+                let row = Row::new(&s.name, &s.address.to_string(), "", &s.kind, entry);
+                Endpoint { name: s.name.clone(), address: s.address, state: BackendState::Ready, row }
+            };
+            host.members(ListUpdate::Full, spec.server.iter().map(line).collect());
+        }
+    }
+    tokio::task::spawn_local(front.clone().run(listener));
+    info!(address = %at, servers = spec.server.len(), users = spec.user.len(), "takes postgres clients");
+    Ok(Running { front, host, servers })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TEXT: &str = r#"
+[[postgres]]
+listen = "127.0.0.1:6432"
+databases = ["scores"]
+user = [{ name = "ann", verifier = "SCRAM-SHA-256$4096:c2FsdA==$BwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwc=:BwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwc=" }]
+login = { user = "deck", database = "scores" }
+server = [{ name = "pg-1", address = "127.0.0.1:5433" }]
+"#;
+
+    #[test]
+    fn fronts_are_read_and_faults_have_a_place() {
+        let specs = read(TEXT).unwrap();
+        assert!(specs.len() == 1 && specs[0].connections == 40 && specs[0].deadline_ms == 30_000);
+        assert_eq!(read("[http]\n"), Ok(Vec::new()));
+        for (from, to, told) in [
+            ("127.0.0.1:6432", "0.0.0.0:6432", "loopback"),
+            ("server = [{ name = \"pg-1\", address = \"127.0.0.1:5433\" }]", "", "either discovery"),
+            ("SCRAM-SHA-256$4096", "md5", "expected SCRAM-SHA-256"),
+            ("databases = [\"scores\"]", "databases = []", "one at least"),
+            ("databases", "databaess", "databaess"),
+        ] {
+            let fault = read(&TEXT.replace(from, to)).unwrap_err();
+            assert!(fault.text.contains(told), "{}", fault.text);
+        }
+        let wrong = TEXT.replace("deck\"", "deck\", pass = 1");
+        let fault = read(&wrong).unwrap_err();
+        assert!(wrong[fault.at..].starts_with("pass"), "at {}: {}", fault.at, fault.text);
+    }
+}
--- a/crates/lotusdeck/src/serve.rs
+++ b/crates/lotusdeck/src/serve.rs
@@ -3,6 +3,7 @@
 use crate::journaling::Journaling;
 use crate::logging::{self, Format};
 use crate::operator::{LedgerSettings, Operator, OperatorError};
+use crate::postgres::{self, PostgresError, Running, Spec};
 use lotusdeck_core::cordon::Cordon;
 use lotusdeck_core::{Clock, Host, Journal, Lines};
 use lotusdeck_policy::{Balancer, Discovery, ListUpdate};
@@ -71,6 +72,10 @@
     Ledger(std::io::Error),
     #[error("[ledger] has changed: that needs a new start")]
     LedgerChanged,
+    #[error(transparent)]
+    Postgres(#[from] PostgresError),
+    #[error("[[postgres]] has changed: that needs a new start")]
+    PostgresChanged,
     #[error("cannot listen {0} on {1}: {2}")]
     Listen(&'static str, SocketAddr, std::io::Error),
 }
@@ -115,6 +120,7 @@
     operator: Option<PathBuf>,
     pauses: Shared,
     ledger: LedgerSettings,
+    postgres: Vec<Spec>,
     moved: watch::Sender<(SocketAddr, Discovery)>,
 }
 
@@ -125,6 +131,9 @@
         if operator.ledger != self.ledger {
             return Err(ServeError::LedgerChanged);
         }
+        if operator.postgres != self.postgres {
+            return Err(ServeError::PostgresChanged);
+        }
         let mut change = self.file.reread()?;
         self.file.replace(&mut change);
         self.pauses.set(operator.pauses);
@@ -181,6 +190,8 @@
     let lines: Vec<Rc<dyn Lines>> = vec![pool.clone()];
     let ledger = Journaling::start(&operator.ledger, &node.name, node.seed).map_err(ServeError::Ledger)?;
     let journal = ledger.clone().map(|l| l as Rc<dyn Journal>);
+    let start = |spec| postgres::start(spec, &node.settings, node.seed, clock, &node.state());
+    let fronts: Vec<Running> = operator.postgres.iter().map(start).collect::<Result<_, _>>()?;
     let host = Host::new(balancer, node.settings, clock, lines, cordon, journal);
     // The list from before the restart is in place before anything is served.
     host.members(ListUpdate::Cached, node.known.entries());
@@ -198,8 +209,10 @@
     tokio::task::spawn_local(pool.clone().sweep());
     let (moved, discovery) = watch::channel((node.discovery, mode));
     tokio::task::spawn_local(discovery::watch(host.clone(), discovery, node.known.index));
-    let (file, operator, ledger_settings) = (node.file, args.operator, operator.ledger);
-    let adoption = Adoption { host: host.clone(), file, operator, pauses, ledger: ledger_settings, moved };
+    let Operator { ledger: ledger_settings, postgres, .. } = operator;
+    let (file, operator) = (node.file, args.operator);
+    let adoption =
+        Adoption { host: host.clone(), file, operator, pauses, ledger: ledger_settings, postgres, moved };
     tokio::task::spawn_local(adoption.heed(hangup));
     let server = Server::new(host.clone(), pool.clone(), budget);
     let shared = peer.alive();
@@ -214,13 +227,16 @@
         tokio::task::spawn_local(Admin::new(host.clone(), server.clone()).run(calls));
     }
     tokio::task::spawn_local(host.clone().heed_cordons());
-    let (reporter, reported, ledgered) = (server.clone(), host.clone(), ledger.clone());
+    let fronts = Rc::new(fronts);
+    let (reporter, reported, ledgered, fronted) =
+        (server.clone(), host.clone(), ledger.clone(), fronts.clone());
     tokio::task::spawn_local(async move {
         loop {
             tokio::time::sleep(REPORT_EVERY).await;
             reported.report();
             reporter.report();
             ledgered.iter().for_each(|l| l.report());
+            fronted.iter().for_each(Running::report);
         }
     });
     let stop = async {
@@ -229,6 +245,7 @@
             _ = interrupt.recv() => {}
         }
         info!("stopping");
+        fronts.iter().for_each(Running::stop);
     };
     server.run(listener, handed_down, stop).await;
     if let Some(ledger) = ledger {
--- /dev/null
+++ b/crates/lotusdeck/tests/postgres.rs
@@ -0,0 +1,63 @@
+//! The PostgreSQL front in the program: switched on by the operator file, spoken to by a real driver.
+
+mod rig;
+#[path = "../../pgfront/tests/rig/mod.rs"]
+#[allow(dead_code)]
+mod stand_in;
+
+use lotusdeck_pgfront::scram::Verifier;
+use rig::Proxy;
+use std::path::PathBuf;
+use tokio::task::LocalSet;
+
+fn operator(name: &str, servers: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("lotusdeck-postgres-{}-{name}.toml", std::process::id()));
+    let verifier = Verifier::of_password(b"do re mi", b"salt", 4096).stored();
+    let text = format!(
+        "[[postgres]]\nlisten = \"127.0.0.1:0\"\ndatabases = [\"scores\"]\n\
+         user = [{{ name = \"ann\", verifier = \"{verifier}\" }}]\n\
+         login = {{ user = \"deck\", database = \"scores\" }}\nserver = [{servers}]\n"
+    );
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+/// Where the front listens, as the log tells.
+fn port(proxy: &Proxy) -> u16 {
+    let line = proxy.logged("takes postgres clients");
+    let at = line.split("address=127.0.0.1:").nth(1).unwrap();
+    at.split(|c: char| !c.is_ascii_digit()).next().unwrap().parse().unwrap()
+}
+
+/// Beside the HTTP front of the same process; a stop tells the sessions that are idle.
+#[tokio::test]
+async fn the_program_serves_a_driver_and_says_when_it_stops() {
+    let test = async {
+        let (at, seen) = stand_in::stand_in().await;
+        let path = operator("serves", &format!("{{ name = \"pg-1\", address = \"{at}\" }}"));
+        let mut proxy = Proxy::operated(&[], &path);
+        let mut config = tokio_postgres::Config::new();
+        config.host("127.0.0.1").port(port(&proxy)).user("ann").password("do re mi").dbname("scores");
+        let (client, connection) = config.connect(tokio_postgres::NoTls).await.unwrap();
+        let connection = tokio::task::spawn_local(connection);
+        let statement = client.prepare("select 1").await.unwrap();
+        let rows = client.query(&statement, &[]).await.unwrap();
+        assert_eq!(rows[0].get::<_, String>(0), "select 1");
+        assert_eq!(*seen.logins.borrow(), 1);
+        proxy.signal("TERM");
+        let farewell = connection.await.unwrap().unwrap_err();
+        assert_eq!(farewell.code().map(|c| c.code()), Some("57P01"), "{farewell}");
+        proxy.child.wait().unwrap();
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// A file whose front cannot be is refused with the place of the fault, before anything starts.
+#[test]
+fn a_faulty_front_is_told_with_its_place() {
+    let path = operator("faulty", "");
+    let mut check = std::process::Command::new(env!("CARGO_BIN_EXE_lotusdeck"));
+    let output = check.arg("check").arg(&path).output().unwrap();
+    let told = String::from_utf8_lossy(&output.stdout) + String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.code() == Some(2) && told.contains("either discovery or"), "{told}");
+}
--- a/crates/pgfront/src/bridge.rs
+++ b/crates/pgfront/src/bridge.rs
@@ -1,6 +1,7 @@
 //! One transaction: bytes pass both ways between a client and the server that the core chose, until the server says that
 //! it is idle.
 
+use crate::carry::{Carry, Over, MAX_PREPARED};
 use crate::track::Track;
 use crate::upstream::{drain, fill, Servers, Upstream};
 use crate::wire::{Pieces, WireError};
@@ -23,6 +24,8 @@
     pub up: RefCell<Pieces>,
     pub down: RefCell<Pieces>,
     pub track: Cell<Track>,
+    /// Its prepared statements.
+    pub carry: RefCell<Carry>,
     /// Bytes of the present transaction have gone to a server, and that was lost.
     pub sent: Cell<bool>,
     pub lost: Cell<bool>,
@@ -33,16 +36,6 @@
     pub at: Cell<Option<(SocketAddr, (i32, i32))>>,
 }
 
-/// Why a session ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Over {
-    Left,
-    /// A message of an impossible length.
-    Unreadable,
-    /// A named prepared statement: not carried from server to server yet.
-    Named,
-}
-
 impl Client {
     pub fn new(tcp: TcpStream, input: BytesMut) -> Rc<Client> {
         Rc::new(Client {
@@ -52,6 +45,7 @@
             up: RefCell::default(),
             down: RefCell::default(),
             track: Cell::default(),
+            carry: RefCell::default(),
             sent: Cell::new(false),
             lost: Cell::new(false),
             over: Cell::new(None),
@@ -65,39 +59,30 @@
         self.ended.notify_one();
     }
 
-    /// What the client has said goes to `out`, as far as it may.
-    fn pass_up(&self, out: &mut BytesMut) -> Option<Over> {
-        let mut why = None;
-        let see = |head: crate::wire::Head, first: Option<u8>| {
-            why = match head.kind {
-                b'X' => Some(Over::Left),
-                b'P' if first != Some(0) => Some(Over::Named),
-                kind => {
-                    let mut track = self.track.get();
-                    track.sent(kind);
-                    self.track.set(track);
-                    None
-                }
-            };
-            why.is_none()
-        };
-        match self.up.borrow_mut().pass(&mut self.input.borrow_mut(), out, see) {
-            Ok(moved) => {
-                self.sent.set(self.sent.get() || moved > 0);
-                why
-            }
-            Err(_) => Some(Over::Unreadable),
-        }
+    /// What the client has said goes on to its server, as far as it may.
+    fn pass_up(&self, upstream: &Upstream) -> Option<Over> {
+        let (mut pieces, mut track) = (self.up.borrow_mut(), self.track.get());
+        let (mut from, mut to) = (self.input.borrow_mut(), upstream.output.borrow_mut());
+        let mut prepared = upstream.prepared.borrow_mut();
+        let passed = self.carry.borrow_mut().up(&mut pieces, &mut track, &mut from, &mut to, &mut prepared);
+        self.track.set(track);
+        let (moved, why) = passed.map_or_else(|(moved, why)| (moved, Some(why)), |moved| (moved, None));
+        self.sent.set(self.sent.get() || moved > 0);
+        why
+    }
+
+    fn pass_down(&self, upstream: &Upstream) -> Result<(), WireError> {
+        let (mut pieces, mut track) = (self.down.borrow_mut(), self.track.get());
+        let (mut from, mut to) = (upstream.input.borrow_mut(), self.output.borrow_mut());
+        let mut prepared = upstream.prepared.borrow_mut();
+        let passed = self.carry.borrow_mut().down(&mut pieces, &mut track, &mut from, &mut to, &mut prepared);
+        self.track.set(track);
+        passed
     }
 
-    fn pass_down(&self, from: &mut BytesMut) -> Result<(), WireError> {
-        let see = |head: crate::wire::Head, first| {
-            let mut track = self.track.get();
-            track.came(head.kind, first);
-            self.track.set(track);
-            true
-        };
-        self.down.borrow_mut().pass(from, &mut self.output.borrow_mut(), see).map(|_| ())
+    /// The connection may serve another client.
+    fn leaves_clean(&self, upstream: &Upstream) -> bool {
+        !self.carry.borrow().tainted && upstream.prepared.borrow().len() <= MAX_PREPARED
     }
 
     fn idle(&self, upstream: &Upstream) -> bool {
@@ -108,7 +93,7 @@
 
     async fn upward(&self, upstream: &Upstream) -> Outcome {
         loop {
-            let why = self.pass_up(&mut upstream.output.borrow_mut());
+            let why = self.pass_up(upstream);
             if drain(&upstream.output, &upstream.tcp).await.is_err() {
                 // Its last words may still say why: the other direction ends with them.
                 std::future::pending::<()>().await;
@@ -130,7 +115,7 @@
                 self.lost.set(true);
                 return Outcome::Reset;
             }
-            let passed = self.pass_down(&mut upstream.input.borrow_mut());
+            let passed = self.pass_down(upstream);
             if drain(&self.output, &self.tcp).await.is_err() {
                 self.end(Over::Left);
                 std::future::pending::<()>().await;
@@ -164,13 +149,14 @@
                 return Outcome::NeverSent;
             }
             self.client.at.set(Some((upstream.to, upstream.key)));
+            self.client.carry.borrow_mut().begin();
             let outcome = tokio::select! {
                 biased;
                 outcome = self.client.downward(&upstream) => outcome,
                 outcome = self.client.upward(&upstream) => outcome,
             };
             self.client.at.set(None);
-            if outcome == Outcome::Ok {
+            if outcome == Outcome::Ok && self.client.leaves_clean(&upstream) {
                 self.servers.put(leg.backend, upstream);
             }
             outcome
--- /dev/null
+++ b/crates/pgfront/src/carry.rs
@@ -0,0 +1,457 @@
+//! Named prepared statements, carried from server to server: a client's names are its own, a server knows each text once
+//! under a name drawn from it, and what a server lacks is parsed there before it is used. Sans-IO: it moves messages
+//! from one buffer to another, with those of its own in between, and takes the answers to these out again.
+
+use crate::track::Track;
+use crate::wire::{head, message, put, Head, Pieces, WireError, HEAD};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use std::collections::{HashMap, HashSet, VecDeque};
+use xxhash_rust::xxh3::xxh3_128;
+
+/// A statement with its types is no longer (bytes).
+const MAX_STATEMENT: usize = 1 << 20;
+/// All of a session's together.
+const MAX_STATEMENTS: usize = 8 << 20;
+/// Names of statements and portals are no longer (PostgreSQL cuts its own at 63).
+const MAX_NAME: usize = 1024;
+/// Answers that may be outstanding in a pipeline.
+const MAX_EXPECTED: usize = 100_000;
+/// Statements that are left prepared on one connection.
+pub(crate) const MAX_PREPARED: usize = 1000;
+
+/// What a server's connection has prepared, by the hash of the text.
+pub(crate) type Prepared = HashSet<u128>;
+
+/// Why a session ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Over {
+    /// The client says farewell, or left.
+    Left,
+    /// A message of an impossible length or form.
+    Unreadable,
+    /// More or longer statements, or more messages ahead, than one session may have.
+    TooMuch,
+}
+
+impl From<WireError> for Over {
+    fn from(_: WireError) -> Over {
+        Over::Unreadable
+    }
+}
+
+/// An answer that the server owes, in order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Expected {
+    /// ParseComplete for a text; the client did not ask where it is our own.
+    Parsed { hash: u128, own: bool },
+    /// ParseComplete of an unnamed statement.
+    Unnamed,
+    /// CloseComplete, and as what the client is told of it.
+    Closed(Told),
+    /// ReadyForQuery.
+    Ready,
+}
+
+/// What a client is told of a CloseComplete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Told {
+    /// As it is: it asked for that.
+    Closed,
+    /// ParseComplete: it asked for a text that was there already.
+    Parsed,
+    /// Nothing: it did not ask.
+    Nothing,
+}
+
+/// A session's statements, and what the present transaction's server owes.
+#[derive(Default)]
+pub(crate) struct Carry {
+    /// By the client's name: all of the Parse message behind that.
+    own: HashMap<Bytes, Bytes>,
+    bytes: usize,
+    expected: VecDeque<Expected>,
+    /// The connection has state that no other client may meet.
+    pub tainted: bool,
+}
+
+/// The name of a text at every server.
+fn name(hash: u128) -> String {
+    format!("ld_{hash:032x}")
+}
+
+/// A text that ends with a zero byte, from `at` on: where it ends.
+fn ends(bytes: &[u8], at: usize) -> Option<usize> {
+    bytes.get(at..)?.iter().position(|b| *b == 0).map(|n| at + n)
+}
+
+/// A simple query that leaves behind what outlives its transaction: settings, listeners, temporary tables, locks, or the
+/// loss of what was prepared. Matched by words, so that it is sure rather than sharp.
+fn leaves_traces(text: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(text).to_ascii_lowercase();
+    let begins = |word: &str| text.split(';').any(|s| s.trim_start().starts_with(word));
+    let local = ["set local", "set transaction", "set constraints"];
+    ["discard", "deallocate", "listen", "load", "prepare"].iter().any(|w| begins(w))
+        || begins("set ") && !local.iter().any(|w| begins(w))
+        || ["temp", "advisory", "with hold", "set_config"].iter().any(|w| text.contains(w))
+}
+
+impl Carry {
+    /// Another transaction, perhaps at another server.
+    pub fn begin(&mut self) {
+        self.expected.clear();
+        self.tainted = false;
+    }
+
+    fn expect(&mut self, what: Expected) -> Result<(), Over> {
+        self.expected.push_back(what);
+        if self.expected.len() > MAX_EXPECTED {
+            return Err(Over::TooMuch);
+        }
+        Ok(())
+    }
+
+    /// Moves what the client has said on to a server that has prepared those. How many bytes were taken.
+    ///
+    /// # Errors
+    /// Why the session ends; all before it has moved.
+    pub fn up(
+        &mut self, pieces: &mut Pieces, track: &mut Track, from: &mut BytesMut, to: &mut BytesMut,
+        prepared: &mut Prepared,
+    ) -> Result<usize, (usize, Over)> {
+        let before = from.len();
+        loop {
+            let step = self.step(pieces, track, from, to, prepared);
+            let taken = before - from.len();
+            match step {
+                Ok(true) => {}
+                Ok(false) => return Ok(taken),
+                Err(over) => return Err((taken, over)),
+            }
+        }
+    }
+
+    /// One message, or a part of one; whether there may be more to move.
+    fn step(
+        &mut self, pieces: &mut Pieces, track: &mut Track, from: &mut BytesMut, to: &mut BytesMut,
+        prepared: &mut Prepared,
+    ) -> Result<bool, Over> {
+        if !pieces.at_boundary() {
+            pieces.pass(from, to, |_, _| false)?;
+            return Ok(pieces.at_boundary());
+        }
+        let Some(Head { kind, length }) = head(from)? else { return Ok(false) };
+        let there = &from[HEAD..from.len().min(HEAD + length)];
+        match kind {
+            b'X' => return Err(Over::Left),
+            b'P' if there.first().is_some_and(|b| *b != 0) => {
+                if length > MAX_STATEMENT {
+                    return Err(Over::TooMuch);
+                }
+                let Some((_, mut body)) = message(from, MAX_STATEMENT)? else { return Ok(false) };
+                let end = ends(&body, 0).ok_or(Over::Unreadable)?;
+                let its = body.split_to(end);
+                body.advance(1);
+                self.parse(its, body, to, prepared)?;
+                track.sent(b'P');
+                return Ok(true);
+            }
+            b'B' => {
+                let names = ends(there, 0).and_then(|portal| Some((portal, ends(there, portal + 1)?)));
+                let Some((portal, end)) = names else {
+                    return if there.len() == length || there.len() > 2 * MAX_NAME {
+                        Err(Over::Unreadable)
+                    } else {
+                        Ok(false)
+                    };
+                };
+                if let Some(hash) = self.known(&there[portal + 1..end]) {
+                    self.prepare(hash, &there[portal + 1..end], to, prepared)?;
+                    let new = name(hash);
+                    to.put_u8(b'B');
+                    to.put_u32((length + 4 + new.len() - (end - portal - 1)) as u32);
+                    to.put_slice(&from[HEAD..HEAD + portal + 1]);
+                    to.put_slice(new.as_bytes());
+                    from.advance(HEAD + end);
+                    pieces.behind(length - end);
+                    track.sent(b'B');
+                    return Ok(true);
+                }
+            }
+            b'D' if there.first() == Some(&b'S') && length > 2 => {
+                if length > MAX_NAME {
+                    return Err(Over::Unreadable);
+                }
+                let Some((_, body)) = message(from, MAX_NAME)? else { return Ok(false) };
+                let its = &body[1..ends(&body, 1).ok_or(Over::Unreadable)?];
+                match self.known(its) {
+                    Some(hash) => {
+                        self.prepare(hash, its, to, prepared)?;
+                        put(to, b'D', format!("S{}\0", name(hash)).as_bytes());
+                    }
+                    None => put(to, b'D', &body),
+                }
+                track.sent(b'D');
+                return Ok(true);
+            }
+            b'C' if there.first() == Some(&b'S') && length > 2 => {
+                if length > MAX_NAME {
+                    return Err(Over::Unreadable);
+                }
+                // Others may use the text: to the server goes the client's own name, which it never heard of.
+                let Some((_, body)) = message(from, MAX_NAME)? else { return Ok(false) };
+                let its = &body[1..ends(&body, 1).ok_or(Over::Unreadable)?];
+                self.bytes -= self.own.remove(its).map_or(0, |text| text.len());
+                put(to, b'C', &body);
+                track.sent(b'C');
+                self.expect(Expected::Closed(Told::Closed))?;
+                return Ok(true);
+            }
+            b'Q' => self.tainted |= leaves_traces(there),
+            _ => {}
+        }
+        let mut first_one = true;
+        let see = |_: Head, _: Option<u8>| std::mem::take(&mut first_one);
+        if pieces.pass(from, to, see)? == 0 {
+            return Ok(false);
+        }
+        let copying = track.copying();
+        track.sent(kind);
+        match kind {
+            b'P' => self.expect(Expected::Unnamed)?,
+            b'C' => self.expect(Expected::Closed(Told::Closed))?,
+            b'Q' | b'F' => self.expect(Expected::Ready)?,
+            b'S' if !copying => self.expect(Expected::Ready)?,
+            _ => {}
+        }
+        Ok(true)
+    }
+
+    fn known(&self, its: &[u8]) -> Option<u128> {
+        self.own.get(its).map(|text| xxh3_128(text))
+    }
+
+    /// The client prepares a text under a name of its own.
+    fn parse(
+        &mut self, its: Bytes, text: Bytes, to: &mut BytesMut, prepared: &mut Prepared,
+    ) -> Result<(), Over> {
+        let hash = xxh3_128(&text);
+        self.bytes += text.len();
+        if self.bytes > MAX_STATEMENTS || its.len() > MAX_NAME {
+            return Err(Over::TooMuch);
+        }
+        if self.lacks(hash, to, prepared)? {
+            put(to, b'P', &[name(hash).as_bytes(), b"\0", &text].concat());
+            self.expect(Expected::Parsed { hash, own: false })?;
+        } else {
+            // It is there. A close of what is not there is answered in the right place, by as many bytes.
+            put(to, b'C', b"Sld_none\0");
+            self.expect(Expected::Closed(Told::Parsed))?;
+        }
+        self.bytes -= self.own.insert(its, text).map_or(0, |old| old.len());
+        Ok(())
+    }
+
+    /// The server has to be told the text. Where an earlier part of the pipeline does so, and may yet fail, it is closed
+    /// first, so that it can be told again; inside one part what follows a failure is read over anyway.
+    fn lacks(&mut self, hash: u128, to: &mut BytesMut, prepared: &mut Prepared) -> Result<bool, Over> {
+        if prepared.insert(hash) {
+            return Ok(true);
+        }
+        let its = |e: &Expected| matches!(e, Expected::Parsed { hash: h, .. } if *h == hash);
+        let told = self.expected.iter().rposition(its);
+        let unsure = told.is_some_and(|at| self.expected.iter().skip(at).any(|e| *e == Expected::Ready));
+        if unsure {
+            put(to, b'C', format!("S{}\0", name(hash)).as_bytes());
+            self.expect(Expected::Closed(Told::Nothing))?;
+        }
+        Ok(unsure)
+    }
+
+    /// Sees to it that the server has a text before it is used.
+    fn prepare(
+        &mut self, hash: u128, its: &[u8], to: &mut BytesMut, prepared: &mut Prepared,
+    ) -> Result<(), Over> {
+        if self.lacks(hash, to, prepared)? {
+            let text = self.own.get(its).cloned().unwrap_or_default();
+            put(to, b'P', &[name(hash).as_bytes(), b"\0", &text].concat());
+            self.expect(Expected::Parsed { hash, own: true })?;
+        }
+        Ok(())
+    }
+
+    /// Moves what the server has said on to the client, without the answers that this one did not ask for.
+    ///
+    /// # Errors
+    /// A length that no message can have.
+    pub fn down(
+        &mut self, pieces: &mut Pieces, track: &mut Track, from: &mut BytesMut, to: &mut BytesMut,
+        prepared: &mut Prepared,
+    ) -> Result<(), WireError> {
+        loop {
+            if !pieces.at_boundary() {
+                pieces.pass(from, to, |_, _| false)?;
+                if !pieces.at_boundary() {
+                    return Ok(());
+                }
+            }
+            let Some(Head { kind, length }) = head(from)? else { return Ok(()) };
+            if matches!(kind, b'1' | b'3') && length == 0 {
+                let owed = self.expected.front().copied();
+                if let (b'1', Some(Expected::Parsed { hash, .. })) = (kind, owed) {
+                    prepared.insert(hash);
+                }
+                let told = match (kind, owed) {
+                    (b'1', Some(Expected::Parsed { own: true, .. })) => Told::Nothing,
+                    (b'1', _) => Told::Parsed,
+                    (_, Some(Expected::Closed(told))) => told,
+                    _ => Told::Closed,
+                };
+                if !matches!(owed, None | Some(Expected::Ready)) {
+                    self.expected.pop_front();
+                }
+                match told {
+                    Told::Closed => from[0] = b'3',
+                    Told::Parsed => from[0] = b'1',
+                    Told::Nothing => {
+                        from.advance(HEAD);
+                        continue;
+                    }
+                }
+            }
+            let (mut seen, mut first_one) = (None, true);
+            let see = |_: Head, first: Option<u8>| {
+                let goes = std::mem::take(&mut first_one);
+                seen = if goes { first } else { seen };
+                goes
+            };
+            if pieces.pass(from, to, see)? == 0 {
+                return Ok(());
+            }
+            track.came(kind, seen);
+            // Behind an error all is read over to the next Sync: what it kept from being answered is not prepared.
+            if matches!(kind, b'E' | b'Z') {
+                while let Some(owed) = self.expected.front().filter(|e| **e != Expected::Ready) {
+                    if let Expected::Parsed { hash, .. } = owed {
+                        prepared.remove(hash);
+                    }
+                    self.expected.pop_front();
+                }
+            }
+            if kind == b'Z' {
+                self.expected.pop_front();
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A session and a server's connection, both without sockets.
+    #[derive(Default)]
+    struct Play {
+        carry: Carry,
+        track: Track,
+        up: Pieces,
+        down: Pieces,
+        prepared: Prepared,
+    }
+
+    impl Play {
+        fn up(&mut self, messages: &[(u8, &[u8])]) -> Vec<(u8, Bytes)> {
+            let (mut whole, mut to) = (BytesMut::new(), BytesMut::new());
+            messages.iter().for_each(|(kind, body)| put(&mut whole, *kind, body));
+            // It comes byte by byte.
+            let mut from = BytesMut::new();
+            for byte in whole {
+                from.put_u8(byte);
+                self.carry.up(&mut self.up, &mut self.track, &mut from, &mut to, &mut self.prepared).unwrap();
+            }
+            assert!(from.is_empty());
+            std::iter::from_fn(|| message(&mut to, 1 << 20).unwrap()).collect()
+        }
+
+        fn down(&mut self, messages: &[(u8, &[u8])]) -> String {
+            let (mut whole, mut to) = (BytesMut::new(), BytesMut::new());
+            messages.iter().for_each(|(kind, body)| put(&mut whole, *kind, body));
+            let mut from = BytesMut::new();
+            for byte in whole {
+                from.put_u8(byte);
+                let parts = (&mut self.down, &mut self.track);
+                self.carry.down(parts.0, parts.1, &mut from, &mut to, &mut self.prepared).unwrap();
+            }
+            std::iter::from_fn(|| message(&mut to, 1 << 20).unwrap()).map(|m| char::from(m.0)).collect()
+        }
+    }
+
+    fn kinds(messages: &[(u8, Bytes)]) -> String {
+        messages.iter().map(|m| char::from(m.0)).collect()
+    }
+
+    const PARSE: (u8, &[u8]) = (b'P', b"s0\0select 1\0\0\0");
+    const BIND: (u8, &[u8]) = (b'B', b"\0s0\0\0\0\0\0\0\0");
+    const SYNC: (u8, &[u8]) = (b'S', b"");
+    const READY: (u8, &[u8]) = (b'Z', b"I");
+
+    #[test]
+    fn a_text_is_parsed_once_and_again_where_it_lacks() {
+        let mut p = Play::default();
+        let sent = p.up(&[PARSE, SYNC]);
+        assert!(
+            kinds(&sent) == "PS"
+                && sent[0].1.starts_with(b"ld_")
+                && sent[0].1.ends_with(PARSE.1[3..].as_ref())
+        );
+        assert_eq!(p.down(&[(b'1', b""), READY]), "1Z");
+        let sent = p.up(&[BIND, SYNC]);
+        assert!(kinds(&sent) == "BS" && sent[0].1.starts_with(b"\0ld_") && sent[0].1.ends_with(&BIND.1[3..]));
+        assert_eq!(p.down(&[(b'2', b""), READY]), "2Z");
+        // Another server: it is parsed in between, and the client hears nothing of that.
+        p.prepared.clear();
+        assert_eq!(kinds(&p.up(&[BIND, SYNC])), "PBS");
+        assert_eq!(p.down(&[(b'1', b""), (b'2', b""), READY]), "2Z");
+        // The same text under another name is there already.
+        assert_eq!(kinds(&p.up(&[(b'P', b"s1\0select 1\0\0\0"), SYNC])), "CS");
+        assert_eq!(p.down(&[(b'3', b""), READY]), "1Z");
+        // A close concerns the client's own name only.
+        let sent = p.up(&[(b'C', b"Ss0\0"), SYNC]);
+        assert_eq!(sent[0].1, &b"Ss0\0"[..]);
+        assert_eq!(p.down(&[(b'3', b""), READY]), "3Z");
+        assert!(p.track.idle() && p.prepared.len() == 1);
+    }
+
+    /// What failed is not taken for prepared, also where the next try was sent before the failure was known.
+    #[test]
+    fn what_failed_to_parse_is_told_again() {
+        let mut p = Play::default();
+        p.up(&[PARSE, SYNC]);
+        assert_eq!(p.down(&[(b'E', b"\0")]), "E");
+        assert_eq!(kinds(&p.up(&[PARSE, SYNC])), "PS", "the error was known");
+        assert_eq!(p.down(&[READY, (b'E', b"\0"), READY]), "ZEZ");
+        assert_eq!(kinds(&p.up(&[PARSE, SYNC, PARSE, SYNC])), "PSCPS", "it was not");
+        assert_eq!(p.down(&[(b'E', b"\0"), READY, (b'3', b""), (b'1', b""), READY]), "EZ1Z");
+        assert_eq!(p.prepared.len(), 1);
+    }
+
+    #[test]
+    fn sessions_have_bounds() {
+        let mut p = Play::default();
+        let long = [b"s\0".as_ref(), &vec![b'x'; MAX_STATEMENT]].concat();
+        let (mut from, mut to) = (BytesMut::new(), BytesMut::new());
+        put(&mut from, b'P', &long);
+        let passed = p.carry.up(&mut p.up, &mut p.track, &mut from, &mut to, &mut p.prepared);
+        assert_eq!(passed, Err((0, Over::TooMuch)));
+        assert!(to.is_empty());
+        for (text, traces) in [
+            ("SET x = 1", true),
+            ("set local x = 1", false),
+            ("select 1; listen a", true),
+            ("update settings", false),
+            ("create TEMP table t()", true),
+            ("select pg_advisory_lock(1)", true),
+        ] {
+            assert_eq!(leaves_traces(text.as_bytes()), traces, "{text}");
+        }
+    }
+}
--- a/crates/pgfront/src/lib.rs
+++ b/crates/pgfront/src/lib.rs
@@ -3,6 +3,7 @@
 //! core, which says where it goes.
 
 mod bridge;
+mod carry;
 mod error;
 pub mod scram;
 mod session;
--- a/crates/pgfront/src/scram.rs
+++ b/crates/pgfront/src/scram.rs
@@ -63,6 +63,13 @@
         Ok(Verifier { iterations, salt, stored: key(stored)?, server: key(server)? })
     }
 
+    /// As it is stored: what [`Verifier::parse`] reads.
+    pub fn stored(&self) -> String {
+        let text = |bytes: &[u8]| BASE64_STANDARD.encode(bytes);
+        let (salt, stored, server) = (text(&self.salt), text(&self.stored), text(&self.server));
+        format!("SCRAM-SHA-256${}:{salt}${stored}:{server}", self.iterations)
+    }
+
     /// One that no password fits, for a user who does not exist: the same salt for the same name, so that names
     /// cannot be told apart by it. `secret` is the process's own.
     pub fn of_nobody(name: &str, secret: &[u8; 32]) -> Verifier {
@@ -176,6 +183,7 @@
         let keys = BASE64_STANDARD.encode([7; 32]);
         let text = format!("SCRAM-SHA-256$4096:c2FsdA==${keys}:{keys}");
         let verifier = Verifier::parse(&text).unwrap();
+        assert_eq!(verifier.stored(), text);
         assert!(verifier.iterations == 4096 && verifier.salt == b"salt" && verifier.stored == [7; 32]);
         for bad in [
             "md5abc",
--- a/crates/pgfront/src/session.rs
+++ b/crates/pgfront/src/session.rs
@@ -1,6 +1,7 @@
 //! Sessions: who a client is, and one request to the core for each transaction.
 
-use crate::bridge::{Client, Over, Transaction};
+use crate::bridge::{Client, Transaction};
+use crate::carry::Over;
 use crate::error::Trouble;
 use crate::scram::{Exchange, ScramError, Verifier, MECHANISM};
 use crate::track::Track;
@@ -15,6 +16,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tracing::{info, warn};
 
 /// A client has proved who it is by then, or is let go of.
@@ -63,6 +65,7 @@
     /// By the figures that a CancelRequest names.
     sessions: RefCell<HashMap<(i32, i32), Weak<Client>>>,
     count: Cell<usize>,
+    stop: watch::Sender<bool>,
 }
 
 /// Why a session did not come to stand.
@@ -183,8 +186,8 @@
     ) -> Result<Rc<Front>, std::io::Error> {
         let mut secret = [0; 32];
         getrandom::fill(&mut secret).map_err(|e| std::io::Error::other(e.to_string()))?;
-        let (sessions, count) = (RefCell::default(), Cell::new(0));
-        Ok(Rc::new(Front { host, servers, settings, secret, sessions, count }))
+        let (sessions, count, stop) = (RefCell::default(), Cell::new(0), watch::channel(false).0);
+        Ok(Rc::new(Front { host, servers, settings, secret, sessions, count, stop }))
     }
 
     /// Clients that are connected.
@@ -192,10 +195,20 @@
         self.count.get()
     }
 
+    /// Nobody is accepted any more; sessions are told so and end once they have no transaction open.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+
     /// Accepts for as long as it is polled. Beyond the bound on clients they are told so.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
+        let mut stop = self.stop.subscribe();
         loop {
-            let tcp = match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = stop.wait_for(|stop| *stop) => return,
+            };
+            let tcp = match accepted {
                 Ok((tcp, _)) => tcp,
                 Err(e) => {
                     warn!(error = %e, "no client can be accepted");
@@ -306,10 +319,20 @@
     }
 
     async fn serve(self: &Rc<Self>, client: &Rc<Client>) {
+        let mut stop = self.stop.subscribe();
         loop {
-            if client.input.borrow().is_empty() && !matches!(fill(&client.tcp, &client.input).await, Ok(1..))
-            {
-                return;
+            if client.input.borrow().is_empty() {
+                let more = tokio::select! {
+                    more = fill(&client.tcp, &client.input) => matches!(more, Ok(1..)),
+                    _ = stop.wait_for(|stop| *stop) => {
+                        let text = "this proxy stops: connect again";
+                        Trouble::fatal("57P01", text).put(&mut client.output.borrow_mut());
+                        false
+                    }
+                };
+                if !more {
+                    return;
+                }
             }
             if client.input.borrow().first() == Some(&b'X') {
                 return;
@@ -319,9 +342,9 @@
             let trouble = match (client.over.get(), answer) {
                 (Some(Over::Left), _) => return,
                 (Some(Over::Unreadable), _) => Trouble::fatal("08P01", "a message of an impossible length"),
-                (Some(Over::Named), _) => Trouble::fatal(
-                    "0A000",
-                    "named prepared statements are not carried from server to server yet: use unnamed ones",
+                (Some(Over::TooMuch), _) => Trouble::fatal(
+                    "54000",
+                    "statements of a session are bounded: 1 MB each, 8 MB together, 100,000 messages ahead",
                 ),
                 (None, Answer::Served(_)) => continue,
                 (None, Answer::Refused(after)) => Trouble::refused(after),
--- a/crates/pgfront/src/track.rs
+++ b/crates/pgfront/src/track.rs
@@ -55,6 +55,11 @@
         self.owed == 0 && !self.unsynced && self.status == b'I'
     }
 
+    /// The server takes rows.
+    pub fn copying(&self) -> bool {
+        self.copying
+    }
+
     /// A statement may have done its work, or may yet: how it ended is not known.
     pub fn unknown(&self) -> bool {
         self.running
--- a/crates/pgfront/src/upstream.rs
+++ b/crates/pgfront/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Connections to servers: how they are made, logged in, kept and closed.
 
+use crate::carry::Prepared;
 use crate::wire::{message, put, WireError};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use lotusdeck_core::{span, Lines};
@@ -85,6 +86,8 @@
     pub output: RefCell<BytesMut>,
     /// For CancelRequest.
     pub key: (i32, i32),
+    /// The texts that it has prepared.
+    pub prepared: RefCell<Prepared>,
     since: Instant,
     _slot: Slot,
 }
@@ -194,7 +197,8 @@
         match login {
             Ok(Ok((tcp, input, key))) => {
                 let (input, output) = (RefCell::new(input), RefCell::default());
-                Ok(Upstream { tcp, to, input, output, key, since: Instant::now(), _slot: slot })
+                let prepared = RefCell::default();
+                Ok(Upstream { tcp, to, input, output, key, prepared, since: Instant::now(), _slot: slot })
             }
             Ok(Err(Refusal::Said(code))) if code == "53300" || code == "57P03" => Err(Outcome::Full),
             Ok(Err(refusal)) => {
--- a/crates/pgfront/src/wire.rs
+++ b/crates/pgfront/src/wire.rs
@@ -140,6 +140,11 @@
         self.left == 0
     }
 
+    /// So many bytes of a message whose beginning went another way are still to come.
+    pub fn behind(&mut self, left: usize) {
+        self.left = left;
+    }
+
     /// Moves from `from` to `to` what may go: at each message's beginning `see` is told its head and the first byte
     /// behind it, where it has one, and says whether it goes too. How many bytes moved.
     ///
--- a/crates/pgfront/tests/rig/mod.rs
+++ b/crates/pgfront/tests/rig/mod.rs
@@ -9,6 +9,7 @@
 use lotusdeck_policy::settings::{Names, Network, Row, Settings};
 use lotusdeck_policy::*;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -19,6 +20,7 @@
 #[derive(Default)]
 pub struct Seen {
     pub statements: RefCell<Vec<String>>,
+    pub parsed: RefCell<Vec<String>>,
     pub logins: RefCell<usize>,
     pub cancels: RefCell<Vec<(i32, i32)>>,
     pub cancelled: Notify,
@@ -60,7 +62,8 @@
     put(&mut out, b'S', b"server_version\09.6.1\0");
     put(&mut out, b'K', &[number.to_be_bytes(), 77i32.to_be_bytes()].concat());
     put(&mut out, b'Z', b"I");
-    let (mut status, mut text) = (b'I', String::new());
+    let (mut status, mut text, mut failed) = (b'I', String::new(), false);
+    let mut named: HashMap<String, String> = HashMap::new();
     loop {
         if tcp.write_all(&out).await.is_err() {
             return;
@@ -74,14 +77,43 @@
         };
         let words =
             |b: &[u8]| String::from_utf8_lossy(b.split(|b| *b == 0).next().unwrap_or(b"")).into_owned();
+        if failed && !matches!(kind, b'Q' | b'S') {
+            continue;
+        }
+        failed = false;
+        // As PostgreSQL does: a name is prepared once, and used only where it was.
+        let mut fail = |out: &mut BytesMut, code: &str| {
+            put(out, b'E', format!("SERROR\0C{code}\0Mstand-in\0\0").as_bytes());
+            failed = true;
+        };
+        let second = |b: &[u8]| words(&b[words(b).len() + 1..]);
         match kind {
             b'Q' => text = words(&body),
-            b'P' => {
-                text = words(&body[1..]);
-                put(&mut out, b'1', b"");
-            }
-            b'B' => put(&mut out, b'2', b""),
+            b'P' => match (words(&body), second(&body)) {
+                (name, _) if !name.is_empty() && named.contains_key(&name) => fail(&mut out, "42P05"),
+                (_, new) if new == "nonsense" => fail(&mut out, "42601"),
+                (name, new) => {
+                    seen.parsed.borrow_mut().push(new.clone());
+                    named.insert(name, new);
+                    put(&mut out, b'1', b"");
+                }
+            },
+            b'B' => match named.get(&second(&body)) {
+                Some(known) => {
+                    text.clone_from(known);
+                    put(&mut out, b'2', b"");
+                }
+                None => fail(&mut out, "26000"),
+            },
+            b'D' if body[0] == b'S' => match named.contains_key(&words(&body[1..])) {
+                true => {
+                    put(&mut out, b't', &[0, 0]);
+                    put(&mut out, b'T', &column());
+                }
+                false => fail(&mut out, "26000"),
+            },
             b'D' => put(&mut out, b'T', &column()),
+            b'C' => put(&mut out, b'3', b""),
             _ => {}
         }
         if matches!(kind, b'Q' | b'E') {
--- a/crates/pgfront/tests/transactions.rs
+++ b/crates/pgfront/tests/transactions.rs
@@ -134,3 +134,55 @@
     })
     .await;
 }
+
+/// Named statements of two clients go with them from server to server; a text is parsed once on a connection, whoever
+/// prepares it under whatever name, and what failed to parse is not taken for prepared.
+#[tokio::test]
+async fn prepared_statements_are_carried() {
+    scope(async {
+        let ((one, first), (two, second)) = (stand_in().await, stand_in().await);
+        let rig = Rig::start(&[one, two], 8, LONG).await;
+        let (a, b) = (rig.driver("do re mi").await.unwrap(), rig.driver("do re mi").await.unwrap());
+        let echo = |rows: Vec<tokio_postgres::Row>| rows[0].get::<_, String>(0);
+        // Both drivers call theirs `s0`.
+        let (x, y) = (a.prepare("select x").await.unwrap(), b.prepare("select y").await.unwrap());
+        let again = b.prepare("select x").await.unwrap();
+        for server in [0, 1, 0, 1] {
+            rig.tell(server, BackendState::Ready);
+            rig.tell(1 - server, BackendState::Draining);
+            assert_eq!(echo(a.query(&x, &[]).await.unwrap()), "select x");
+            assert_eq!(echo(b.query(&y, &[]).await.unwrap()), "select y");
+            assert_eq!(echo(b.query(&again, &[]).await.unwrap()), "select x");
+            assert_eq!(code(a.prepare("nonsense").await), "42601");
+            assert_eq!(code(a.prepare("nonsense").await), "42601");
+        }
+        drop(again);
+        assert_eq!(echo(a.query(&x, &[]).await.unwrap()), "select x", "closed by the other client only");
+        for seen in [first, second] {
+            let (parsed, logins) = (seen.parsed.borrow(), *seen.logins.borrow());
+            let count = |text: &str| parsed.iter().filter(|p| *p == text).count();
+            assert!(
+                count("select x") <= logins && count("select y") <= logins,
+                "{parsed:?}, {logins} logins"
+            );
+        }
+    })
+    .await;
+}
+
+/// What outlives a transaction is met by no other client: the connection is closed behind it.
+#[tokio::test]
+async fn settings_of_one_client_do_not_reach_another() {
+    scope(async {
+        let (at, seen) = stand_in().await;
+        let rig = Rig::start(&[at], 1, LONG).await;
+        let client = rig.driver("do re mi").await.unwrap();
+        for (statement, logins) in
+            [("select 1", 1), ("set x to 1", 1), ("set local y to 1", 2), ("listen z", 2), ("select 2", 3)]
+        {
+            client.simple_query(statement).await.unwrap();
+            assert_eq!(*seen.logins.borrow(), logins, "{statement}");
+        }
+    })
+    .await;
+}
