--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod oracle;
 pub mod overhead;
 pub mod paper;
+pub mod postgres;
 pub mod record;
 pub mod report;
 pub mod session;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,7 @@
 use lotusdeck_lab::report::compare;
 use lotusdeck_lab::report::figures::Figures;
 use lotusdeck_lab::session::{self, Options, SessionError};
-use lotusdeck_lab::{duel, ledger, overhead, paper, swings};
+use lotusdeck_lab::{duel, ledger, overhead, paper, postgres, swings};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -51,6 +51,10 @@
     Paper(paper::Args),
     /// Kill a proxy again and again under load, and compare its ledger with what the backends saw.
     LedgerSoak(ledger::Soak),
+    /// Drivers write through a proxy to PostgreSQL servers that die, and what they were told is compared with the truth.
+    PgSoak(postgres::Soak),
+    /// What the PostgreSQL front costs: direct, through a plain relay and through lotusdeck, interleaved; and idle clients.
+    PgOverhead(postgres::Cost),
     /// How fast the ledger writes and is read back, beside the machine's own floor.
     LedgerBench(ledger::Bench),
     /// Copy bytes between sockets: the floor that `overhead` measures against.
@@ -97,6 +101,8 @@
         Command::Swings(args) => swings::main(&args).map(|()| true),
         Command::Paper(args) => paper::main(&args).map(|()| true),
         Command::LedgerSoak(args) => ledger::soak(&args),
+        Command::PgSoak(args) => postgres::main(&args),
+        Command::PgOverhead(args) => postgres::cost(&args).map(|()| true),
         Command::LedgerBench(args) => ledger::bench(&args).map(|()| true),
         Command::Relay { listen, to } => {
             let fault = |e| SessionError::File(listen.to_string(), e);
--- a/crates/lab/src/overhead.rs
+++ b/crates/lab/src/overhead.rs
@@ -58,12 +58,12 @@
 
 /// One measurement.
 #[derive(Clone, Copy, Debug, Default)]
-struct Point {
-    rate: f64,
-    p50_us: f64,
-    p99_us: f64,
-    cpu_us: f64,
-    failed: u64,
+pub(crate) struct Point {
+    pub rate: f64,
+    pub p50_us: f64,
+    pub p99_us: f64,
+    pub cpu_us: f64,
+    pub failed: u64,
 }
 
 struct Way {
@@ -165,7 +165,7 @@
 }
 
 /// Keeps a process, or this thread, on some processors, so that the rest are for the stand-ins.
-fn pin(pid: Option<u32>, processors: std::ops::Range<usize>) {
+pub(crate) fn pin(pid: Option<u32>, processors: std::ops::Range<usize>) {
     let mut set = rustix::thread::CpuSet::new();
     processors.for_each(|p| set.set(p));
     let pid = pid.and_then(|p| rustix::process::Pid::from_raw(p as i32));
@@ -206,7 +206,8 @@
     })
 }
 
-fn median(points: &[Point], of: impl Fn(&Point) -> f64) -> f64 {
+/// The middle one of a figure.
+pub(crate) fn median(points: &[Point], of: impl Fn(&Point) -> f64) -> f64 {
     let mut values: Vec<f64> = points.iter().map(of).collect();
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied().unwrap_or(0.0)
@@ -258,7 +259,7 @@
 }
 
 /// The relay in a process of its own, so that its processor time can be told.
-fn start_relay(to: &[SocketAddr]) -> std::io::Result<(Child, SocketAddr)> {
+pub(crate) fn start_relay(to: &[SocketAddr]) -> std::io::Result<(Child, SocketAddr)> {
     let at = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
     let mut command = Command::new(std::env::current_exe()?);
     command.args(["relay", "--listen", &at.to_string()]);
--- /dev/null
+++ b/crates/lab/src/postgres/cost.rs
@@ -0,0 +1,210 @@
+//! What the PostgreSQL front costs: the same statements direct, through a plain byte relay, and through lotusdeck,
+//! interleaved; and what an idle client holds.
+
+use super::server::{Chance, Committed, Server};
+use super::{front, Front, PASSWORD};
+use crate::drive::run::{thread, RunError};
+use crate::drive::usage::Usage;
+use crate::overhead::{median, pin, start_relay, Point};
+use crate::session::{program, say, SessionError};
+use hdrhistogram::Histogram;
+use indicatif::ProgressBar;
+use std::cell::{Cell, RefCell};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio_postgres::{Client, NoTls};
+
+/// What to measure.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Cost {
+    /// Rounds; each plays every way once, in turn.
+    #[arg(long, default_value_t = 5)]
+    rounds: usize,
+    /// Seconds of one measurement.
+    #[arg(long, default_value_t = 2.0)]
+    seconds: f64,
+    /// Drivers at saturation.
+    #[arg(long, default_value_t = 32)]
+    connections: usize,
+    /// Servers.
+    #[arg(long, default_value_t = 4)]
+    servers: usize,
+    /// Idle clients whose memory is measured.
+    #[arg(long, default_value_t = 2000)]
+    idle: usize,
+    /// The lotusdeck to play.
+    #[arg(long)]
+    proxy: Option<PathBuf>,
+    /// Where the proxy's configuration and log go.
+    #[arg(long, default_value = "lab-runs/pg-overhead")]
+    out: PathBuf,
+}
+
+struct Way {
+    name: &'static str,
+    to: Vec<SocketAddr>,
+    pid: Option<u32>,
+    /// A prepared statement again and again, or a simple one.
+    prepared: bool,
+    full: Vec<Point>,
+    alone: Vec<Point>,
+}
+
+async fn driver(to: SocketAddr) -> Result<Client, tokio_postgres::Error> {
+    let mut config = tokio_postgres::Config::new();
+    config.host("127.0.0.1").port(to.port()).user("ann").password(PASSWORD).dbname("scores");
+    let (client, connection) = config.connect(NoTls).await?;
+    tokio::task::spawn_local(async move { drop(connection.await) });
+    Ok(client)
+}
+
+/// A closed loop on so many drivers for that time.
+async fn load(
+    to: Vec<SocketAddr>, drivers: usize, span: Duration, prepared: bool,
+) -> (Histogram<u64>, u64, f64) {
+    let latency =
+        Rc::new(RefCell::new(Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds in order")));
+    let failed = Rc::new(Cell::new(0u64));
+    let (began, mut tasks) = (Instant::now(), Vec::new());
+    for n in 0..drivers {
+        let (latency, failed, at) = (latency.clone(), failed.clone(), to[n % to.len()]);
+        tasks.push(tokio::task::spawn_local(async move {
+            let Ok(client) = driver(at).await else { return failed.set(failed.get() + 1) };
+            let statement = if prepared { client.prepare("select").await.ok() } else { None };
+            while began.elapsed() < span {
+                let asked = Instant::now();
+                let done = match &statement {
+                    Some(statement) => client.execute(statement, &[]).await.is_ok(),
+                    None => client.simple_query("select").await.is_ok(),
+                };
+                match done {
+                    true => latency.borrow_mut().saturating_record(asked.elapsed().as_nanos() as u64 / 1000),
+                    false => failed.set(failed.get() + 1),
+                }
+            }
+        }));
+    }
+    for task in tasks {
+        let _ = task.await;
+    }
+    let histogram = latency.borrow().clone();
+    (histogram, failed.get(), began.elapsed().as_secs_f64())
+}
+
+async fn measure(way: &Way, drivers: usize, span: Duration) -> Result<Point, RunError> {
+    let cpu = || way.pid.and_then(Usage::of).map(|u| u.cpu).unwrap_or_default();
+    let (to, prepared, before) = (way.to.clone(), way.prepared, cpu());
+    let processors = std::thread::available_parallelism().map_or(1, usize::from);
+    let done = thread("load", move || {
+        if processors > 2 {
+            pin(None, 2..processors);
+        }
+        load(to, drivers, span, prepared)
+    })?;
+    let (latency, failed, took) = done.await.map_err(|_| RunError::Thread)?;
+    let used = cpu().saturating_sub(before).as_secs_f64();
+    Ok(Point {
+        rate: latency.len() as f64 / took,
+        p50_us: latency.value_at_quantile(0.5) as f64,
+        p99_us: latency.value_at_quantile(0.99) as f64,
+        cpu_us: used * 1e6 / latency.len().max(1) as f64,
+        failed,
+    })
+}
+
+async fn all(args: &Cost, own: &Path) -> Result<String, SessionError> {
+    let never = Chance { before: 0.0, after: 0.0, halfway: 0.0, away: 1.0 };
+    let (ready, standing) = tokio::sync::oneshot::channel();
+    let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+    let count = args.servers;
+    let served = thread("servers", move || async move {
+        let one = |n| Server::new(n, never, Committed::default(), 1);
+        let servers: std::io::Result<Vec<Rc<Server>>> = (0..count).map(one).collect();
+        let addresses = servers.map(|all| {
+            all.into_iter()
+                .map(|server| {
+                    let at = server.address();
+                    tokio::task::spawn_local(server.run());
+                    at
+                })
+                .collect::<Vec<_>>()
+        });
+        let _ = ready.send(addresses);
+        let _ = stopped.await;
+    });
+    let served = served.map_err(RunError::Io)?;
+    let to = standing.await.map_err(|_| RunError::Thread)?.map_err(RunError::Io)?;
+    let (relay, relay_at) = start_relay(&to).map_err(RunError::Io)?;
+    let most = args.connections.max(1);
+    let Front { mut proxy, at, .. } =
+        front(&to, most, args.idle + 2 * most, 60_000, own, &args.out, 1).await?;
+    let mut ways = Vec::new();
+    for (prepared, names) in [
+        (false, ["direct", "relay", "lotusdeck"]),
+        (true, ["direct, prep.", "relay, prep.", "lotusdeck, prep."]),
+    ] {
+        let places = [(to.clone(), None), (vec![relay_at], relay.id()), (vec![at], proxy.pid())];
+        for (name, (to, pid)) in names.into_iter().zip(places) {
+            ways.push(Way { name, to, pid, prepared, full: Vec::new(), alone: Vec::new() });
+        }
+    }
+    ways.iter().filter_map(|w| w.pid).for_each(|pid| pin(Some(pid), 0..1));
+    let bar = ProgressBar::new((args.rounds * ways.len() * 2) as u64);
+    for _ in 0..args.rounds {
+        for w in &mut ways {
+            let span = Duration::from_secs_f64(args.seconds);
+            let (full, alone) = (measure(w, args.connections, span).await?, measure(w, 1, span / 2).await?);
+            w.full.push(full);
+            w.alone.push(alone);
+            bar.inc(2);
+        }
+    }
+    bar.finish_and_clear();
+    let memory = || proxy.usage().map_or(0, |u| u.memory);
+    let (before, mut idle) = (memory(), Vec::new());
+    for _ in 0..args.idle {
+        let Ok(client) = driver(at).await else { break };
+        idle.push(client);
+    }
+    let each = memory().saturating_sub(before) as f64 / idle.len().max(1) as f64;
+    let mut out = format!(
+        "medians of {} rounds of {} s; {} servers, {} drivers and as many connections at saturation, proxy on one core\n",
+        args.rounds, args.seconds, args.servers, args.connections
+    );
+    for w in &ways {
+        let _ = writeln!(
+            out,
+            "{:<16} {:>8.0} /s {:>6.1} cpu us, p50 {:>6.0} us, p99 {:>6.0} us | alone p50 {:>5.0} us, p99 {:>5.0} us | {} failed",
+            w.name,
+            median(&w.full, |p| p.rate),
+            median(&w.full, |p| p.cpu_us),
+            median(&w.full, |p| p.p50_us),
+            median(&w.full, |p| p.p99_us),
+            median(&w.alone, |p| p.p50_us),
+            median(&w.alone, |p| p.p99_us),
+            w.full.iter().chain(&w.alone).map(|p| p.failed).sum::<u64>()
+        );
+    }
+    let _ = writeln!(out, "{} idle clients hold {:.1} KB of the proxy's memory each", idle.len(), each / 1e3);
+    proxy.kill().await;
+    drop((relay, idle));
+    let _ = stop.send(());
+    let _ = served.await;
+    Ok(out)
+}
+
+/// Measures and prints.
+///
+/// # Errors
+/// Where no proxy can be started.
+pub fn main(args: &Cost) -> Result<(), SessionError> {
+    let own = program(args.proxy.as_deref())?;
+    let file = |e| SessionError::File(args.out.display().to_string(), e);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(file)?;
+    say(&tokio::task::LocalSet::new().block_on(&runtime, all(args, &own))?);
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/postgres/mod.rs
@@ -0,0 +1,332 @@
+//! The PostgreSQL front against the truth: drivers write through a real proxy to servers that die at the worst moments, and
+//! what they were told is compared with what the servers committed.
+
+mod cost;
+mod server;
+
+pub use cost::{main as cost, Cost};
+
+use crate::drive::discovery::Service;
+use crate::drive::proxies::Proxy;
+use crate::drive::run::RunError;
+use crate::drive::wire::Reserved;
+use crate::drive::{Clock, Log};
+use crate::experiment::Experiment;
+use crate::session::{program, say, SessionError};
+use crate::world::plan::Plan;
+use indicatif::ProgressBar;
+use server::{Chance, Committed, Server};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio_postgres::{Client, NoTls};
+
+/// What to play.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Soak {
+    /// Seconds.
+    #[arg(long, default_value_t = 20.0)]
+    pub seconds: f64,
+    /// Servers.
+    #[arg(long, default_value_t = 6)]
+    pub servers: usize,
+    /// Drivers that write at once.
+    #[arg(long, default_value_t = 24)]
+    pub clients: usize,
+    /// Connections of the proxy to all servers.
+    #[arg(long, default_value_t = 12)]
+    pub connections: usize,
+    /// Seed of the deaths.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// The lotusdeck to play.
+    #[arg(long)]
+    pub proxy: Option<PathBuf>,
+    /// Where the proxy's configuration and log go.
+    #[arg(long, default_value = "lab-runs/pg-soak")]
+    pub out: PathBuf,
+}
+
+/// The password of the one user, and what is stored of it.
+const PASSWORD: &str = "do re mi";
+const VERIFIER: &str = "SCRAM-SHA-256$64:bG90dXNkZWNrLWxhYi0wMQ==$nj2bFIaealt9OKAetROt8V6HkenGqIQgtnsew+ynTKw=:PF6AnPrR+HvDM+ZGMltxVprMyAvwt4RjjJU9FX4y+n8=";
+/// A driver that cannot connect tries again after this time.
+const AGAIN: Duration = Duration::from_millis(20);
+
+/// What a client may believe of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Told {
+    Done,
+    /// With the code that says so; `None` where its commit was never sent.
+    NotDone,
+    Unknown,
+}
+
+/// What came of a soak.
+#[derive(Debug, Default)]
+pub struct Soaked {
+    /// Writes that clients tried.
+    pub writes: usize,
+    /// Told as done, as not done, and as unknown.
+    pub told: [usize; 3],
+    /// Unknown ones that were committed.
+    pub unknown_done: usize,
+    /// How often servers died.
+    pub deaths: usize,
+    /// Sessions that were opened.
+    pub sessions: usize,
+    /// Codes of all errors.
+    pub codes: BTreeMap<String, usize>,
+    /// What must not be: each in words.
+    pub wrong: Vec<String>,
+}
+
+struct Play {
+    at: SocketAddr,
+    until: Instant,
+    next: Cell<u64>,
+    told: RefCell<HashMap<u64, Told>>,
+    codes: RefCell<BTreeMap<String, usize>>,
+    sessions: Cell<usize>,
+}
+
+impl Play {
+    async fn client(self: Rc<Self>) {
+        while Instant::now() < self.until {
+            let mut config = tokio_postgres::Config::new();
+            config.host("127.0.0.1").port(self.at.port()).user("ann").password(PASSWORD).dbname("scores");
+            let Ok((client, connection)) = config.connect(NoTls).await else {
+                tokio::time::sleep(AGAIN).await;
+                continue;
+            };
+            self.sessions.set(self.sessions.get() + 1);
+            let driven = tokio::task::spawn_local(async move { drop(connection.await) });
+            while Instant::now() < self.until && !client.is_closed() {
+                let number = self.next.get();
+                self.next.set(number + 1);
+                let told = self.write(&client, number).await;
+                self.told.borrow_mut().insert(number, told);
+            }
+            drop(client);
+            let _ = driven.await;
+        }
+    }
+
+    /// What an error lets a client believe of a statement that commits.
+    fn judge(&self, e: &tokio_postgres::Error) -> Told {
+        let code = e.code().map_or("connection lost", |c| c.code()).to_string();
+        let told = if matches!(code.as_str(), "53300" | "08006") { Told::NotDone } else { Told::Unknown };
+        *self.codes.borrow_mut().entry(code).or_default() += 1;
+        told
+    }
+
+    async fn write(&self, client: &Client, number: u64) -> Told {
+        let insert = format!("insert {number}");
+        let ended = match number % 3 {
+            0 => client.simple_query(&insert).await.map(|_| ()),
+            1 => match client.prepare(&insert).await {
+                Ok(statement) => client.execute(&statement, &[]).await.map(|_| ()),
+                Err(e) => {
+                    self.judge(&e);
+                    return Told::NotDone; // it was never asked to run
+                }
+            },
+            _ => {
+                for statement in ["begin", &insert] {
+                    if let Err(e) = client.simple_query(statement).await {
+                        self.judge(&e);
+                        // The transaction is gone with its server, or the client ends it.
+                        let _ = client.simple_query("rollback").await;
+                        return Told::NotDone;
+                    }
+                }
+                client.simple_query("commit").await.map(|_| ())
+            }
+        };
+        ended.map_or_else(|e| self.judge(&e), |()| Told::Done)
+    }
+}
+
+/// What is wrong with what clients were told.
+fn compare(told: &HashMap<u64, Told>, committed: &[(u64, usize)], out: &mut Soaked) {
+    let mut ran: HashMap<u64, Vec<usize>> = HashMap::new();
+    committed.iter().for_each(|(number, server)| ran.entry(*number).or_default().push(*server));
+    let mut numbers: Vec<&u64> = told.keys().collect();
+    numbers.sort();
+    for number in numbers {
+        let there = ran.get(number).map_or(&[][..], Vec::as_slice);
+        if there.len() > 1 {
+            out.wrong.push(format!("write {number} was committed by servers {there:?}"));
+        }
+        match (told[number], there.is_empty()) {
+            (Told::Done, true) => out.wrong.push(format!("write {number} was told as done and is nowhere")),
+            (Told::NotDone, false) => {
+                out.wrong
+                    .push(format!("write {number} was told as not done, and server {} has it", there[0]));
+            }
+            _ => {}
+        }
+        out.told[told[number] as usize] += 1;
+        out.unknown_done += usize::from(told[number] == Told::Unknown && !there.is_empty());
+    }
+    out.writes = told.len();
+}
+
+/// A real proxy before some servers.
+struct Front {
+    proxy: Proxy,
+    /// Where drivers connect; the port is held for the proxy.
+    at: SocketAddr,
+    _held: Reserved,
+    _discovery: Rc<Service>,
+}
+
+/// Starts one.
+async fn front(
+    servers: &[SocketAddr], connections: usize, clients: usize, deadline_ms: u64, own: &Path, out: &Path,
+    seed: u64,
+) -> Result<Front, SessionError> {
+    let io = RunError::Io;
+    let held = Reserved::take(None).map_err(io)?;
+    let at = held.address();
+    let line = |s: &SocketAddr| format!("{{ name = \"{s}\", address = \"{s}\" }}");
+    let list: Vec<String> = servers.iter().map(line).collect();
+    let mut experiment = Experiment::parse(
+        "postgres",
+        "name = 'postgres'\nduration_s = 1.0\nproxies = 1\nload = { rps = 1.0 }\nlimits = { sockets = 16384 }\n\
+         class = [{ name = 'read', effect = 'free', share = 1.0, aim_ms = 1000, deadline_ms = 2000, work_ms = 1 }]\n\
+         kind = [{ name = 'm', count = 1 }]\n",
+    )?;
+    experiment.operator = Some(format!(
+        "[[postgres]]\nlisten = \"{at}\"\ndatabases = [\"scores\"]\n\
+         user = [{{ name = \"ann\", verifier = \"{VERIFIER}\" }}]\n\
+         login = {{ user = \"deck\", database = \"scores\" }}\nserver = [{}]\n\
+         connections = {connections}\nclients = {clients}\naim_ms = 500\ndeadline_ms = {deadline_ms}\n",
+        list.join(", "),
+    ));
+    let plan = Arc::new(Plan::draw(&experiment, seed));
+    let clock = Clock::default();
+    clock.start_in(Duration::ZERO);
+    let nobody = Reserved::take(None).map_err(io)?;
+    let log = Log::new(clock.clone());
+    let service = Service::start(plan.clone(), clock, log, vec![nobody.address()]);
+    let (discovery, places) = service.map_err(io)?;
+    let prepared = Proxy::prepare(0, &plan, own, out, places[0], &discovery.whole());
+    let mut proxy = prepared.map_err(RunError::Proxy)?;
+    proxy.start().await.map_err(RunError::Proxy)?;
+    Ok(Front { proxy, at, _held: held, _discovery: discovery })
+}
+
+async fn play(args: &Soak, own: &Path) -> Result<Soaked, SessionError> {
+    let io = RunError::Io;
+    let chance = Chance { before: 0.002, after: 0.002, halfway: 0.001, away: 0.3 };
+    let committed = Committed::default();
+    let mut servers = Vec::new();
+    for number in 0..args.servers {
+        let server = Server::new(number, chance, committed.clone(), args.seed).map_err(io)?;
+        tokio::task::spawn_local(server.clone().run());
+        servers.push(server);
+    }
+    let list: Vec<SocketAddr> = servers.iter().map(|s| s.address()).collect();
+    let Front { mut proxy, at, .. } =
+        front(&list, args.connections, 2 * args.clients, 3000, own, &args.out, args.seed).await?;
+    let play = Rc::new(Play {
+        at,
+        until: Instant::now() + Duration::from_secs_f64(args.seconds),
+        next: Cell::new(0),
+        told: RefCell::default(),
+        codes: RefCell::default(),
+        sessions: Cell::new(0),
+    });
+    let bar = ProgressBar::new((args.seconds * 10.0) as u64);
+    let clients: Vec<_> =
+        (0..args.clients).map(|_| tokio::task::spawn_local(play.clone().client())).collect();
+    while Instant::now() < play.until {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        bar.inc(1);
+    }
+    for client in clients {
+        let _ = client.await;
+    }
+    bar.finish_and_clear();
+    proxy.kill().await;
+    let mut out = Soaked {
+        deaths: servers.iter().map(|s| s.deaths()).sum(),
+        sessions: play.sessions.get(),
+        codes: play.codes.take(),
+        ..Soaked::default()
+    };
+    compare(&play.told.borrow(), &committed.borrow(), &mut out);
+    Ok(out)
+}
+
+/// Plays a soak.
+///
+/// # Errors
+/// Where no proxy can be started.
+pub fn run(args: &Soak) -> Result<Soaked, SessionError> {
+    let own = program(args.proxy.as_deref())?;
+    let file = |e| SessionError::File(args.out.display().to_string(), e);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(file)?;
+    tokio::task::LocalSet::new().block_on(&runtime, play(args, &own))
+}
+
+/// Plays and prints; whether nothing was wrong.
+///
+/// # Errors
+/// Where no proxy can be started.
+pub fn main(args: &Soak) -> Result<bool, SessionError> {
+    let s = run(args)?;
+    let mut out = format!(
+        "{} writes in {} s by {} drivers over {} connections to {} servers, which died {} times; {} sessions\n",
+        s.writes, args.seconds, args.clients, args.connections, args.servers, s.deaths, s.sessions
+    );
+    let part = |n: usize| n as f64 * 100.0 / s.writes.max(1) as f64;
+    let _ = writeln!(
+        out,
+        "told as done {} ({:.2} %), as not done {} ({:.2} %), as unknown {} ({:.2} %), of which {} were done; {} wrong",
+        s.told[0],
+        part(s.told[0]),
+        s.told[1],
+        part(s.told[1]),
+        s.told[2],
+        part(s.told[2]),
+        s.unknown_done,
+        s.wrong.len()
+    );
+    for (code, count) in &s.codes {
+        let _ = writeln!(out, "  {count:>6}  {code}");
+    }
+    s.wrong.iter().take(20).for_each(|w| out.push_str(&format!("WRONG: {w}\n")));
+    say(&out);
+    Ok(s.wrong.is_empty())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A comparison that finds nothing would prove nothing.
+    #[test]
+    fn each_wrong_word_is_found() {
+        let wrong = |told, committed: &[(u64, usize)]| {
+            let mut out = Soaked::default();
+            compare(&HashMap::from([(7, told)]), committed, &mut out);
+            out.wrong.len()
+        };
+        assert_eq!(wrong(Told::Done, &[(7, 1)]), 0);
+        assert_eq!(
+            wrong(Told::Unknown, &[]) + wrong(Told::Unknown, &[(7, 1)]) + wrong(Told::NotDone, &[]),
+            0
+        );
+        assert_eq!(wrong(Told::Done, &[]), 1);
+        assert_eq!(wrong(Told::NotDone, &[(7, 1)]), 1);
+        assert_eq!(wrong(Told::Unknown, &[(7, 1), (7, 2)]), 1);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/postgres/server.rs
@@ -0,0 +1,240 @@
+//! A model of a server of the PostgreSQL protocol (version 3; PostgreSQL documentation, "Message Formats"). It keeps a log
+//! of what was committed, dies at moments drawn by chance, and comes back on the same port.
+
+use super::super::drive::wire::Reserved;
+use crate::world::dice::Dice;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+
+/// What all servers of a run have committed, in order: the number that was written, and where.
+pub type Committed = Rc<RefCell<Vec<(u64, usize)>>>;
+
+/// When a server dies.
+#[derive(Clone, Copy, Debug)]
+pub struct Chance {
+    /// At a statement, before it has run.
+    pub before: f64,
+    /// ... when its work is committed, before anybody is told.
+    pub after: f64,
+    /// ... when the answer is written and the word that it is ready is not.
+    pub halfway: f64,
+    /// It is away for so long, s.
+    pub away: f64,
+}
+
+/// One server.
+pub struct Server {
+    number: usize,
+    place: Reserved,
+    chance: Chance,
+    committed: Committed,
+    dice: RefCell<Dice>,
+    dies: Notify,
+    deaths: Cell<usize>,
+}
+
+/// What a client's session has said and not been through with.
+#[derive(Default)]
+struct Session {
+    /// Written and not committed.
+    pending: Vec<u64>,
+    open: bool,
+    named: HashMap<Vec<u8>, Vec<u8>>,
+    bound: Vec<u8>,
+    failed: bool,
+}
+
+fn put(out: &mut Vec<u8>, kind: u8, body: &[u8]) {
+    out.push(kind);
+    out.extend((body.len() as u32 + 4).to_be_bytes());
+    out.extend(body);
+}
+
+/// The text up to the next zero byte, and what is behind that.
+fn text(bytes: &[u8]) -> (&[u8], &[u8]) {
+    let end = bytes.iter().position(|b| *b == 0).unwrap_or(bytes.len());
+    (&bytes[..end], bytes.get(end + 1..).unwrap_or_default())
+}
+
+async fn word(tcp: &mut TcpStream) -> std::io::Result<usize> {
+    let mut word = [0; 4];
+    tcp.read_exact(&mut word).await?;
+    Ok(u32::from_be_bytes(word) as usize)
+}
+
+impl Server {
+    /// One that is not running yet.
+    ///
+    /// # Errors
+    /// Where no port is free.
+    pub fn new(
+        number: usize, chance: Chance, committed: Committed, seed: u64,
+    ) -> std::io::Result<Rc<Server>> {
+        let dice = RefCell::new(Dice::new(seed, &format!("postgres {number}")));
+        let (place, dies, deaths) = (Reserved::take(None)?, Notify::new(), Cell::new(0));
+        Ok(Rc::new(Server { number, place, chance, committed, dice, dies, deaths }))
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.place.address()
+    }
+
+    /// How often it died.
+    pub fn deaths(&self) -> usize {
+        self.deaths.get()
+    }
+
+    fn listen(&self) -> std::io::Result<TcpListener> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(self.address())?;
+        socket.listen(256)
+    }
+
+    /// Serves, dies and comes back, for as long as it is polled.
+    ///
+    /// # Errors
+    /// Where it cannot listen.
+    pub async fn run(self: Rc<Self>) -> std::io::Result<()> {
+        loop {
+            let listener = self.listen()?;
+            let mut sessions = JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let (tcp, _) = accepted?;
+                        let server = self.clone();
+                        // A client that leaves in the middle is no fault.
+                        sessions.spawn_local(async move { drop(server.session(tcp).await) });
+                    }
+                    Some(_) = sessions.join_next() => {}
+                    _ = self.dies.notified() => break,
+                }
+            }
+            self.deaths.set(self.deaths.get() + 1);
+            drop((listener, sessions));
+            let away = self.dice.borrow_mut().exponential(self.chance.away);
+            tokio::time::sleep(Duration::from_secs_f64(away)).await;
+        }
+    }
+
+    /// Dies here, with that chance: nothing of this session happens any more.
+    async fn perhaps_die(&self, chance: f64) {
+        if self.dice.borrow_mut().unit() < chance {
+            self.dies.notify_one();
+            std::future::pending::<()>().await;
+        }
+    }
+
+    async fn session(&self, mut tcp: TcpStream) -> std::io::Result<()> {
+        loop {
+            let length = word(&mut tcp).await?;
+            let mut packet = vec![0; length.saturating_sub(4).min(10_000)];
+            tcp.read_exact(&mut packet).await?;
+            match packet.get(..4) {
+                Some([0, 3, 0, 0]) => break,
+                Some([4, 210, 22, 46]) => return Ok(()), // a cancel: nothing here runs for long
+                _ => tcp.write_all(b"N").await?,
+            }
+        }
+        let (mut out, mut s) = (Vec::new(), Session::default());
+        put(&mut out, b'R', &[0; 4]);
+        put(&mut out, b'S', b"server_version\x0016.0\0");
+        put(&mut out, b'K', &[0, 0, 0, 1, 0, 0, 0, 2]);
+        put(&mut out, b'Z', b"I");
+        loop {
+            tcp.write_all(&out).await?;
+            out.clear();
+            let kind = tcp.read_u8().await?;
+            let mut body = vec![0; word(&mut tcp).await?.saturating_sub(4).min(1 << 20)];
+            tcp.read_exact(&mut body).await?;
+            if s.failed && !matches!(kind, b'S' | b'Q') {
+                continue;
+            }
+            s.failed = false;
+            match kind {
+                b'X' => return Ok(()),
+                b'P' => {
+                    let (name, rest) = text(&body);
+                    match !name.is_empty() && s.named.contains_key(name) {
+                        true => self.fail(&mut s, &mut out, "42P05"),
+                        false => {
+                            s.named.insert(name.to_vec(), text(rest).0.to_vec());
+                            put(&mut out, b'1', b"");
+                        }
+                    }
+                }
+                b'B' => match s.named.get(text(text(&body).1).0) {
+                    Some(statement) => {
+                        s.bound.clone_from(statement);
+                        put(&mut out, b'2', b"");
+                    }
+                    None => self.fail(&mut s, &mut out, "26000"),
+                },
+                b'D' if body.first() == Some(&b'S') => {
+                    put(&mut out, b't', &[0, 0]);
+                    put(&mut out, b'n', b"");
+                }
+                b'D' => put(&mut out, b'n', b""),
+                b'C' => put(&mut out, b'3', b""),
+                b'Q' => {
+                    let statement = text(&body).0.to_vec();
+                    self.execute(&mut s, &statement, &mut out).await;
+                }
+                b'E' => {
+                    let statement = s.bound.clone();
+                    self.execute(&mut s, &statement, &mut out).await;
+                }
+                _ => {}
+            }
+            if matches!(kind, b'Q' | b'S') {
+                if self.dice.borrow_mut().unit() < self.chance.halfway {
+                    tcp.write_all(&out).await?;
+                    self.perhaps_die(1.0).await;
+                }
+                put(&mut out, b'Z', if s.open { b"T" } else { b"I" });
+            }
+        }
+    }
+
+    fn fail(&self, s: &mut Session, out: &mut Vec<u8>, code: &str) {
+        s.failed = true;
+        put(out, b'E', format!("SERROR\0C{code}\0Mstand-in {}\0\0", self.number).as_bytes());
+    }
+
+    async fn execute(&self, s: &mut Session, statement: &[u8], out: &mut Vec<u8>) {
+        self.perhaps_die(self.chance.before).await;
+        let words = String::from_utf8_lossy(statement).into_owned();
+        let tag = match words.split_once(' ').unwrap_or((&words, "")) {
+            ("begin", _) => {
+                s.open = true;
+                "BEGIN"
+            }
+            ("insert", number) => {
+                s.pending.extend(number.parse::<u64>());
+                "INSERT 0 1"
+            }
+            ("select", _) => "SELECT 0",
+            ("commit", _) => {
+                s.open = false;
+                "COMMIT"
+            }
+            _ => {
+                (s.open, s.pending) = (false, Vec::new());
+                "ROLLBACK"
+            }
+        };
+        if !s.open {
+            self.committed.borrow_mut().extend(s.pending.drain(..).map(|n| (n, self.number)));
+        }
+        self.perhaps_die(self.chance.after).await;
+        put(out, b'C', format!("{tag}\0").as_bytes());
+    }
+}
--- a/crates/lotusdeck/src/postgres.rs
+++ b/crates/lotusdeck/src/postgres.rs
@@ -3,11 +3,13 @@
 use crate::operator::Fault;
 use lotusdeck_core::cordon::Cordon;
 use lotusdeck_core::{Clock, Endpoint, Host, Lines};
+use lotusdeck_pgfront::classes::Rule;
 use lotusdeck_pgfront::scram::{ScramError, Verifier};
 use lotusdeck_pgfront::{Front, FrontSettings, Login, Servers, User};
 use lotusdeck_policy::settings::{Names, Row, Settings};
 use lotusdeck_policy::{
-    Backend, BackendState, Balancer, Class, ConfigError, Discovery, Effect, ListUpdate, Micros, ZoneId,
+    Backend, BackendState, Balancer, Class, ClassId, ConfigError, Discovery, Effect, ListUpdate, Micros,
+    ZoneId,
 };
 use lotusdeck_proxy::discovery;
 use serde::Deserialize;
@@ -42,6 +44,9 @@
     /// Clients at once.
     #[serde(default = "clients")]
     pub clients: usize,
+    /// Classes by rule, the first that fits; what none fits must never run twice.
+    #[serde(default)]
+    pub class: Vec<ClassSpec>,
     /// A transaction is late after this time, ms.
     #[serde(default = "aim")]
     pub aim_ms: u64,
@@ -73,6 +78,39 @@
     pub verifier: Stored,
 }
 
+/// A class, and what is of it: all that is named has to fit.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassSpec {
+    /// A single statement outside a transaction may be said again while nothing of its answer went to the client.
+    #[serde(default)]
+    pub repeatable: bool,
+    /// As for the front, where another holds.
+    #[serde(default)]
+    pub aim_ms: Option<u64>,
+    /// As for the front, where another holds.
+    #[serde(default)]
+    pub deadline_ms: Option<u64>,
+    /// Worth against the others, in hundredths: 100 where absent.
+    #[serde(default)]
+    pub worth_percent: Option<u32>,
+    /// The role.
+    #[serde(default)]
+    pub user: Option<String>,
+    /// The database.
+    #[serde(default)]
+    pub database: Option<String>,
+    /// `application_name` of the start-up packet.
+    #[serde(default)]
+    pub application_name: Option<String>,
+    /// The text of a comment that the statement begins with.
+    #[serde(default)]
+    pub comment: Option<String>,
+    /// What the statement begins with.
+    #[serde(default)]
+    pub prefix: Option<String>,
+}
+
 /// A verifier as it is stored.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(try_from = "String")]
@@ -140,7 +178,16 @@
 impl Spec {
     fn fault(&self) -> Option<&'static str> {
         let twice = |n: usize| self.server[..n].iter().any(|s| s.name == self.server[n].name);
+        let sound = |c: &ClassSpec| {
+            let (aim, deadline) =
+                (c.aim_ms.unwrap_or(self.aim_ms), c.deadline_ms.unwrap_or(self.deadline_ms));
+            (1..=deadline).contains(&aim) && deadline <= 86_400_000 && c.worth_percent != Some(0)
+        };
         let tests = [
+            (
+                self.class.iter().all(sound),
+                "class: expected aim_ms from 1 to deadline_ms, and a worth above 0",
+            ),
             (self.listen.ip().is_loopback(), "listen: expected a loopback address"),
             (
                 self.discovery.is_some() == self.server.is_empty(),
@@ -157,23 +204,40 @@
         tests.into_iter().find(|t| !t.0).map(|t| t.1)
     }
 
-    /// The module's settings: one class that must never run twice, all else as the node has it.
+    /// Which class is whose.
+    fn rules(&self) -> Vec<Rule> {
+        let rule = |(n, c): (usize, &ClassSpec)| Rule {
+            class: ClassId(n),
+            user: c.user.clone(),
+            database: c.database.clone(),
+            application: c.application_name.clone(),
+            comment: c.comment.clone(),
+            prefix: c.prefix.clone(),
+        };
+        self.class.iter().enumerate().map(rule).collect()
+    }
+
+    /// The module's settings: the classes, a last one that must never run twice, and all else as the node has it.
     fn settings(&self, node: &Settings) -> Settings {
-        let class = Class {
-            aim: Micros(self.aim_ms * 1000),
+        let class = |c: Option<&ClassSpec>| Class {
+            aim: Micros(c.and_then(|c| c.aim_ms).unwrap_or(self.aim_ms) * 1000),
             aim_stretch: 0.0,
-            effect: Effect::Unsafe,
-            worth: 1.0,
+            effect: if c.is_some_and(|c| c.repeatable) { Effect::Free } else { Effect::Unsafe },
+            worth: f64::from(c.and_then(|c| c.worth_percent).unwrap_or(100)) / 100.0,
             late_worth: 0.5,
             retired: false,
         };
+        let all = || self.class.iter().map(Some).chain([None]);
         let mut out = Settings { names: Names::default(), ..node.clone() };
-        (out.config.classes, out.config.tenants, out.config.zone) = (vec![class], Vec::new(), ZoneId(0));
-        out.config.cross_zone_cost = 0.0;
+        (out.config.classes, out.config.tenants, out.config.zone) =
+            (all().map(class).collect(), Vec::new(), ZoneId(0));
+        // Two attempts of one transaction would share one client's streams.
+        (out.config.cross_zone_cost, out.config.second_copies) = (0.0, false);
         if self.discovery.is_none() {
             out.config.discovery = Discovery::Push;
         }
-        out.network.deadlines = vec![Micros(self.deadline_ms * 1000)];
+        let deadline = |c: Option<&ClassSpec>| c.and_then(|c| c.deadline_ms).unwrap_or(self.deadline_ms);
+        out.network.deadlines = all().map(|c| Micros(deadline(c) * 1000)).collect();
         out
     }
 }
@@ -238,8 +302,12 @@
     let listener = lotusdeck_proxy::server::listen(spec.listen).map_err(io)?;
     let at = listener.local_addr().unwrap_or(spec.listen);
     let users = spec.user.iter().map(|u| User { name: u.name.clone(), verifier: u.verifier.0.clone() });
-    let told =
-        FrontSettings { databases: spec.databases.clone(), users: users.collect(), clients: spec.clients };
+    let told = FrontSettings {
+        databases: spec.databases.clone(),
+        users: users.collect(),
+        clients: spec.clients,
+        rules: spec.rules(),
+    };
     let front = Front::new(host.clone(), servers.clone(), told).map_err(io)?;
     tokio::task::spawn_local(host.clone().timers());
     tokio::task::spawn_local(host.clone().heed_cordons());
--- a/crates/lotusdeck/tests/postgres.rs
+++ b/crates/lotusdeck/tests/postgres.rs
@@ -2,7 +2,6 @@
 
 mod rig;
 #[path = "../../pgfront/tests/rig/mod.rs"]
-#[allow(dead_code)]
 mod stand_in;
 
 use lotusdeck_pgfront::scram::Verifier;
@@ -61,3 +60,20 @@
     let told = String::from_utf8_lossy(&output.stdout) + String::from_utf8_lossy(&output.stderr);
     assert!(output.status.code() == Some(2) && told.contains("either discovery or"), "{told}");
 }
+
+/// The soak's short form: servers that die at the worst moments, and no word to a driver that is not true.
+#[test]
+fn no_write_is_lost_doubled_or_told_wrongly_when_servers_die() {
+    let args = lotusdeck_lab::postgres::Soak {
+        seconds: 6.0,
+        servers: 4,
+        clients: 12,
+        connections: 8,
+        seed: 3,
+        proxy: Some(env!("CARGO_BIN_EXE_lotusdeck").into()),
+        out: std::env::temp_dir().join(format!("lotusdeck-pg-soak-{}", std::process::id())),
+    };
+    let soaked = lotusdeck_lab::postgres::run(&args).unwrap();
+    assert!(soaked.wrong.is_empty(), "{:?}", soaked.wrong);
+    assert!(soaked.deaths > 3 && soaked.told.iter().all(|n| *n > 0), "{soaked:?}");
+}
--- a/crates/pgfront/src/bridge.rs
+++ b/crates/pgfront/src/bridge.rs
@@ -5,7 +5,7 @@
 use crate::track::Track;
 use crate::upstream::{drain, fill, Servers, Upstream};
 use crate::wire::{Pieces, WireError};
-use bytes::BytesMut;
+use bytes::{BufMut, Bytes, BytesMut};
 use lotusdeck_core::{Leg, Sending, Work};
 use lotusdeck_policy::{AttemptNo, Outcome};
 use std::cell::{Cell, RefCell};
@@ -29,6 +29,13 @@
     /// Bytes of the present transaction have gone to a server, and that was lost.
     pub sent: Cell<bool>,
     pub lost: Cell<bool>,
+    /// The only message of a transaction that may be said again as long as nothing of its answer went to the client.
+    pub replay: RefCell<Option<Bytes>>,
+    /// It has said farewell behind what is still out.
+    farewell: Cell<bool>,
+    /// Bytes of it that a server has, and whether something of an answer went to the client.
+    taken: Cell<usize>,
+    answered: Cell<bool>,
     /// It has left, or says what it cannot say.
     pub over: Cell<Option<Over>>,
     pub ended: Notify,
@@ -48,6 +55,10 @@
             carry: RefCell::default(),
             sent: Cell::new(false),
             lost: Cell::new(false),
+            replay: RefCell::default(),
+            farewell: Cell::new(false),
+            taken: Cell::new(0),
+            answered: Cell::new(false),
             over: Cell::new(None),
             ended: Notify::new(),
             at: Cell::new(None),
@@ -68,6 +79,12 @@
         self.track.set(track);
         let (moved, why) = passed.map_or_else(|(moved, why)| (moved, Some(why)), |moved| (moved, None));
         self.sent.set(self.sent.get() || moved > 0);
+        // Whatever follows the one message is not kept.
+        self.taken.set(self.taken.get() + moved);
+        let beyond = self.replay.borrow().as_ref().is_some_and(|r| r.len() < self.taken.get());
+        if beyond {
+            self.replay.take();
+        }
         why
     }
 
@@ -77,9 +94,34 @@
         let mut prepared = upstream.prepared.borrow_mut();
         let passed = self.carry.borrow_mut().down(&mut pieces, &mut track, &mut from, &mut to, &mut prepared);
         self.track.set(track);
+        self.answered.set(self.answered.get() || !to.is_empty());
         passed
     }
 
+    /// A transaction begins.
+    pub fn begin(&self, replay: Option<Bytes>) {
+        [&self.sent, &self.lost, &self.answered].into_iter().for_each(|flag| flag.set(false));
+        self.taken.set(0);
+        self.replay.replace(replay);
+    }
+
+    /// What went to a server that was lost is there to be sent again, where that may be.
+    fn rewind(&self) {
+        let again = self.replay.borrow().clone().filter(|_| self.sent.get() && !self.answered.get());
+        if let Some(again) = again {
+            let behind = self.input.take();
+            let mut input = BytesMut::with_capacity(again.len() + behind.len());
+            input.put_slice(&again);
+            input.put_slice(&behind);
+            self.input.replace(input);
+            self.track.set(Track::default());
+            [&self.sent, &self.lost].into_iter().for_each(|flag| flag.set(false));
+            self.taken.set(0);
+            *self.up.borrow_mut() = Pieces::default();
+            *self.down.borrow_mut() = Pieces::default();
+        }
+    }
+
     /// The connection may serve another client.
     fn leaves_clean(&self, upstream: &Upstream) -> bool {
         !self.carry.borrow().tainted && upstream.prepared.borrow().len() <= MAX_PREPARED
@@ -99,7 +141,11 @@
                 std::future::pending::<()>().await;
             }
             if let Some(why) = why {
-                self.end(why);
+                // A farewell behind statements that are out holds once these are answered.
+                self.farewell.set(why == Over::Left && self.track.get().owed() > 0);
+                if !self.farewell.get() {
+                    self.end(why);
+                }
                 std::future::pending::<()>().await; // the session withdraws the request
             }
             if !matches!(fill(&self.tcp, &self.input).await, Ok(1..)) {
@@ -127,6 +173,9 @@
             if self.idle(upstream) {
                 return Outcome::Ok;
             }
+            if self.farewell.get() && self.track.get().owed() == 0 {
+                self.end(Over::Left);
+            }
         }
     }
 }
@@ -140,11 +189,12 @@
 impl Work for Transaction {
     fn attempt(self: Rc<Self>, leg: Leg) -> Sending {
         Box::pin(async move {
+            self.client.rewind();
             let upstream = match self.servers.take(leg.backend, leg.address).await {
                 Ok(upstream) => upstream,
                 Err(outcome) => return outcome,
             };
-            if !leg.cleared().await || self.spent() || !leg.may_send() {
+            if !leg.cleared().await || self.client.sent.get() || !leg.may_send() {
                 self.servers.put(leg.backend, upstream);
                 return Outcome::NeverSent;
             }
@@ -163,9 +213,9 @@
         })
     }
 
-    /// What has gone to a server is not kept for another.
+    /// What has gone to a server is not kept for another, but for a single statement that is declared safe.
     fn spent(&self) -> bool {
-        self.client.sent.get()
+        self.client.sent.get() && (self.client.answered.get() || self.client.replay.borrow().is_none())
     }
 
     fn status(&self, _: AttemptNo) -> Option<u16> {
--- a/crates/pgfront/src/error.rs
+++ b/crates/pgfront/src/error.rs
@@ -24,8 +24,10 @@
     }
 
     /// No server can take it now: `too_many_connections`, as a full server says it.
-    pub fn refused(after: Micros) -> Trouble {
-        let detail = Some(format!("Come again in {:.3} s. Nothing was done.", after.secs()));
+    /// One that is declared safe to repeat may have been sent all the same.
+    pub fn refused(after: Micros, sent: bool) -> Trouble {
+        let done = if sent { "It may have run, and may be repeated." } else { "Nothing was done." };
+        let detail = Some(format!("Come again in {:.3} s. {done}", after.secs()));
         Trouble { detail, ..Trouble::error("53300", "no server has room at the moment") }
     }
 
--- a/crates/pgfront/src/lib.rs
+++ b/crates/pgfront/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod bridge;
 mod carry;
+pub mod classes;
 mod error;
 pub mod scram;
 mod session;
--- a/crates/pgfront/src/session.rs
+++ b/crates/pgfront/src/session.rs
@@ -2,15 +2,16 @@
 
 use crate::bridge::{Client, Transaction};
 use crate::carry::Over;
+use crate::classes::{class, single, statement, Rule, Who};
 use crate::error::Trouble;
 use crate::scram::{Exchange, ScramError, Verifier, MECHANISM};
 use crate::track::Track;
 use crate::upstream::{drain, fill, Servers};
-use crate::wire::{message, opening, put, Opening, Pieces, WireError};
+use crate::wire::{head, message, opening, put, Head, Opening, Pieces, WireError, HEAD};
 use base64::prelude::{Engine, BASE64_STANDARD};
-use bytes::{Buf, BufMut, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use lotusdeck_core::{Answer, Host, Labels};
-use lotusdeck_policy::{Arrival, ClassId, RequestId};
+use lotusdeck_policy::{Arrival, ClassId, Effect, RequestId};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
@@ -23,6 +24,8 @@
 const LOGIN: Duration = Duration::from_secs(10);
 /// A message of the login is no longer.
 const MAX_LOGIN: usize = 8 * 1024;
+/// A statement that may be said again is no longer.
+const MAX_REPLAY: usize = 64 * 1024;
 /// The last words to a client are given up after this time.
 const FAREWELL: Duration = Duration::from_secs(2);
 /// What is told of the server before one was logged in to (ParameterStatus).
@@ -53,6 +56,8 @@
     pub users: Vec<User>,
     /// Clients at once.
     pub clients: usize,
+    /// Which class a transaction is of; the last class of the settings where none fits.
+    pub rules: Vec<Rule>,
 }
 
 /// Clients of one address.
@@ -167,6 +172,10 @@
     Ok(out)
 }
 
+fn unknown() -> Trouble {
+    Trouble::error("08007", "the server was lost: whether this was done is not known")
+}
+
 fn late() -> Trouble {
     Trouble::error("57014", "its time was up before its answer came")
 }
@@ -235,10 +244,10 @@
                 trouble.put(&mut new.output.borrow_mut());
                 let _ = tokio::time::timeout(FAREWELL, drain(&new.output, &new.tcp)).await;
             }
-            Ok(Some(key)) => {
+            Ok(Some((key, who))) => {
                 let client = Client::new(new.tcp, new.input.into_inner());
                 self.sessions.borrow_mut().insert(key, Rc::downgrade(&client));
-                self.serve(&client).await;
+                self.serve(&client, &who).await;
                 self.sessions.borrow_mut().remove(&key);
                 let _ = tokio::time::timeout(FAREWELL, drain(&client.output, &client.tcp)).await;
             }
@@ -246,7 +255,7 @@
     }
 
     /// The figures of a session that stands; `None` where none was asked for.
-    async fn log_in(&self, new: &Newcomer) -> Result<Option<(i32, i32)>, NoSession> {
+    async fn log_in(&self, new: &Newcomer) -> Result<Option<((i32, i32), Who)>, NoSession> {
         let (minor, asked) = loop {
             match new.opening().await? {
                 Opening::Ssl | Opening::Gss => {
@@ -305,7 +314,9 @@
         ready(&mut out);
         new.output.replace(out);
         drain(&new.output, &new.tcp).await?;
-        Ok(Some((number(pid), number(secret))))
+        let application = of("application_name").unwrap_or_default().to_string();
+        let who = Who { user: user.into(), database: database.into(), application };
+        Ok(Some(((number(pid), number(secret)), who)))
     }
 
     /// Passed on to the server that runs the session's transaction at this moment, and to no other.
@@ -318,7 +329,7 @@
         let _ = drain(&RefCell::new(packet), &tcp).await; // a cancel is a wish
     }
 
-    async fn serve(self: &Rc<Self>, client: &Rc<Client>) {
+    async fn serve(self: &Rc<Self>, client: &Rc<Client>, who: &Who) {
         let mut stop = self.stop.subscribe();
         loop {
             if client.input.borrow().is_empty() {
@@ -337,7 +348,7 @@
             if client.input.borrow().first() == Some(&b'X') {
                 return;
             }
-            let answer = self.transaction(client).await;
+            let answer = self.transaction(client, who).await;
             client.at.set(None);
             let trouble = match (client.over.get(), answer) {
                 (Some(Over::Left), _) => return,
@@ -347,13 +358,13 @@
                     "statements of a session are bounded: 1 MB each, 8 MB together, 100,000 messages ahead",
                 ),
                 (None, Answer::Served(_)) => continue,
-                (None, Answer::Refused(after)) => Trouble::refused(after),
+                // Declared safe, and not to be repeated any more by this proxy: what was lost is the server.
+                (None, Answer::Refused(_)) if client.lost.get() && client.track.get().unknown() => unknown(),
+                (None, Answer::Refused(after)) => Trouble::refused(after, client.sent.get()),
                 (None, Answer::TimedOut) => late(),
                 // Withdrawn by the module, a moment before the client's time was up.
                 (None, Answer::Failed) if client.sent.get() && !client.lost.get() => late(),
-                (None, Answer::Failed) if client.track.get().unknown() => {
-                    Trouble::error("08007", "the server was lost: whether this was done is not known")
-                }
+                (None, Answer::Failed) if client.track.get().unknown() => unknown(),
                 (None, Answer::Failed) => {
                     Trouble::error("08006", "the server was lost before anything was done")
                 }
@@ -365,11 +376,21 @@
     }
 
     /// One transaction through the core.
-    async fn transaction(self: &Rc<Self>, client: &Rc<Client>) -> Answer {
-        client.sent.set(false);
-        client.lost.set(false);
+    async fn transaction(self: &Rc<Self>, client: &Rc<Client>, who: &Who) -> Answer {
         let settings = self.host.settings();
-        let class = ClassId(0);
+        let (class, replay) = {
+            let input = client.input.borrow();
+            let head = head(&input).ok().flatten();
+            let whole = head.and_then(|h| Some((h, input.get(HEAD..HEAD + h.length)?)));
+            let text = whole.and_then(|(h, body)| statement(h.kind, body));
+            let last = ClassId(settings.config.classes.len().saturating_sub(1));
+            let class = class(&self.settings.rules, who, text, last);
+            let safe = settings.config.classes[class.0].effect == Effect::Free;
+            let may = |(h, body): &(Head, &[u8])| safe && h.length <= MAX_REPLAY && single(h.kind, body);
+            let replay = whole.filter(may).map(|(h, _)| Bytes::copy_from_slice(&input[..HEAD + h.length]));
+            (class, replay)
+        };
+        client.begin(replay);
         let effect = settings.config.classes[class.0].effect;
         let time_left = settings.network.deadlines.get(class.0).copied().unwrap_or_default();
         let arrival = Arrival {
--- a/crates/pgfront/tests/rig/mod.rs
+++ b/crates/pgfront/tests/rig/mod.rs
@@ -1,14 +1,17 @@
 //! A stand-in for servers of the PostgreSQL protocol, and a front before some of them.
 
+#![allow(dead_code)]
+
 use bytes::{BufMut, BytesMut};
 use lotusdeck_core::cordon::Cordon;
 use lotusdeck_core::{Clock, Endpoint, Host};
+use lotusdeck_pgfront::classes::Rule;
 use lotusdeck_pgfront::scram::Verifier;
 use lotusdeck_pgfront::wire::{message, opening, put, Opening};
 use lotusdeck_pgfront::{Front, FrontSettings, Login, Servers, User};
 use lotusdeck_policy::settings::{Names, Network, Row, Settings};
 use lotusdeck_policy::*;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,12 +19,24 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+thread_local! {
+    /// One of this test's stand-ins has died at `die once`.
+    static DIED: Cell<bool> = const { Cell::new(false) };
+}
+
 /// What a stand-in has seen: statements in the order in which they ran, and cancels.
 #[derive(Default)]
 pub struct Seen {
     pub statements: RefCell<Vec<String>>,
     pub parsed: RefCell<Vec<String>>,
     pub logins: RefCell<usize>,
+    /// Bytes of rows that clients copied in, and that were poured out to one.
+    pub copied: RefCell<usize>,
+    pub poured: RefCell<usize>,
+    /// Nothing more can be poured.
+    pub stalled: Notify,
+    /// A session's connection has ended.
+    pub ended: Notify,
     pub cancels: RefCell<Vec<(i32, i32)>>,
     pub cancelled: Notify,
 }
@@ -33,7 +48,11 @@
     let log = seen.clone();
     tokio::task::spawn_local(async move {
         while let Ok((tcp, _)) = listener.accept().await {
-            tokio::task::spawn_local(session(tcp, log.clone()));
+            let log = log.clone();
+            tokio::task::spawn_local(async move {
+                session(tcp, log.clone()).await;
+                log.ended.notify_one();
+            });
         }
     });
     (at, seen)
@@ -62,7 +81,7 @@
     put(&mut out, b'S', b"server_version\09.6.1\0");
     put(&mut out, b'K', &[number.to_be_bytes(), 77i32.to_be_bytes()].concat());
     put(&mut out, b'Z', b"I");
-    let (mut status, mut text, mut failed) = (b'I', String::new(), false);
+    let (mut status, mut text, mut failed, mut copying) = (b'I', String::new(), false, false);
     let mut named: HashMap<String, String> = HashMap::new();
     loop {
         if tcp.write_all(&out).await.is_err() {
@@ -77,9 +96,10 @@
         };
         let words =
             |b: &[u8]| String::from_utf8_lossy(b.split(|b| *b == 0).next().unwrap_or(b"")).into_owned();
-        if failed && !matches!(kind, b'Q' | b'S') {
+        if failed && !matches!(kind, b'Q' | b'S') || copying && kind == b'S' {
             continue;
         }
+        copying &= kind == b'd';
         failed = false;
         // As PostgreSQL does: a name is prepared once, and used only where it was.
         let mut fail = |out: &mut BytesMut, code: &str| {
@@ -114,13 +134,32 @@
             },
             b'D' => put(&mut out, b'T', &column()),
             b'C' => put(&mut out, b'3', b""),
+            b'd' => *seen.copied.borrow_mut() += body.len(),
+            b'c' => {
+                put(&mut out, b'C', b"COPY 1\0");
+                put(&mut out, b'Z', &[status]);
+            }
             _ => {}
         }
         if matches!(kind, b'Q' | b'E') {
             seen.statements.borrow_mut().push(text.clone());
-            match text.as_str() {
-                "die" => return,
+            match text.trim_start_matches("/* safe */ ") {
+                "die once" if !DIED.replace(true) => return,
+                "die" | "select 1; die" => return,
                 "stall" => std::future::pending().await,
+                "copy" => {
+                    put(&mut out, b'G', &[0, 0, 0]);
+                    copying = true;
+                    continue;
+                }
+                "pour" => return pour(tcp, &seen).await,
+                "fail" => {
+                    fail(&mut out, "22012");
+                    if kind == b'Q' {
+                        put(&mut out, b'Z', &[status]);
+                    }
+                    continue;
+                }
                 "begin" => status = b'T',
                 "commit" | "rollback" => status = b'I',
                 _ => {}
@@ -130,7 +169,7 @@
             }
             row(&mut out, &text);
             put(&mut out, b'C', b"SELECT 1\0");
-            if text == "halt" {
+            if text.ends_with("halt") {
                 let _ = tcp.write_all(&out).await;
                 return;
             }
@@ -141,6 +180,21 @@
     }
 }
 
+/// Rows without end, until nobody takes them any more.
+async fn pour(mut tcp: TcpStream, seen: &Seen) {
+    let mut out = BytesMut::new();
+    put(&mut out, b'T', &column());
+    row(&mut out, &"x".repeat(8000));
+    loop {
+        let stuck = std::time::Duration::from_millis(500);
+        match tokio::time::timeout(stuck, tcp.write_all(&out)).await {
+            Ok(Ok(())) => *seen.poured.borrow_mut() += out.len(),
+            Ok(Err(_)) => return,
+            Err(_) => seen.stalled.notify_one(),
+        }
+    }
+}
+
 /// RowDescription of one column of text.
 fn column() -> Vec<u8> {
     let mut body = BytesMut::new();
@@ -175,13 +229,19 @@
 impl Rig {
     /// At most so many connections to servers, and so much time for a transaction.
     pub async fn start(list: &[SocketAddr], most: usize, deadline: Micros) -> Rig {
-        let class = Class { effect: Effect::Unsafe, aim: deadline, ..Config::example().classes[0].clone() };
-        let config = Config { proxies: 1, classes: vec![class], ..Config::example() };
+        Rig::ruled(list, most, deadline, Vec::new()).await
+    }
+
+    /// With rules: class 0 may be repeated, class 1 may not.
+    pub async fn ruled(list: &[SocketAddr], most: usize, deadline: Micros, rules: Vec<Rule>) -> Rig {
+        let class = |effect| Class { effect, aim: deadline, ..Config::example().classes[0].clone() };
+        let classes = vec![class(Effect::Free), class(Effect::Unsafe)];
+        let config = Config { proxies: 1, second_copies: false, classes, ..Config::example() };
         let network = Network {
             connect_timeout: Micros(1_000_000),
             conn_idle: Micros(60_000_000),
             max_retry_after: Micros(1_000_000),
-            deadlines: vec![deadline],
+            deadlines: vec![deadline; 2],
         };
         let login = Login { user: "deck".into(), database: "scores".into(), password: None };
         let servers = Servers::new(login, &network, most);
@@ -191,7 +251,8 @@
         let host = Host::new(balancer, settings, Clock::new(), vec![servers.clone()], cordon, None);
         tokio::task::spawn_local(host.clone().timers());
         let user = User { name: "ann".into(), verifier: Verifier::of_password(b"do re mi", b"salt", 64) };
-        let settings = FrontSettings { databases: vec!["scores".into()], users: vec![user], clients: 100 };
+        let settings =
+            FrontSettings { databases: vec!["scores".into()], users: vec![user], clients: 100, rules };
         let front = Front::new(host.clone(), servers.clone(), settings).unwrap();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let at = listener.local_addr().unwrap();
--- a/crates/pgfront/tests/transactions.rs
+++ b/crates/pgfront/tests/transactions.rs
@@ -2,7 +2,8 @@
 
 mod rig;
 
-use lotusdeck_policy::{BackendState, Micros};
+use lotusdeck_pgfront::classes::Rule;
+use lotusdeck_policy::{BackendState, ClassId, Micros};
 use rig::{code, stand_in, value, Rig};
 use std::future::Future;
 use tokio::task::LocalSet;
@@ -186,3 +187,33 @@
     })
     .await;
 }
+
+/// A single statement that is declared safe is said again where its server is lost before a word of the answer; in a
+/// transaction, behind a word, or without the rule, it is not.
+#[tokio::test]
+async fn what_is_declared_safe_is_said_again() {
+    scope(async {
+        let ((one, first), (two, second)) = (stand_in().await, stand_in().await);
+        let rule = Rule { class: ClassId(0), comment: Some("safe".into()), ..Rule::default() };
+        let rig = Rig::ruled(&[one, two], 8, LONG, vec![rule]).await;
+        let client = rig.driver("do re mi").await.unwrap();
+        let count = |what: &str| {
+            let all = [first.statements.borrow().clone(), second.statements.borrow().clone()].concat();
+            all.iter().filter(|s| *s == what).count()
+        };
+        // Repeats have a budget, which grows with what is asked.
+        for n in 0..12 {
+            client.simple_query(&format!("select {n}")).await.unwrap();
+        }
+        // The stand-in dies at the first of these alone.
+        assert_eq!(value(&client.simple_query("/* safe */ die once").await.unwrap()), "/* safe */ die once");
+        assert_eq!(count("/* safe */ die once"), 2);
+        assert_eq!(code(client.simple_query("die").await), "08007");
+        assert_eq!(count("die"), 1);
+        assert_eq!(code(client.simple_query("/* safe */ halt").await), "08007", "a word was out");
+        assert_eq!(count("/* safe */ halt"), 1);
+        assert_eq!(code(client.simple_query("/* safe */ select 1; die").await).len(), 5);
+        assert_eq!(count("/* safe */ select 1; die"), 1, "two statements are not one");
+    })
+    .await;
+}
