Tell every part of a PostgreSQL pipeline that its server is lost, not only the first

The soak's short form failed once in a full test run: a write was told as done and was nowhere, or the like. A driver closes a statement and asks the next in one pipeline; where the server was lost between, the first got the error and the second an end without a word, which passes for an empty answer. Each gets the error now.

--- a/crates/pgfront/src/session.rs
+++ b/crates/pgfront/src/session.rs
@@ -440,7 +440,12 @@
         if (track.owed() == 0 || track.unsynced()) && !self.skip(client).await {
             return false;
         }
-        (0..track.owed().max(1)).for_each(|_| ready(&mut client.output.borrow_mut()));
+        ready(&mut client.output.borrow_mut());
+        // Each part of a pipeline that is out is told so: an end without a word would pass for an empty answer.
+        for _ in 1..track.owed() {
+            trouble.put(&mut client.output.borrow_mut());
+            ready(&mut client.output.borrow_mut());
+        }
         client.track.set(Track::default());
         *client.up.borrow_mut() = Pieces::default();
         drain(&client.output, &client.tcp).await.is_ok()
