Mend what a second reading of the PostgreSQL front found

A client that had said a byte held a server's connection to its deadline, and its class hung on how the network cut its first message: a transaction begins with its first message whole now, or 64 KB of it. Rows behind a failed COPY began a transaction that asks for nothing; a message cut by a lost server had its rest read as new messages. An error waited for the client's next word before it was written. SET and its like in prepared statements, or cut, now close the connection as well. A name that does not exist looks like one that does, also with other iterations. Silent strangers are bounded, the fronts' descriptors are taken off HTTP's, a broken file names no table as unknown, and lines of the log tell which front. Two raw tests more, each failing without its mend: a lost pipeline, and half a statement.

--- a/crates/lotusdeck/src/operator.rs
+++ b/crates/lotusdeck/src/operator.rs
@@ -262,10 +262,11 @@
         let mut operator = Operator::default();
         for (table, entry) in root.get_ref() {
             let name = table.get_ref();
-            if name.as_ref() == "postgres" && broken.is_empty() {
+            if name.as_ref() == "postgres" {
+                // Behind what is no TOML nothing can be said of it.
                 match postgres::read(text) {
                     Ok(specs) => operator.postgres = specs,
-                    Err(fault) => faults.push(fault),
+                    Err(fault) => faults.extend(broken.is_empty().then_some(fault)),
                 }
                 continue;
             }
--- a/crates/lotusdeck/src/postgres.rs
+++ b/crates/lotusdeck/src/postgres.rs
@@ -5,7 +5,7 @@
 use lotusdeck_core::{Clock, Endpoint, Host, Lines};
 use lotusdeck_pgfront::classes::Rule;
 use lotusdeck_pgfront::scram::{ScramError, Verifier};
-use lotusdeck_pgfront::{Front, FrontSettings, Login, Servers, User};
+use lotusdeck_pgfront::{Front, FrontSettings, Login, Servers, User, SPARE};
 use lotusdeck_policy::settings::{Names, Row, Settings};
 use lotusdeck_policy::{
     Backend, BackendState, Balancer, Class, ClassId, ConfigError, Discovery, Effect, ListUpdate, Micros,
@@ -18,7 +18,7 @@
 use std::rc::Rc;
 use thiserror::Error;
 use tokio::sync::watch;
-use tracing::info;
+use tracing::{info, info_span};
 
 /// One front.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
@@ -140,7 +140,7 @@
     40
 }
 fn clients() -> usize {
-    1000
+    200
 }
 fn aim() -> u64 {
     1_000
@@ -217,6 +217,11 @@
         self.class.iter().enumerate().map(rule).collect()
     }
 
+    /// Descriptors that it may take.
+    pub fn descriptors(&self) -> usize {
+        self.clients + SPARE + self.connections
+    }
+
     /// The module's settings: the classes, a last one that must never run twice, and all else as the node has it.
     fn settings(&self, node: &Settings) -> Settings {
         let class = |c: Option<&ClassSpec>| Class {
@@ -258,6 +263,7 @@
 
 /// A front that runs.
 pub struct Running {
+    at: SocketAddr,
     front: Rc<Front>,
     host: Rc<Host>,
     servers: Rc<Servers>,
@@ -266,8 +272,10 @@
 impl Running {
     /// One line on it since the last.
     pub fn report(&self) {
-        self.host.report();
-        info!(clients = self.front.clients(), servers = self.servers.open(), "postgres");
+        info_span!("postgres", at = %self.at).in_scope(|| {
+            self.host.report();
+            info!(clients = self.front.clients(), servers = self.servers.open(), "sessions");
+        });
     }
 
     /// Sessions end: idle ones now, the others with their transactions.
@@ -331,7 +339,7 @@
     }
     tokio::task::spawn_local(front.clone().run(listener));
     info!(address = %at, servers = spec.server.len(), users = spec.user.len(), "takes postgres clients");
-    Ok(Running { front, host, servers })
+    Ok(Running { at, front, host, servers })
 }
 
 #[cfg(test)]
--- a/crates/lotusdeck/src/serve.rs
+++ b/crates/lotusdeck/src/serve.rs
@@ -74,6 +74,8 @@
     LedgerChanged,
     #[error(transparent)]
     Postgres(#[from] PostgresError),
+    #[error("[[postgres]] asks for {0} descriptors (clients and connections) of {1}: {2} at least have to be left")]
+    Descriptors(usize, usize, usize),
     #[error("[[postgres]] has changed: that needs a new start")]
     PostgresChanged,
     #[error("cannot listen {0} on {1}: {2}")]
@@ -190,6 +192,10 @@
     let lines: Vec<Rc<dyn Lines>> = vec![pool.clone()];
     let ledger = Journaling::start(&operator.ledger, &node.name, node.seed).map_err(ServeError::Ledger)?;
     let journal = ledger.clone().map(|l| l as Rc<dyn Journal>);
+    // What the other fronts may hold is no longer HTTP's.
+    let fronted: usize = operator.postgres.iter().map(Spec::descriptors).sum();
+    let left = node.sockets.checked_sub(fronted).filter(|left| fronted == 0 || *left >= 2 * RESERVE);
+    let sockets = left.ok_or(ServeError::Descriptors(fronted, node.sockets, 2 * RESERVE))?;
     let start = |spec| postgres::start(spec, &node.settings, node.seed, clock, &node.state());
     let fronts: Vec<Running> = operator.postgres.iter().map(start).collect::<Result<_, _>>()?;
     let host = Host::new(balancer, node.settings, clock, lines, cordon, journal);
@@ -216,11 +222,11 @@
     tokio::task::spawn_local(adoption.heed(hangup));
     let server = Server::new(host.clone(), pool.clone(), budget);
     let shared = peer.alive();
-    share(node.sockets, shared, &pool, &server);
+    share(sockets, shared, &pool, &server);
     if shared {
         host.shared(true);
     }
-    tokio::task::spawn_local(heed_peer(peer, node.sockets, shared, host.clone(), pool, server.clone()));
+    tokio::task::spawn_local(heed_peer(peer, sockets, shared, host.clone(), pool, server.clone()));
     if let Some(calls) = calls {
         let address = calls.local_addr().ok().or(node.admin);
         info!(address = address.map(tracing::field::display), "operators call");
--- a/crates/pgfront/src/carry.rs
+++ b/crates/pgfront/src/carry.rs
@@ -5,8 +5,8 @@
 use crate::track::Track;
 use crate::wire::{head, message, put, Head, Pieces, WireError, HEAD};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use sha2::{Digest, Sha256};
 use std::collections::{HashMap, HashSet, VecDeque};
-use xxhash_rust::xxh3::xxh3_128;
 
 /// A statement with its types is no longer (bytes).
 const MAX_STATEMENT: usize = 1 << 20;
@@ -19,8 +19,11 @@
 /// Statements that are left prepared on one connection.
 pub(crate) const MAX_PREPARED: usize = 1000;
 
-/// What a server's connection has prepared, by the hash of the text.
-pub(crate) type Prepared = HashSet<u128>;
+/// A text with its types, by 192 bits of its SHA-256: clients share what servers have prepared, so that none may be able
+/// to make a text that passes for another's.
+type Key = [u8; 24];
+/// What a server's connection has prepared.
+pub(crate) type Prepared = HashSet<Key>;
 
 /// Why a session ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,7 +46,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Expected {
     /// ParseComplete for a text; the client did not ask where it is our own.
-    Parsed { hash: u128, own: bool },
+    Parsed { key: Key, own: bool },
     /// ParseComplete of an unnamed statement.
     Unnamed,
     /// CloseComplete, and as what the client is told of it.
@@ -63,20 +66,32 @@
     Nothing,
 }
 
+/// A statement that a client has prepared.
+#[derive(Clone)]
+struct Statement {
+    key: Key,
+    /// All of the Parse message behind the name.
+    text: Bytes,
+    /// It leaves behind what outlives its transaction.
+    traces: bool,
+}
+
 /// A session's statements, and what the present transaction's server owes.
 #[derive(Default)]
 pub(crate) struct Carry {
-    /// By the client's name: all of the Parse message behind that.
-    own: HashMap<Bytes, Bytes>,
+    /// By the client's names.
+    own: HashMap<Bytes, Statement>,
     bytes: usize,
     expected: VecDeque<Expected>,
+    /// How many of these are of texts.
+    unsure: usize,
     /// The connection has state that no other client may meet.
     pub tainted: bool,
 }
 
-/// The name of a text at every server.
-fn name(hash: u128) -> String {
-    format!("ld_{hash:032x}")
+/// The name of a text at every server: within the 63 bytes that PostgreSQL heeds.
+fn name(key: &Key) -> String {
+    key.iter().fold("ld_".into(), |name, byte| format!("{name}{byte:02x}"))
 }
 
 /// A text that ends with a zero byte, from `at` on: where it ends.
@@ -84,7 +99,7 @@
     bytes.get(at..)?.iter().position(|b| *b == 0).map(|n| at + n)
 }
 
-/// A simple query that leaves behind what outlives its transaction: settings, listeners, temporary tables, locks, or the
+/// A text that leaves behind what outlives its transaction: settings, listeners, temporary tables, locks, or the
 /// loss of what was prepared. Matched by words, so that it is sure rather than sharp.
 fn leaves_traces(text: &[u8]) -> bool {
     let text = String::from_utf8_lossy(text).to_ascii_lowercase();
@@ -99,10 +114,12 @@
     /// Another transaction, perhaps at another server.
     pub fn begin(&mut self) {
         self.expected.clear();
+        self.unsure = 0;
         self.tainted = false;
     }
 
     fn expect(&mut self, what: Expected) -> Result<(), Over> {
+        self.unsure += usize::from(matches!(what, Expected::Parsed { .. }));
         self.expected.push_back(what);
         if self.expected.len() > MAX_EXPECTED {
             return Err(Over::TooMuch);
@@ -164,9 +181,10 @@
                         Ok(false)
                     };
                 };
-                if let Some(hash) = self.known(&there[portal + 1..end]) {
-                    self.prepare(hash, &there[portal + 1..end], to, prepared)?;
-                    let new = name(hash);
+                if let Some(its) = self.own.get(&there[portal + 1..end]).cloned() {
+                    self.prepare(&its, to, prepared)?;
+                    self.tainted |= its.traces;
+                    let new = name(&its.key);
                     to.put_u8(b'B');
                     to.put_u32((length + 4 + new.len() - (end - portal - 1)) as u32);
                     to.put_slice(&from[HEAD..HEAD + portal + 1]);
@@ -183,10 +201,10 @@
                 }
                 let Some((_, body)) = message(from, MAX_NAME)? else { return Ok(false) };
                 let its = &body[1..ends(&body, 1).ok_or(Over::Unreadable)?];
-                match self.known(its) {
-                    Some(hash) => {
-                        self.prepare(hash, its, to, prepared)?;
-                        put(to, b'D', format!("S{}\0", name(hash)).as_bytes());
+                match self.own.get(its).cloned() {
+                    Some(its) => {
+                        self.prepare(&its, to, prepared)?;
+                        put(to, b'D', format!("S{}\0", name(&its.key)).as_bytes());
                     }
                     None => put(to, b'D', &body),
                 }
@@ -200,13 +218,15 @@
                 // Others may use the text: to the server goes the client's own name, which it never heard of.
                 let Some((_, body)) = message(from, MAX_NAME)? else { return Ok(false) };
                 let its = &body[1..ends(&body, 1).ok_or(Over::Unreadable)?];
-                self.bytes -= self.own.remove(its).map_or(0, |text| text.len());
+                self.bytes -= self.own.remove(its).map_or(0, |old| old.text.len());
                 put(to, b'C', &body);
                 track.sent(b'C');
                 self.expect(Expected::Closed(Told::Closed))?;
                 return Ok(true);
             }
-            b'Q' => self.tainted |= leaves_traces(there),
+            // What is not all there may leave any.
+            b'Q' => self.tainted |= there.len() < length || leaves_traces(there),
+            b'P' => self.tainted |= there.len() < length || leaves_traces(there.get(1..).unwrap_or_default()),
             _ => {}
         }
         let mut first_one = true;
@@ -226,59 +246,64 @@
         Ok(true)
     }
 
-    fn known(&self, its: &[u8]) -> Option<u128> {
-        self.own.get(its).map(|text| xxh3_128(text))
-    }
-
     /// The client prepares a text under a name of its own.
     fn parse(
         &mut self, its: Bytes, text: Bytes, to: &mut BytesMut, prepared: &mut Prepared,
     ) -> Result<(), Over> {
-        let hash = xxh3_128(&text);
+        let mut key = Key::default();
+        key.copy_from_slice(&Sha256::digest(&text)[..24]);
+        let traces = leaves_traces(&text);
         self.bytes += text.len();
         if self.bytes > MAX_STATEMENTS || its.len() > MAX_NAME {
             return Err(Over::TooMuch);
         }
-        if self.lacks(hash, to, prepared)? {
-            put(to, b'P', &[name(hash).as_bytes(), b"\0", &text].concat());
-            self.expect(Expected::Parsed { hash, own: false })?;
+        if self.lacks(&key, to, prepared)? {
+            put(to, b'P', &[name(&key).as_bytes(), b"\0", &text].concat());
+            self.expect(Expected::Parsed { key, own: false })?;
         } else {
             // It is there. A close of what is not there is answered in the right place, by as many bytes.
             put(to, b'C', b"Sld_none\0");
             self.expect(Expected::Closed(Told::Parsed))?;
         }
-        self.bytes -= self.own.insert(its, text).map_or(0, |old| old.len());
+        let old = self.own.insert(its, Statement { key, text, traces });
+        self.bytes -= old.map_or(0, |old| old.text.len());
         Ok(())
     }
 
     /// The server has to be told the text. Where an earlier part of the pipeline does so, and may yet fail, it is closed
     /// first, so that it can be told again; inside one part what follows a failure is read over anyway.
-    fn lacks(&mut self, hash: u128, to: &mut BytesMut, prepared: &mut Prepared) -> Result<bool, Over> {
-        if prepared.insert(hash) {
+    fn lacks(&mut self, key: &Key, to: &mut BytesMut, prepared: &mut Prepared) -> Result<bool, Over> {
+        if prepared.insert(*key) {
             return Ok(true);
         }
-        let its = |e: &Expected| matches!(e, Expected::Parsed { hash: h, .. } if *h == hash);
+        if self.unsure == 0 {
+            return Ok(false);
+        }
+        let its = |e: &Expected| matches!(e, Expected::Parsed { key: k, .. } if k == key);
         let told = self.expected.iter().rposition(its);
         let unsure = told.is_some_and(|at| self.expected.iter().skip(at).any(|e| *e == Expected::Ready));
         if unsure {
-            put(to, b'C', format!("S{}\0", name(hash)).as_bytes());
+            put(to, b'C', format!("S{}\0", name(key)).as_bytes());
             self.expect(Expected::Closed(Told::Nothing))?;
         }
         Ok(unsure)
     }
 
     /// Sees to it that the server has a text before it is used.
-    fn prepare(
-        &mut self, hash: u128, its: &[u8], to: &mut BytesMut, prepared: &mut Prepared,
-    ) -> Result<(), Over> {
-        if self.lacks(hash, to, prepared)? {
-            let text = self.own.get(its).cloned().unwrap_or_default();
-            put(to, b'P', &[name(hash).as_bytes(), b"\0", &text].concat());
-            self.expect(Expected::Parsed { hash, own: true })?;
+    fn prepare(&mut self, its: &Statement, to: &mut BytesMut, prepared: &mut Prepared) -> Result<(), Over> {
+        if self.lacks(&its.key, to, prepared)? {
+            put(to, b'P', &[name(&its.key).as_bytes(), b"\0", &its.text].concat());
+            self.expect(Expected::Parsed { key: its.key, own: true })?;
         }
         Ok(())
     }
 
+    /// The answer that is owed first has come, or will not.
+    fn answered(&mut self) {
+        let owed = self.expected.pop_front();
+        self.unsure -= usize::from(matches!(owed, Some(Expected::Parsed { .. })));
+    }
+
     /// Moves what the server has said on to the client, without the answers that this one did not ask for.
     ///
     /// # Errors
@@ -297,8 +322,8 @@
             let Some(Head { kind, length }) = head(from)? else { return Ok(()) };
             if matches!(kind, b'1' | b'3') && length == 0 {
                 let owed = self.expected.front().copied();
-                if let (b'1', Some(Expected::Parsed { hash, .. })) = (kind, owed) {
-                    prepared.insert(hash);
+                if let (b'1', Some(Expected::Parsed { key, .. })) = (kind, owed) {
+                    prepared.insert(key);
                 }
                 let told = match (kind, owed) {
                     (b'1', Some(Expected::Parsed { own: true, .. })) => Told::Nothing,
@@ -307,7 +332,7 @@
                     _ => Told::Closed,
                 };
                 if !matches!(owed, None | Some(Expected::Ready)) {
-                    self.expected.pop_front();
+                    self.answered();
                 }
                 match told {
                     Told::Closed => from[0] = b'3',
@@ -331,14 +356,14 @@
             // Behind an error all is read over to the next Sync: what it kept from being answered is not prepared.
             if matches!(kind, b'E' | b'Z') {
                 while let Some(owed) = self.expected.front().filter(|e| **e != Expected::Ready) {
-                    if let Expected::Parsed { hash, .. } = owed {
-                        prepared.remove(hash);
+                    if let Expected::Parsed { key, .. } = owed {
+                        prepared.remove(key);
                     }
-                    self.expected.pop_front();
+                    self.answered();
                 }
             }
             if kind == b'Z' {
-                self.expected.pop_front();
+                self.answered();
             }
         }
     }
--- a/crates/pgfront/src/lib.rs
+++ b/crates/pgfront/src/lib.rs
@@ -12,5 +12,5 @@
 mod upstream;
 pub mod wire;
 
-pub use session::{Front, FrontSettings, User};
+pub use session::{Front, FrontSettings, User, SPARE};
 pub use upstream::{Login, Servers};
--- a/crates/pgfront/src/scram.rs
+++ b/crates/pgfront/src/scram.rs
@@ -70,12 +70,13 @@
         format!("SCRAM-SHA-256${}:{salt}${stored}:{server}", self.iterations)
     }
 
-    /// One that no password fits, for a user who does not exist: the same salt for the same name, so that names
-    /// cannot be told apart by it. `secret` is the process's own.
-    pub fn of_nobody(name: &str, secret: &[u8; 32]) -> Verifier {
-        let salt = mac(secret, &[b"salt", name.as_bytes()])[..16].to_vec();
+    /// One that no password fits, for a user who does not exist: the same salt for the same name, and looks like the
+    /// one of somebody who does, so that names cannot be told apart by it. `secret` is the process's own.
+    pub fn of_nobody(name: &str, secret: &[u8; 32], like: Option<&Verifier>) -> Verifier {
+        let (iterations, length) = like.map_or((4096, 16), |v| (v.iterations, v.salt.len().min(32)));
+        let salt = mac(secret, &[b"salt", name.as_bytes()])[..length].to_vec();
         let key = |what: &[u8]| mac(secret, &[what, name.as_bytes()]);
-        Verifier { iterations: 4096, salt, stored: key(b"stored"), server: key(b"server") }
+        Verifier { iterations, salt, stored: key(b"stored"), server: key(b"server") }
     }
 
     /// Of a password, as a client tool would store it.
@@ -193,8 +194,10 @@
         ] {
             assert!(Verifier::parse(bad).is_err(), "{bad}");
         }
-        let (a, b) = (Verifier::of_nobody("x", &[1; 32]), Verifier::of_nobody("x", &[1; 32]));
-        assert!(a == b && a != Verifier::of_nobody("y", &[1; 32]));
+        let nobody = |name| Verifier::of_nobody(name, &[1; 32], Some(&verifier));
+        let a = nobody("x");
+        assert!(a == nobody("x") && a != nobody("y"));
+        assert_eq!((a.iterations, a.salt.len()), (verifier.iterations, verifier.salt.len()));
         assert!(Exchange::begin(a, "p=tls-unique,,n=,r=abc", "s").is_err());
     }
 }
--- a/crates/pgfront/src/session.rs
+++ b/crates/pgfront/src/session.rs
@@ -7,7 +7,7 @@
 use crate::scram::{Exchange, ScramError, Verifier, MECHANISM};
 use crate::track::Track;
 use crate::upstream::{drain, fill, Servers};
-use crate::wire::{head, message, opening, put, Head, Opening, Pieces, WireError, HEAD};
+use crate::wire::{head, message, opening, put, Head, Opening, WireError, HEAD};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use lotusdeck_core::{Answer, Host, Labels};
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tracing::{info, warn};
+use tracing::{debug, warn};
 
 /// A client has proved who it is by then, or is let go of.
 const LOGIN: Duration = Duration::from_secs(10);
@@ -26,6 +26,8 @@
 const MAX_LOGIN: usize = 8 * 1024;
 /// A statement that may be said again is no longer.
 const MAX_REPLAY: usize = 64 * 1024;
+/// Clients beyond the bound that are told so.
+pub const SPARE: usize = 16;
 /// The last words to a client are given up after this time.
 const FAREWELL: Duration = Duration::from_secs(2);
 /// What is told of the server before one was logged in to (ParameterStatus).
@@ -225,6 +227,9 @@
                     continue;
                 }
             };
+            if self.count.get() >= self.settings.clients + SPARE {
+                continue; // there is not even room to say so
+            }
             let front = self.clone();
             self.count.set(self.count.get() + 1);
             tokio::task::spawn_local(async move {
@@ -288,7 +293,9 @@
             )));
         };
         let known = self.settings.users.iter().find(|u| u.name == user).map(|u| u.verifier.clone());
-        let verifier = known.unwrap_or_else(|| Verifier::of_nobody(user, &self.secret));
+        let verifier = known.unwrap_or_else(|| {
+            Verifier::of_nobody(user, &self.secret, self.settings.users.first().map(|u| &u.verifier))
+        });
         new.prove(verifier, &BASE64_STANDARD.encode(random::<18>()?)).await?;
         let database = of("database").unwrap_or(user);
         if !self.settings.databases.iter().any(|d| d == database) {
@@ -332,23 +339,21 @@
     async fn serve(self: &Rc<Self>, client: &Rc<Client>, who: &Who) {
         let mut stop = self.stop.subscribe();
         loop {
-            if client.input.borrow().is_empty() {
-                let more = tokio::select! {
-                    more = fill(&client.tcp, &client.input) => matches!(more, Ok(1..)),
-                    _ = stop.wait_for(|stop| *stop) => {
-                        let text = "this proxy stops: connect again";
-                        Trouble::fatal("57P01", text).put(&mut client.output.borrow_mut());
-                        false
-                    }
-                };
-                if !more {
+            let first = tokio::select! {
+                first = self.first(client) => first,
+                _ = stop.wait_for(|stop| *stop), if client.input.borrow().is_empty() => {
+                    let text = "this proxy stops: connect again";
+                    Trouble::fatal("57P01", text).put(&mut client.output.borrow_mut());
                     return;
                 }
-            }
-            if client.input.borrow().first() == Some(&b'X') {
-                return;
-            }
-            let answer = self.transaction(client, who).await;
+            };
+            let answer = match first {
+                Ok(()) => self.transaction(client, who).await,
+                Err(why) => {
+                    client.over.set(Some(why));
+                    Answer::Failed
+                }
+            };
             client.at.set(None);
             let trouble = match (client.over.get(), answer) {
                 (Some(Over::Left), _) => return,
@@ -375,6 +380,26 @@
         }
     }
 
+    /// Waits for the first message of a transaction, whole or as much of it as is looked at: no server is bound to a
+    /// client that has not said what it wants.
+    async fn first(&self, client: &Rc<Client>) -> Result<(), Over> {
+        loop {
+            self.rest(client).await?;
+            let whole = {
+                let input = client.input.borrow();
+                let head = head(&input)?;
+                head.filter(|h| input.len() >= HEAD + h.length.min(MAX_REPLAY)).map(|h| h.kind)
+            };
+            match whole {
+                Some(b'X') => return Err(Over::Left),
+                // Rows and their end, and a Flush, behind a transaction that has failed: they ask for nothing.
+                Some(b'd' | b'c' | b'f' | b'H') => self.skip(client, |_| true).await?,
+                Some(_) => return Ok(()),
+                None => more(client).await?,
+            }
+        }
+    }
+
     /// One transaction through the core.
     async fn transaction(self: &Rc<Self>, client: &Rc<Client>, who: &Who) -> Answer {
         let settings = self.host.settings();
@@ -425,7 +450,7 @@
 
     /// Tells a client that its transaction has come to nothing, in its turn; whether the session goes on.
     async fn tell(&self, client: &Rc<Client>, trouble: Trouble) -> bool {
-        info!(code = trouble.code, fatal = trouble.fatal, "transaction not served");
+        debug!(code = trouble.code, fatal = trouble.fatal, "transaction not served");
         if !client.down.borrow().at_boundary() {
             return false; // half of a message is with the client: nothing can follow it
         }
@@ -436,8 +461,13 @@
             return false; // a transaction that was open, with nobody waiting: the session cannot tell otherwise
         }
         trouble.put(&mut client.output.borrow_mut());
+        // It may wait for that before it says more.
+        if drain(&client.output, &client.tcp).await.is_err() {
+            return false;
+        }
         // What is still owed to it is as many ends; without a Sync it is not listening yet.
-        if (track.owed() == 0 || track.unsynced()) && !self.skip(client).await {
+        let ends = |kind| matches!(kind, b'Q' | b'F' | b'S');
+        if (track.owed() == 0 || track.unsynced()) && self.skip(client, ends).await.is_err() {
             return false;
         }
         ready(&mut client.output.borrow_mut());
@@ -447,30 +477,48 @@
             ready(&mut client.output.borrow_mut());
         }
         client.track.set(Track::default());
-        *client.up.borrow_mut() = Pieces::default();
         drain(&client.output, &client.tcp).await.is_ok()
     }
 
-    /// Reads over what belongs to the failed transaction, to the message that asks for its end.
-    async fn skip(&self, client: &Rc<Client>) -> bool {
-        let mut ended = false;
+    /// Reads over what is left of a message that was cut.
+    async fn rest(&self, client: &Rc<Client>) -> Result<(), Over> {
+        while !client.up.borrow().at_boundary() {
+            let (mut input, mut sink) = (client.input.take(), BytesMut::new());
+            let passed = client.up.borrow_mut().pass(&mut input, &mut sink, |_, _| false);
+            client.input.replace(input);
+            passed?;
+            if !client.up.borrow().at_boundary() {
+                more(client).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads over all to the first message that `ends` names, and to what is left of one that is cut before.
+    async fn skip(&self, client: &Rc<Client>, ends: impl Fn(u8) -> bool) -> Result<(), Over> {
         loop {
-            let mut sink = BytesMut::new();
-            let see = |head: crate::wire::Head, _: Option<u8>| {
-                let goes = !ended && head.kind != b'X';
-                ended |= matches!(head.kind, b'Q' | b'F' | b'S');
-                goes
+            self.rest(client).await?;
+            let head = head(&client.input.borrow())?;
+            let Some(Head { kind, length }) = head else {
+                more(client).await?;
+                continue;
             };
-            let passed = client.up.borrow_mut().pass(&mut client.input.borrow_mut(), &mut sink, see);
-            match passed {
-                Err(_) => return false,
-                Ok(_) if ended && client.up.borrow().at_boundary() => return true,
-                Ok(_) if client.input.borrow().first() == Some(&b'X') => return false,
-                Ok(_) => {}
+            if kind == b'X' {
+                return Err(Over::Left);
             }
-            if !matches!(fill(&client.tcp, &client.input).await, Ok(1..)) {
-                return false;
+            client.input.borrow_mut().advance(HEAD);
+            client.up.borrow_mut().behind(length);
+            if ends(kind) {
+                return self.rest(client).await;
             }
         }
     }
 }
+
+/// Waits for more of what a client says.
+async fn more(client: &Client) -> Result<(), Over> {
+    match fill(&client.tcp, &client.input).await {
+        Ok(1..) => Ok(()),
+        _ => Err(Over::Left),
+    }
+}
--- a/crates/pgfront/tests/raw.rs
+++ b/crates/pgfront/tests/raw.rs
@@ -218,9 +218,55 @@
         raw.write(&[b'Q', 0, 0, 0, 2]).await;
         assert_eq!(raw.until(b'Z').await, "E(08P01).");
         let mut raw = Raw::log_in(&rig).await;
-        raw.write(&[b'P', 0x10, 0, 0, 0, b's', b'0', 0]).await;
+        // As much of it as is looked at before a server is bound to it.
+        raw.write(&[&[b'P', 0x10, 0, 0, 0, b's', b'0', 0][..], &[b'x'; 64 * 1024]].concat()).await;
         assert_eq!(raw.until(b'Z').await, "E(54000).");
         assert!(seen.statements.borrow().is_empty());
     })
     .await;
 }
+
+/// Every part of a pipeline that was out is told of the lost server, and rows that come behind it ask for nothing.
+#[tokio::test]
+async fn all_that_was_out_is_told_of_a_lost_server() {
+    scope(async {
+        let (at, seen) = stand_in().await;
+        let rig = Rig::start(&[at], 4, LONG).await;
+        let mut raw = Raw::log_in(&rig).await;
+        raw.say(&[(b'Q', b"die\0"), (b'Q', b"select 1\0")]).await;
+        assert_eq!(raw.until(b'Z').await, "E(08007)Z");
+        assert_eq!(raw.until(b'Z').await, "E(08007)Z");
+        // The server dies in the middle of a row that is copied in.
+        raw.say(&[(b'Q', b"copy\0")]).await;
+        assert_eq!(raw.until(b'G').await, "G");
+        let mut row = BytesMut::new();
+        put(&mut row, b'd', &[b'r'; 1000]);
+        raw.write(&row[..500]).await;
+        seen.dies.notify_one();
+        assert_eq!(raw.until(b'Z').await, "E(08007)Z");
+        raw.write(&row[500..]).await;
+        raw.say(&[(b'd', b"more"), (b'c', b""), (b'H', b""), (b'Q', b"select 2\0")]).await;
+        assert_eq!(raw.until(b'Z').await, "TDCZ");
+        assert_eq!(*seen.statements.borrow(), ["die", "copy", "select 2"]);
+    })
+    .await;
+}
+
+/// A client that has not said what it wants holds no server's connection.
+#[tokio::test]
+async fn half_a_statement_binds_no_server() {
+    scope(async {
+        let (at, seen) = stand_in().await;
+        let rig = Rig::start(&[at], 1, LONG).await;
+        let (mut slow, mut quick) = (Raw::log_in(&rig).await, Raw::log_in(&rig).await);
+        let mut query = BytesMut::new();
+        put(&mut query, b'Q', b"select 1\0");
+        slow.write(&query[..9]).await;
+        quick.say(&[(b'Q', b"select 2\0")]).await;
+        assert_eq!(quick.until(b'Z').await, "TDCZ");
+        slow.write(&query[9..]).await;
+        assert_eq!(slow.until(b'Z').await, "TDCZ");
+        assert_eq!(*seen.statements.borrow(), ["select 2", "select 1"]);
+    })
+    .await;
+}
--- a/crates/pgfront/tests/rig/mod.rs
+++ b/crates/pgfront/tests/rig/mod.rs
@@ -35,6 +35,8 @@
     pub poured: RefCell<usize>,
     /// Nothing more can be poured.
     pub stalled: Notify,
+    /// The session that waits for rows dies.
+    pub dies: Notify,
     /// A session's connection has ended.
     pub ended: Notify,
     pub cancels: RefCell<Vec<(i32, i32)>>,
@@ -89,7 +91,11 @@
         }
         out.clear();
         let Some((kind, body)) = message(&mut input, 1 << 20).unwrap() else {
-            if tcp.read_buf(&mut input).await.unwrap_or(0) == 0 {
+            let read = tokio::select! {
+                read = tcp.read_buf(&mut input) => read.unwrap_or(0),
+                _ = seen.dies.notified(), if copying => 0,
+            };
+            if read == 0 {
                 return;
             }
             continue;
--- a/crates/pgfront/tests/transactions.rs
+++ b/crates/pgfront/tests/transactions.rs
@@ -184,6 +184,12 @@
             client.simple_query(statement).await.unwrap();
             assert_eq!(*seen.logins.borrow(), logins, "{statement}");
         }
+        // The extended protocol is no way around.
+        let set = client.prepare("set z to 1").await.unwrap();
+        client.execute(&set, &[]).await.unwrap();
+        let before = *seen.logins.borrow();
+        client.simple_query("select 3").await.unwrap();
+        assert_eq!(*seen.logins.borrow(), before + 1);
     })
     .await;
 }
