Measure the lab's closed loops in one place, and let its stand-ins send at once

The PostgreSQL overhead had copied the HTTP one's loop and measurement, the plots their colours. The PostgreSQL stand-in waited for acknowledgements, which made 44 ms of every prepared statement.

--- a/crates/lab/src/overhead.rs
+++ b/crates/lab/src/overhead.rs
@@ -13,6 +13,7 @@
 use indicatif::ProgressBar;
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
@@ -105,35 +106,24 @@
 }
 
 /// A closed loop on so many connections for that time.
-async fn load(
-    to: Vec<SocketAddr>, connections: usize, span: Duration, post: bool,
-) -> (Histogram<u64>, u64, f64) {
-    let latency =
-        Rc::new(RefCell::new(Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds in order")));
-    let (failed, number) = (Rc::new(Cell::new(0u64)), Rc::new(Cell::new(0u64)));
-    let (began, mut tasks) = (Instant::now(), Vec::new());
+async fn load(to: Vec<SocketAddr>, connections: usize, span: Duration, post: bool) -> Rc<Seen> {
+    let (seen, number, mut tasks) = (Seen::start(span), Rc::new(Cell::new(0u64)), Vec::new());
     for n in 0..connections {
-        let (latency, failed, number) = (latency.clone(), failed.clone(), number.clone());
-        let at = to[n % to.len()];
+        let (seen, number, at) = (seen.clone(), number.clone(), to[n % to.len()]);
         tasks.push(tokio::task::spawn_local(async move {
             let mut link: Option<Link> = None;
-            while began.elapsed() < span {
+            while seen.goes_on() {
                 number.set(number.get() + 1);
                 let asked = Instant::now();
                 let served = ask(&mut link, at, number.get(), post).await;
-                if served {
-                    latency.borrow_mut().saturating_record(asked.elapsed().as_nanos() as u64 / 1000);
-                } else {
-                    failed.set(failed.get() + 1);
-                }
+                seen.count(asked, served);
             }
         }));
     }
     for task in tasks {
         let _ = task.await;
     }
-    let histogram = latency.borrow().clone();
-    (histogram, failed.get(), began.elapsed().as_secs_f64())
+    seen
 }
 
 async fn ask(kept: &mut Option<Link>, to: SocketAddr, number: u64, post: bool) -> bool {
@@ -184,24 +174,59 @@
     Experiment::parse("overhead", &text)
 }
 
-async fn measure(way: &Way, connections: usize, span: Duration) -> Result<Point, RunError> {
-    let cpu = || way.pid.and_then(Usage::of).map(|u| u.cpu).unwrap_or_default();
-    let (to, post, before) = (way.to.clone(), way.post, cpu());
+/// What a closed loop saw.
+pub(crate) struct Seen {
+    latency: RefCell<Histogram<u64>>,
+    failed: Cell<u64>,
+    began: Instant,
+    span: Duration,
+}
+
+impl Seen {
+    /// A loop that goes on for that time.
+    pub fn start(span: Duration) -> Rc<Seen> {
+        let latency = Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds in order");
+        Rc::new(Seen { latency: latency.into(), failed: Cell::new(0), began: Instant::now(), span })
+    }
+
+    pub fn goes_on(&self) -> bool {
+        self.began.elapsed() < self.span
+    }
+
+    pub fn count(&self, asked: Instant, served: bool) {
+        if served {
+            self.latency.borrow_mut().saturating_record(asked.elapsed().as_nanos() as u64 / 1000);
+        } else {
+            self.failed.set(self.failed.get() + 1);
+        }
+    }
+}
+
+/// Runs a closed loop on a thread of its own, beside the process whose processor time counts.
+pub(crate) async fn measure<F>(
+    pid: Option<u32>, load: impl FnOnce() -> F + Send + 'static,
+) -> Result<Point, RunError>
+where
+    F: Future<Output = Rc<Seen>>,
+{
+    let cpu = || pid.and_then(Usage::of).map(|u| u.cpu).unwrap_or_default();
+    let before = cpu();
     let processors = std::thread::available_parallelism().map_or(1, usize::from);
-    let done = thread("load", move || {
+    let done = thread("load", move || async move {
         if processors > 2 {
             pin(None, 2..processors);
         }
-        load(to, connections, span, post)
+        let seen = load().await;
+        let latency = seen.latency.borrow().clone();
+        (latency, seen.failed.get(), seen.began.elapsed().as_secs_f64())
     })?;
     let (latency, failed, took) = done.await.map_err(|_| RunError::Thread)?;
     let used = cpu().saturating_sub(before).as_secs_f64();
-    let count = latency.len().max(1) as f64;
     Ok(Point {
         rate: latency.len() as f64 / took,
         p50_us: latency.value_at_quantile(0.5) as f64,
         p99_us: latency.value_at_quantile(0.99) as f64,
-        cpu_us: used * 1e6 / count,
+        cpu_us: used * 1e6 / latency.len().max(1) as f64,
         failed,
     })
 }
@@ -330,8 +355,12 @@
     for _ in 0..args.rounds {
         for w in &mut ways {
             let span = Duration::from_secs_f64(args.seconds);
-            let full = measure(w, args.connections, span).await?;
-            let alone = measure(w, 1, span / 2).await?;
+            let (post, connections) = (w.post, args.connections);
+            let play = |connections, span| {
+                let to = w.to.clone();
+                measure(w.pid, move || load(to, connections, span, post))
+            };
+            let (full, alone) = (play(connections, span).await?, play(1, span / 2).await?);
             bar.inc(2);
             w.full.push(full);
             w.alone.push(alone);
--- a/crates/lab/src/postgres/cost.rs
+++ b/crates/lab/src/postgres/cost.rs
@@ -4,12 +4,9 @@
 use super::server::{Chance, Committed, Server};
 use super::{front, Front, PASSWORD};
 use crate::drive::run::{thread, RunError};
-use crate::drive::usage::Usage;
-use crate::overhead::{median, pin, start_relay, Point};
+use crate::overhead::{measure, median, pin, start_relay, Point, Seen};
 use crate::session::{program, say, SessionError};
-use hdrhistogram::Histogram;
 use indicatif::ProgressBar;
-use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -63,57 +60,27 @@
 }
 
 /// A closed loop on so many drivers for that time.
-async fn load(
-    to: Vec<SocketAddr>, drivers: usize, span: Duration, prepared: bool,
-) -> (Histogram<u64>, u64, f64) {
-    let latency =
-        Rc::new(RefCell::new(Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds in order")));
-    let failed = Rc::new(Cell::new(0u64));
-    let (began, mut tasks) = (Instant::now(), Vec::new());
+async fn load(to: Vec<SocketAddr>, drivers: usize, span: Duration, prepared: bool) -> Rc<Seen> {
+    let (seen, mut tasks) = (Seen::start(span), Vec::new());
     for n in 0..drivers {
-        let (latency, failed, at) = (latency.clone(), failed.clone(), to[n % to.len()]);
+        let (seen, at) = (seen.clone(), to[n % to.len()]);
         tasks.push(tokio::task::spawn_local(async move {
-            let Ok(client) = driver(at).await else { return failed.set(failed.get() + 1) };
+            let Ok(client) = driver(at).await else { return seen.count(Instant::now(), false) };
             let statement = if prepared { client.prepare("select").await.ok() } else { None };
-            while began.elapsed() < span {
+            while seen.goes_on() {
                 let asked = Instant::now();
                 let done = match &statement {
                     Some(statement) => client.execute(statement, &[]).await.is_ok(),
                     None => client.simple_query("select").await.is_ok(),
                 };
-                match done {
-                    true => latency.borrow_mut().saturating_record(asked.elapsed().as_nanos() as u64 / 1000),
-                    false => failed.set(failed.get() + 1),
-                }
+                seen.count(asked, done);
             }
         }));
     }
     for task in tasks {
         let _ = task.await;
     }
-    let histogram = latency.borrow().clone();
-    (histogram, failed.get(), began.elapsed().as_secs_f64())
-}
-
-async fn measure(way: &Way, drivers: usize, span: Duration) -> Result<Point, RunError> {
-    let cpu = || way.pid.and_then(Usage::of).map(|u| u.cpu).unwrap_or_default();
-    let (to, prepared, before) = (way.to.clone(), way.prepared, cpu());
-    let processors = std::thread::available_parallelism().map_or(1, usize::from);
-    let done = thread("load", move || {
-        if processors > 2 {
-            pin(None, 2..processors);
-        }
-        load(to, drivers, span, prepared)
-    })?;
-    let (latency, failed, took) = done.await.map_err(|_| RunError::Thread)?;
-    let used = cpu().saturating_sub(before).as_secs_f64();
-    Ok(Point {
-        rate: latency.len() as f64 / took,
-        p50_us: latency.value_at_quantile(0.5) as f64,
-        p99_us: latency.value_at_quantile(0.99) as f64,
-        cpu_us: used * 1e6 / latency.len().max(1) as f64,
-        failed,
-    })
+    seen
 }
 
 async fn all(args: &Cost, own: &Path) -> Result<String, SessionError> {
@@ -157,7 +124,12 @@
     for _ in 0..args.rounds {
         for w in &mut ways {
             let span = Duration::from_secs_f64(args.seconds);
-            let (full, alone) = (measure(w, args.connections, span).await?, measure(w, 1, span / 2).await?);
+            let (prepared, drivers) = (w.prepared, args.connections);
+            let play = |drivers, span| {
+                let to = w.to.clone();
+                measure(w.pid, move || load(to, drivers, span, prepared))
+            };
+            let (full, alone) = (play(drivers, span).await?, play(1, span / 2).await?);
             w.full.push(full);
             w.alone.push(alone);
             bar.inc(2);
--- a/crates/lab/src/postgres/server.rs
+++ b/crates/lab/src/postgres/server.rs
@@ -1,7 +1,7 @@
 //! A model of a server of the PostgreSQL protocol (version 3; PostgreSQL documentation, "Message Formats"). It keeps a log
 //! of what was committed, dies at moments drawn by chance, and comes back on the same port.
 
-use super::super::drive::wire::Reserved;
+use crate::drive::wire::Reserved;
 use crate::world::dice::Dice;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -134,6 +134,7 @@
     }
 
     async fn session(&self, mut tcp: TcpStream) -> std::io::Result<()> {
+        tcp.set_nodelay(true)?;
         loop {
             let length = word(&mut tcp).await?;
             let mut packet = vec![0; length.saturating_sub(4).min(10_000)];
--- a/crates/lab/src/report/page.rs
+++ b/crates/lab/src/report/page.rs
@@ -1,6 +1,7 @@
 //! One self-contained page for a run: plots as SVG, tables, the course of events.
 
 use super::figures::{Figures, Tally};
+use super::plot::COLORS;
 use super::table::table;
 use crate::drive::run::{told, Sample};
 use crate::world::plan::Plan;
@@ -20,15 +21,6 @@
     points: Vec<(f64, f64)>,
 }
 
-const COLORS: [RGBColor; 6] = [
-    RGBColor(31, 119, 180),
-    RGBColor(214, 39, 40),
-    RGBColor(44, 160, 44),
-    RGBColor(148, 103, 189),
-    RGBColor(255, 127, 14),
-    RGBColor(80, 80, 80),
-];
-
 fn plot(title: &str, end: f64, marks: &[f64], lines: &[Line]) -> String {
     let mut svg = String::new();
     {
