Ask a moved discovery for what is newer, not for whole lists: 64 of 100 proxies were refused

Line at fault: 'index = None' in discovery::watch, a whole list of 150 to 180 lines for each proxy from a service that answers some 55 of these a second.

Ruled out: watches that are renewed after each change filling it.

Change: where lists are asked for, the new place is asked for what is newer than the version held; a version that went back shows a service that began anew, as before. As versions may be counted otherwise there, the whole list follows once in one to three times must_ask_in_us, spread over the proxies; where that call fails what is newer comes first.

--- a/crates/lotusdeck/tests/service.rs
+++ b/crates/lotusdeck/tests/service.rs
@@ -42,6 +42,47 @@
     assert_eq!(proxy.ask(&pay(3.0)).status(), 503, "and it is followed there");
 }
 
+/// Where lists cost discovery work, a fleet that moves at once asks for what is new only: whole lists took it 9 s.
+/// The whole one is asked for later, as versions may be counted otherwise there; where that call fails, what is
+/// newer still comes first.
+#[test]
+fn a_list_that_is_asked_for_goes_on_from_its_version_where_discovery_moves() {
+    let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
+    let settings =
+        SETTINGS.replace("\"automatic\"", "\"subscribe\"").replace("9000000,\"ramp", "300000,\"ramp");
+    let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+    let (target, answer) = proxy.discovery.call();
+    assert_eq!(target, "GET /api/targets?after=4&wait_ms=0 HTTP/1.1", "the list known is version 4");
+    answer.send((200, list(9, false, &[]))).unwrap();
+    let (target, _waits) = proxy.discovery.call();
+    assert!(target.contains("after=9&"), "{target}");
+    let elsewhere = DiscoveryServer::start();
+    proxy.move_discovery(elsewhere.address);
+    proxy.signal("HUP");
+    let (target, answer) = elsewhere.call();
+    assert_eq!(target, "GET /api/targets?after=9&wait_ms=0 HTTP/1.1", "what was missed, at once");
+    answer.send((200, list(10, false, &[entry("b1", new.address, "SERVING")]))).unwrap();
+    // Each answer brings nothing, until the whole list is asked for; that call fails the first time.
+    let (mut asked, mut whole) = (0, 0);
+    while whole < 2 {
+        let (target, answer) = elsewhere.call();
+        if target == "GET /api/targets HTTP/1.1" {
+            whole += 1;
+            let truth = list(3, true, &[entry("b1", new.address, "SERVING")]);
+            answer.send(if whole == 1 { (503, String::new()) } else { (200, truth) }).unwrap();
+        } else {
+            assert!(target.contains("after=10&"), "{target}");
+            asked += 1;
+            std::thread::sleep(std::time::Duration::from_millis(50)); // a watch, where nothing is new
+            answer.send((200, list(10, false, &[]))).unwrap();
+        }
+    }
+    assert!(asked > 1, "what is newer is asked for meanwhile");
+    let (target, _waits) = elsewhere.call(); // by now the list is taken in
+    assert!(target.contains("after=3&"), "{target}");
+    assert_eq!(proxy.ask(&pay(3.0)).body, b"new", "what is absent from the whole list is gone");
+}
+
 /// Connections break at any backend now and then. One that broke says nothing of the next.
 #[test]
 fn one_reset_does_not_put_a_backend_out_of_use() {
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -6,16 +6,18 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper::Request;
-use lotusdeck_core::{Endpoint, Host};
+use lotusdeck_core::{span, Endpoint, Host};
 use lotusdeck_policy::settings::Row;
 use lotusdeck_policy::{Backend, BackendState, CellId, Discovery, ListUpdate, Time};
 use serde::Deserialize;
 use serde_json::Value;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch::Receiver;
+use tokio::time::Instant;
 use tracing::{info, warn};
 
 /// One call waits so long for news.
@@ -24,6 +26,8 @@
 const PROMPT: Duration = Duration::from_secs(2);
 /// Pause after the first failed call in a row; it doubles, three times at most.
 const BACKOFF: Duration = Duration::from_millis(50);
+/// Multiples of it, whole parts left out, lie evenly spread however many there are (Kronecker's sequence).
+const GOLDEN: f64 = 0.618_033_988_749_895;
 /// A list may be longer than a request's body, but not without bound.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
@@ -118,36 +122,62 @@
     conn: http1::Connection<Stream, Empty<Bytes>>,
 }
 
+/// What is known of the list across moves of discovery.
+struct Held {
+    /// The version held; `None` where the whole list has to be asked for.
+    index: Cell<Option<u64>>,
+    /// When the list held is compared with a whole one: versions may be counted otherwise where discovery is now.
+    check: Cell<Option<Instant>>,
+}
+
 /// Keeps the list up to date for as long as the program runs. When discovery moves the call that is out is
-/// dropped at once, as it may wait for long. An index means nothing to another discovery: the list is taken
-/// whole there.
+/// dropped at once, as it may wait for long.
+///
+/// Where lists are asked for, the new place is asked for what is newer than the list held, and for all of it some
+/// time later. Hundreds of proxies move together: with a whole list each, they waited for theirs for up to 9 s,
+/// and what they were not told of counts as told after 4 s (docs/scale.md).
 pub async fn watch(host: Rc<Host>, mut moved: Receiver<(SocketAddr, Discovery)>, known: u64) {
     // An agent's answers cost nothing: begin with the truth.
-    let mut index = (moved.borrow().1 != Discovery::Push).then_some(known);
+    let index = (moved.borrow().1 != Discovery::Push).then_some(known);
+    let held = Held { index: Cell::new(index), check: Cell::new(None) };
+    let mut told = false;
     loop {
         let (at, mode) = *moved.borrow_and_update();
+        if let Discovery::Subscribe(_) = mode {
+            if !std::mem::replace(&mut told, true) {
+                host.followed().await;
+            }
+        }
         tokio::select! {
-            _ = follow(&host, at, index, mode) => {}
-            Ok(()) = moved.changed() => index = None,
+            _ = follow(&host, at, mode, &held) => {}
+            Ok(()) = moved.changed() => match moved.borrow().1 {
+                Discovery::Push => held.index.set(None),
+                Discovery::Subscribe(within) => {
+                    // Spread evenly over the proxies, as their first calls could not be.
+                    let spread = (f64::from(host.settings().config.position) * GOLDEN).fract();
+                    held.check.set(Some(Instant::now() + span(within.times(1.0 + 2.0 * spread))));
+                }
+            },
         }
     }
 }
 
-/// Follows one discovery for ever, from that index on or from the whole list.
-async fn follow(host: &Rc<Host>, at: SocketAddr, from: Option<u64>, mode: Discovery) {
+/// Follows one discovery for ever, from what is held on.
+async fn follow(host: &Rc<Host>, at: SocketAddr, mode: Discovery, held: &Held) {
     let asked = mode != Discovery::Push;
-    let (mut whole, mut index) = (from.is_none(), from.unwrap_or(0));
     let (mut link, mut failures) = (None, 0u32);
     // A call of the module's is answered once, by what it missed; only what follows waits for news.
-    let mut wait = WAIT;
-    if asked && !whole {
-        host.followed().await;
-        wait = Duration::ZERO;
-    }
+    let mut wait = if asked { Duration::ZERO } else { WAIT };
     loop {
-        let (uri, patience) = match whole {
-            true => ("/api/targets".to_string(), PROMPT),
-            false => (format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()), wait + PROMPT),
+        let check = held.check.get().map(|at| at.saturating_duration_since(Instant::now()));
+        let checks = check.is_some_and(|left| left.is_zero());
+        let index = held.index.get().filter(|_| !checks);
+        let (uri, patience) = match index {
+            None => ("/api/targets".to_string(), PROMPT),
+            Some(index) => {
+                let wait = check.map_or(wait, |left| wait.min(left));
+                (format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()), wait + PROMPT)
+            }
         };
         let call = tokio::time::timeout(patience, fetch(&mut link, at, &uri));
         match call.await.unwrap_or(Err(WatchError::Silent)) {
@@ -156,18 +186,20 @@
                     info!(index = list.index, "discovery is back");
                 }
                 (failures, wait) = (0, WAIT);
+                if list.snapshot {
+                    held.check.set(None);
+                }
                 // Changes against a newer list than the answer's: discovery began anew, so take it whole.
-                let gap = !list.snapshot && (whole || list.index < index);
+                let gap = !list.snapshot && index.is_none_or(|index| list.index < index);
+                if gap && index.is_none() {
+                    warn!("discovery answered with changes to a call for the whole list");
+                    tokio::time::sleep(BACKOFF).await;
+                }
+                held.index.set((!gap).then_some(list.index));
                 if !gap {
                     let update = if list.snapshot { ListUpdate::Full } else { ListUpdate::Changes };
                     host.members(update, list.entries());
-                    index = list.index;
                 }
-                if gap && whole {
-                    warn!("discovery answered with changes to a call for the whole list");
-                    tokio::time::sleep(BACKOFF).await;
-                }
-                whole = gap;
             }
             Err(e) => {
                 link = None;
@@ -175,6 +207,9 @@
                 if failures == 1 {
                     warn!(error = %e, "discovery failed");
                 }
+                if let (true, Discovery::Subscribe(within)) = (checks, mode) {
+                    held.check.set(Some(Instant::now() + span(within))); // what is newer comes first
+                }
                 if asked {
                     host.members(ListUpdate::Lost, Vec::new());
                     host.followed().await; // when to ask again is the module's to say
