Turn away paths that lead out of the class they begin with, however they are read

Cause: the class is the first part of the path as written (Server::proxy), and the path goes on unchanged.

Change: stays_in_class walks the path as written, with escapes undone once and twice, with and without backslashes as ends of parts; empty segments hold nothing, parameters behind a dot segment are passed over. Paths without '..' and '%' skip it all. Answered 400 before anything is taken.

Result: 14 forms are turned away and 8 harmless ones pass (unit test), one on sockets beside the other odd requests. Ruled out: sending the path on in its resolved form, as it has to pass on unchanged.

--- a/crates/lotusdeck/tests/proxy.rs
+++ b/crates/lotusdeck/tests/proxy.rs
@@ -237,6 +237,7 @@
         (404, "GET /none/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: 1\r\n\r\n".to_string()),
         (404, "GET / HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: 1\r\n\r\n".to_string()),
         (404, "GET /-/load HTTP/1.1\r\nHost: s\r\n\r\n".to_string()),
+        (400, "GET /read/../pay/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: 1\r\n\r\n".to_string()),
         (400, "GET /read/k\r\nwhat\r\n\r\n".to_string()),
         (400, "GET /read/k HTTP/1.1\r\nHost: s\r\n\r\n".to_string()),
         (400, "GET /pay/k HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: 1\r\n\r\n".to_string()),
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -4,7 +4,7 @@
 use crate::body::{gather, AnswerBody};
 use crate::client::Client;
 use crate::fault::Fault;
-use crate::request::{check, number};
+use crate::request::{check, number, stays_in_class};
 use crate::server::Server;
 use crate::strip_hop_by_hop;
 use bytes::Bytes;
@@ -55,6 +55,9 @@
         let rules = self.host.settings(); // this request's own to its end, whatever comes meanwhile
         let class = head.uri.path().split('/').nth(1).and_then(|name| rules.names.class(name));
         let class = class.ok_or(Fault::NoSuchClass)?;
+        if !stays_in_class(head.uri.path()) {
+            return Err(Fault::Path);
+        }
         let effect = rules.config.classes[class.0].effect;
         let most = rules.network.deadlines[class.0];
         let (name, left, length) = check(&head, &body, client.stream.sized(), effect, most)?;
--- a/crates/proxy/src/fault.rs
+++ b/crates/proxy/src/fault.rs
@@ -20,6 +20,8 @@
     Body,
     Slow,
     Target,
+    /// Its path leads out of the class that it begins with.
+    Path,
 }
 
 impl Fault {
@@ -39,6 +41,7 @@
             Fault::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB\n"),
             Fault::Body => (StatusCode::BAD_REQUEST, "the body is malformed\n"),
             Fault::Slow => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
+            Fault::Path => (StatusCode::BAD_REQUEST, "the path leads out of its class\n"),
             Fault::Target => (StatusCode::BAD_REQUEST, "the target has no path\n"),
         }
     }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -11,6 +11,52 @@
 /// A request's id may be so long.
 const MAX_ID: usize = 128;
 
+/// How often escapes are undone in search of others: whoever stands behind a backend may undo them once more.
+const UNESCAPED: usize = 2;
+
+/// Whether a path keeps its first part however it is read on its way: the class was taken from that part, and with
+/// it the rules on repeats. A backend that resolves dot segments (RFC 3986, 5.2.4), be they escaped, beside empty
+/// segments, behind a backslash or with a parameter, would else run `/preview/../order/k` as another class.
+pub fn stays_in_class(path: &str) -> bool {
+    if !path.contains('%') && !path.contains("..") {
+        return true; // nothing in it leads upwards
+    }
+    let mut read = path.as_bytes().to_vec();
+    for _ in 0..=UNESCAPED {
+        if leaves(&read, |b| b == b'/') || leaves(&read, |b| b == b'/' || b == b'\\') {
+            return false;
+        }
+        read = unescaped(&read);
+    }
+    true
+}
+
+/// Whether a dot segment takes the first part away. Empty segments hold nothing: some merge them.
+fn leaves(path: &[u8], ends: impl Fn(u8) -> bool) -> bool {
+    let (mut parts, mut deep) = (path.split(|b| ends(*b)).skip(2), 0u32);
+    parts.any(|part| {
+        match part.split(|b| *b == b';').next().unwrap_or_default() {
+            b"" | b"." => {}
+            b".." if deep == 0 => return true,
+            b".." => deep -= 1,
+            _ => deep += 1,
+        }
+        false
+    })
+}
+
+/// With its escapes undone once; what is none stays as it is.
+fn unescaped(path: &[u8]) -> Vec<u8> {
+    let digit = |at: usize| path.get(at).and_then(|b| char::from(*b).to_digit(16));
+    let (mut out, mut at) = (Vec::with_capacity(path.len()), 0);
+    while let Some(&byte) = path.get(at) {
+        let escape = (byte == b'%').then(|| digit(at + 1).zip(digit(at + 2))).flatten();
+        out.push(escape.map_or(byte, |(high, low)| (high * 16 + low) as u8));
+        at += if escape.is_some() { 3 } else { 1 };
+    }
+    out
+}
+
 /// The request's id, how long its client waits, at most `most`, and its body's length where it is told. `sized`:
 /// the head gives a length, be it one that hyper hides.
 pub fn check(
@@ -61,3 +107,40 @@
     let text = value.to_str().ok()?;
     text.trim().parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::stays_in_class;
+
+    #[test]
+    fn no_reading_of_a_path_leads_into_another_class() {
+        let out = [
+            "/page/../order/k",
+            "/page/a/../../order/k",
+            "/page/%2e%2e/order/k",
+            "/page/.%2E/order/k",
+            "/page//../order/k",
+            "/page/./../order/k",
+            "/page/..\\order/k",
+            "/page/a%2f..%2f..%2forder/k",
+            "/page/a%2fb/../../../order/k",
+            "/page/a%2fb/../../order/k", // where the escaped slash is no end of a part
+            "/page/%252e%252e/order/k",
+            "/page/%5c..%5corder/k",
+            "/page/..;v=1/order/k",
+            "/page/..",
+        ];
+        out.iter().for_each(|path| assert!(!stays_in_class(path), "{path}"));
+        let inside = [
+            "/page/k",
+            "/page/a/../k",
+            "/page/a..b/..c",
+            "/page/50%",
+            "/page/%zz/k",
+            "/page/a%2Fk",
+            "/page/...",
+            "/page",
+        ];
+        inside.iter().for_each(|path| assert!(stays_in_class(path), "{path}"));
+    }
+}
