A relay between sockets that injures what passes by a script and a seed

Need: incidents overlap in ways that are hard to recreate by hand, and claims about crashes, drains and requests that must not run twice stand on the faults that a test happened to think of (the issue on the fault relay).

Change: crates/lab/src/relay, as 'lotusdeck-lab relay SCRIPT' and as a library. Routes on loopback; stalls, latency with jitter, bandwidth, pieces split and merged, windows that close, silence in one direction or both, half-closes, cuts, resets, bytes repeated, turned or replaced; by byte, by message (HTTP/1.1 and PostgreSQL framing, cut at any byte), by time, or by a word that another fault or a caller gives. The plan is drawn by route and connection number with a stream for each fault.

Found by the test on seeds and mended: a cut recorded faults behind it when their bytes had come in the same read. Not there yet: campaigns, mutants, and the model of a request's life.

--- a/crates/lab/src/drive/run.rs
+++ b/crates/lab/src/drive/run.rs
@@ -76,10 +76,13 @@
     e.proxies * e.limits.sockets * 2 + plan.fleet.len() + OWN
 }
 
-fn allow(plan: &Plan) -> Result<(), RunError> {
+/// Sees to it that this process may hold so many descriptors.
+///
+/// # Errors
+/// It may not.
+pub fn allow(need: usize) -> Result<(), RunError> {
     use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
     let limit = getrlimit(Resource::Nofile);
-    let need = descriptors(plan);
     let have = limit.maximum.map_or(usize::MAX, |n| n as usize);
     if need > have {
         return Err(RunError::Descriptors { need, have });
@@ -291,7 +294,7 @@
 pub async fn play(
     plan: Arc<Plan>, program: &Path, folder: &Path, progress: Progress<'_>,
 ) -> Result<Outcome, RunError> {
-    allow(&plan)?;
+    allow(descriptors(&plan))?;
     let clock = Clock::default();
     let (ready, standing) = oneshot::channel();
     let (orders, from_here) = mpsc::unbounded_channel();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod paper;
 pub mod postgres;
 pub mod record;
+pub mod relay;
 pub mod report;
 pub mod session;
 pub mod swings;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,12 +1,12 @@
 //! The lab's command.
 
 use clap::{Parser, Subcommand};
-use lotusdeck_lab::drive::relay;
+use lotusdeck_lab::drive;
 use lotusdeck_lab::experiment::Experiment;
 use lotusdeck_lab::report::compare;
 use lotusdeck_lab::report::figures::Figures;
 use lotusdeck_lab::session::{self, Options, SessionError};
-use lotusdeck_lab::{duel, ledger, overhead, paper, postgres, swings};
+use lotusdeck_lab::{duel, ledger, overhead, paper, postgres, relay, swings};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -57,9 +57,13 @@
     PgOverhead(postgres::Cost),
     /// How fast the ledger writes and is read back, beside the machine's own floor.
     LedgerBench(ledger::Bench),
+    /// Stand between sockets and injure what passes, by a script (docs/relay.md); it ends with its standard input.
+    Relay(relay::Args),
+    /// What a relay adds that meets no fault: direct and through it, interleaved; and idle connections.
+    RelayCost(relay::cost::Args),
     /// Copy bytes between sockets: the floor that `overhead` measures against.
     #[command(hide = true)]
-    Relay {
+    PlainRelay {
         /// Where to listen.
         #[arg(long)]
         listen: SocketAddr,
@@ -82,7 +86,11 @@
         Ok(false) => ExitCode::FAILURE,
         Err(e) => {
             eprintln!("lotusdeck-lab: {e}");
-            ExitCode::from(if matches!(e, SessionError::Experiment(_)) { 2 } else { 1 })
+            ExitCode::from(if matches!(e, SessionError::Experiment(_) | SessionError::Script(_)) {
+                2
+            } else {
+                1
+            })
         }
     }
 }
@@ -104,12 +112,14 @@
         Command::PgSoak(args) => postgres::main(&args),
         Command::PgOverhead(args) => postgres::cost(&args).map(|()| true),
         Command::LedgerBench(args) => ledger::bench(&args).map(|()| true),
-        Command::Relay { listen, to } => {
+        Command::Relay(args) => relay::main(&args).map(|()| true),
+        Command::RelayCost(args) => relay::cost::main(&args).map(|()| true),
+        Command::PlainRelay { listen, to } => {
             let fault = |e| SessionError::File(listen.to_string(), e);
             let runtime =
                 tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(fault)?;
             let local = tokio::task::LocalSet::new();
-            local.block_on(&runtime, relay::run(listen, to)).map_err(fault)?;
+            local.block_on(&runtime, drive::relay::run(listen, to)).map_err(fault)?;
             Ok(true)
         }
         Command::Compare { a, b } => {
--- a/crates/lab/src/overhead.rs
+++ b/crates/lab/src/overhead.rs
@@ -287,7 +287,7 @@
 pub(crate) fn start_relay(to: &[SocketAddr]) -> std::io::Result<(Child, SocketAddr)> {
     let at = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
     let mut command = Command::new(std::env::current_exe()?);
-    command.args(["relay", "--listen", &at.to_string()]);
+    command.args(["plain-relay", "--listen", &at.to_string()]);
     for t in to {
         command.args(["--to", &t.to_string()]);
     }
--- /dev/null
+++ b/crates/lab/src/relay/cost.rs
@@ -0,0 +1,140 @@
+//! What a relay adds that meets no fault: a byte there and back, direct and through it, interleaved; and with many
+//! idle connections beside it.
+
+use super::run::Relay;
+use super::script::{Framing, Route, Script};
+use crate::drive::run::{allow, thread, RunError};
+use crate::drive::usage::Usage;
+use crate::drive::wire::listen;
+use crate::overhead::{measure, median, Point, Seen};
+use crate::session::{say, SessionError};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// Bytes that go there and back.
+const BYTES: usize = 512;
+
+/// What to measure.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Args {
+    /// Rounds; each plays every way once, in turn.
+    #[arg(long, default_value_t = 5)]
+    rounds: usize,
+    /// Seconds of one measurement.
+    #[arg(long, default_value_t = 2.0)]
+    seconds: f64,
+    /// Idle connections through the relay in the last way; each takes four descriptors of this process.
+    #[arg(long, default_value_t = 4000)]
+    idle: usize,
+}
+
+/// A server that sends back what it gets.
+async fn echo() -> std::io::Result<SocketAddr> {
+    let listener = listen(None)?;
+    let at = listener.local_addr()?;
+    tokio::task::spawn_local(async move {
+        while let Ok((tcp, _)) = listener.accept().await {
+            let _ = tcp.set_nodelay(true);
+            tokio::task::spawn_local(async move {
+                let (mut read, mut write) = tcp.into_split();
+                let _ = tokio::io::copy(&mut read, &mut write).await; // an end is an end
+            });
+        }
+    });
+    Ok(at)
+}
+
+async fn there_and_back(to: SocketAddr, span: Duration) -> Rc<Seen> {
+    let (seen, mut bytes) = (Seen::start(span), [7u8; BYTES]);
+    if let Ok(mut tcp) = TcpStream::connect(to).await {
+        let _ = tcp.set_nodelay(true);
+        while seen.goes_on() {
+            let asked = Instant::now();
+            let back = async {
+                tcp.write_all(&bytes).await?;
+                tcp.read_exact(&mut bytes).await
+            };
+            seen.count(asked, back.await.is_ok());
+        }
+    }
+    seen
+}
+
+/// Measures and says it.
+///
+/// # Errors
+/// Sockets or threads cannot be had.
+pub fn main(args: &Args) -> Result<(), SessionError> {
+    let fault = |e| SessionError::File("relay-cost".into(), e);
+    allow(4 * args.idle + 64)?; // with some for all else
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(fault)?;
+    tokio::task::LocalSet::new().block_on(&runtime, rounds(args))
+}
+
+async fn rounds(args: &Args) -> Result<(), SessionError> {
+    let fault = |e| SessionError::File("relay-cost".into(), e);
+    // Server and relay on threads of their own, as they would be processes of their own.
+    let (told, server) = tokio::sync::oneshot::channel();
+    let _server = thread("echo", move || async move {
+        let _ = told.send(echo().await);
+        std::future::pending::<()>().await
+    })
+    .map_err(fault)?;
+    let server = server.await.map_err(|_| RunError::Thread)?.map_err(fault)?;
+    let (told, relay) = tokio::sync::oneshot::channel();
+    let _relay = thread("relay", move || async move {
+        let route = Route {
+            name: "idle".into(),
+            listen: ([127, 0, 0, 1], 0).into(),
+            to: server,
+            frame: Framing::None,
+            fault: Vec::new(),
+        };
+        let relay = Relay::start(Script { seed: 0, route: vec![route] });
+        let _ = told.send(relay.as_ref().map(|r| r.addresses[0]).map_err(|e| e.kind().into()));
+        std::future::pending::<()>().await;
+        drop(relay);
+    })
+    .map_err(fault)?;
+    let relay = relay.await.map_err(|_| RunError::Thread)?.map_err(fault)?;
+    let span = Duration::from_secs_f64(args.seconds);
+    let mut ways: Vec<(String, SocketAddr, Vec<Point>)> =
+        vec![("direct".into(), server, Vec::new()), ("relay".into(), relay, Vec::new())];
+    for _ in 0..args.rounds {
+        for (_, to, points) in &mut ways {
+            let to = *to;
+            points.push(measure(None, move || there_and_back(to, span)).await?);
+        }
+    }
+    let memory = || Usage::of(std::process::id()).map_or(0, |u| u.memory);
+    let (before, mut idle) = (memory(), Vec::new());
+    for _ in 0..args.idle {
+        idle.push(TcpStream::connect(relay).await.map_err(fault)?);
+    }
+    // The last of them is through once its byte is back.
+    if let Some(last) = idle.last_mut() {
+        last.write_all(b"x").await.map_err(fault)?;
+        last.read_exact(&mut [0]).await.map_err(fault)?;
+    }
+    let each = memory().saturating_sub(before) as f64 / args.idle.max(1) as f64;
+    let mut beside = Vec::new();
+    for _ in 0..args.rounds {
+        beside.push(measure(None, move || there_and_back(relay, span)).await?);
+    }
+    ways.push((format!("relay, {} idle", idle.len()), relay, beside));
+    say(&format!(
+        "medians of {} rounds of {} s, {BYTES} bytes there and back, one at a time\n",
+        args.rounds, args.seconds
+    ));
+    for (name, _, points) in &ways {
+        let [p50, p99] = [median(points, |p| p.p50_us), median(points, |p| p.p99_us)];
+        let failed: u64 = points.iter().map(|p| p.failed).sum();
+        say(&format!("{name:<20} p50 {p50:>5.0} us  p99 {p99:>5.0} us  {failed} failed\n"));
+    }
+    say(&format!("an idle connection holds {:.1} KB of all three ends together\n", each / 1024.0));
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/relay/pipe.rs
@@ -0,0 +1,405 @@
+//! What becomes of one direction's bytes. Sans-IO: whoever drives it brings bytes, times and words, and carries out
+//! what is due. Times are microseconds since the connection came.
+
+use super::frame::{Framer, Mark};
+use super::plan::{Due, When};
+use super::script::{Framing, Way, What};
+use crate::world::dice::Dice;
+use std::collections::VecDeque;
+
+/// Bytes held at most before the sender is read no more.
+const MOST_HELD: usize = 256 * 1024;
+/// A narrowed direction passes pieces of this part of a second.
+const SLICES: u64 = 50;
+
+/// What is to be done now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Out {
+    /// Write this, as one piece.
+    Bytes(Vec<u8>),
+    /// End this direction in order.
+    HalfClose,
+    /// End both in order.
+    Cut,
+    /// Reset both.
+    Reset,
+    /// Let nothing pass in either direction.
+    Blackhole,
+}
+
+/// A fault that happened: which, and before which byte of its direction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Did {
+    /// Its place in the route's list.
+    pub index: usize,
+    /// Bytes of the direction before it, where the script or the messages say where; a time or a word does not.
+    pub at: Option<u64>,
+    /// The word that it gives.
+    pub gives: Option<String>,
+}
+
+/// Bytes that are changed or sent twice once they are all there.
+struct Change {
+    what: What,
+    left: usize,
+    kept: Vec<u8>,
+}
+
+/// One direction of a connection.
+pub struct Pipe {
+    /// Those that have not happened yet, in the script's order.
+    waiting: Vec<Due>,
+    framer: Option<Framer>,
+    marks: Vec<Mark>,
+    /// Bytes that have come.
+    came: u64,
+    /// What goes out, each with its time, in order.
+    queue: VecDeque<(u64, Out)>,
+    held: usize,
+    change: Option<Change>,
+    /// Nothing goes out before this time.
+    hold: u64,
+    /// When the last piece goes out, and when a narrowed direction is free again.
+    last: u64,
+    free: u64,
+    latency: Option<(u64, u64, Dice)>,
+    rate: Option<u64>,
+    split: Option<usize>,
+    /// Pieces that come within so long go out together; those of now go at this time.
+    merge: Option<(u64, Option<u64>)>,
+    unread_until: u64,
+    hung: bool,
+    ended: bool,
+    /// What happened, until it is fetched.
+    pub did: Vec<Did>,
+}
+
+impl Pipe {
+    /// Of a connection that has just come, with those of its faults that are of this direction.
+    pub fn new(framing: Framing, way: Way, dues: &[Due]) -> Pipe {
+        let waiting: Vec<Due> = dues.iter().filter(|d| d.way == way).cloned().collect();
+        let framed = waiting.iter().any(|d| matches!(d.when, When::Message(..)));
+        Pipe {
+            waiting,
+            framer: framed.then(|| Framer::new(framing, way)),
+            marks: Vec::new(),
+            came: 0,
+            queue: VecDeque::new(),
+            held: 0,
+            change: None,
+            hold: 0,
+            last: 0,
+            free: 0,
+            latency: None,
+            rate: None,
+            split: None,
+            merge: None,
+            unread_until: 0,
+            hung: false,
+            ended: false,
+            did: Vec::new(),
+        }
+    }
+
+    /// Takes what the sender sent.
+    pub fn take(&mut self, now: u64, mut bytes: &[u8]) {
+        self.tick(now);
+        if let Some(framer) = &mut self.framer {
+            framer.feed(bytes, &mut self.marks);
+            for mark in self.marks.drain(..) {
+                let here = When::Message(mark.message, mark.place);
+                self.waiting.iter_mut().filter(|d| d.when == here).for_each(|d| d.when = When::Byte(mark.at));
+            }
+        }
+        while !bytes.is_empty() {
+            self.reach(now);
+            if self.hung {
+                return; // what would come later never does, however much has come at once
+            }
+            let next = self.waiting.iter().filter_map(|d| match d.when {
+                When::Byte(at) if at > self.came => Some(at - self.came),
+                _ => None,
+            });
+            let until = next.min().unwrap_or(u64::MAX).min(bytes.len() as u64) as usize;
+            let (piece, rest) = bytes.split_at(until);
+            self.came += piece.len() as u64;
+            self.pass(now, piece);
+            bytes = rest;
+        }
+        self.reach(now); // what is due behind the last byte that came
+    }
+
+    /// The sender ended its direction.
+    pub fn end(&mut self, now: u64) {
+        self.ended = true;
+        if let Some(change) = self.change.take() {
+            self.emit(now, change.kept); // too few came to be changed
+        }
+        self.push(now, Out::HalfClose);
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: u64) {
+        self.happen(now, |when| matches!(when, When::After(at) if *at <= now));
+    }
+
+    /// A word was given.
+    pub fn word(&mut self, now: u64, word: &str) {
+        self.happen(now, |when| matches!(when, When::Word(on) if on == word));
+    }
+
+    /// The words that are waited for.
+    pub fn awaits(&self) -> impl Iterator<Item = &str> {
+        self.waiting.iter().filter_map(|d| match &d.when {
+            When::Word(word) => Some(word.as_str()),
+            _ => None,
+        })
+    }
+
+    /// Nothing passes any more, and what is held is dropped.
+    pub fn hang(&mut self) {
+        self.hung = true;
+        self.queue.clear();
+        self.held = 0;
+    }
+
+    /// The sender may be read.
+    pub fn reads(&self, now: u64) -> bool {
+        !self.ended && now >= self.unread_until && self.held < MOST_HELD
+    }
+
+    /// Its sender ended, and nothing of it is left to go out.
+    pub fn over(&self) -> bool {
+        self.ended && self.queue.is_empty()
+    }
+
+    /// When something is due though nothing comes.
+    pub fn next(&self, now: u64) -> Option<u64> {
+        let times = self.waiting.iter().filter_map(|d| match d.when {
+            When::After(at) => Some(at),
+            _ => None,
+        });
+        let unread = (self.unread_until > now).then_some(self.unread_until);
+        times.chain(unread).chain(self.queue.front().map(|q| q.0)).min()
+    }
+
+    /// The next thing that is due.
+    pub fn pop(&mut self, now: u64) -> Option<Out> {
+        if self.queue.front()?.0 > now {
+            return None;
+        }
+        let (at, mut out) = self.queue.pop_front()?;
+        if let Out::Bytes(bytes) = &mut out {
+            // Merged pieces have the same time, and no others are put together.
+            while let Some((_, Out::Bytes(more))) =
+                self.queue.front().filter(|q| self.merge.is_some() && q.0 == at)
+            {
+                bytes.extend_from_slice(more);
+                self.queue.pop_front();
+            }
+            self.held -= bytes.len();
+        }
+        Some(out)
+    }
+
+    /// Those due before the next byte happen.
+    fn reach(&mut self, now: u64) {
+        let came = self.came;
+        self.happen(now, |when| matches!(when, When::Byte(at) if *at <= came));
+    }
+
+    fn happen(&mut self, now: u64, due: impl Fn(&When) -> bool) {
+        while let Some(at) = self.waiting.iter().position(|d| due(&d.when)) {
+            let fault = self.waiting.remove(at);
+            let place = matches!(fault.when, When::Byte(_)).then_some(self.came);
+            self.did.push(Did { index: fault.index, at: place, gives: fault.gives });
+            self.begin(now, fault.what, fault.seed);
+        }
+    }
+
+    fn begin(&mut self, now: u64, what: What, seed: u64) {
+        let us = |ms: u64| ms.saturating_mul(1000);
+        match what {
+            What::Stall { ms } => self.hold = self.hold.max(now.saturating_add(us(ms))),
+            What::Latency { ms, jitter_ms } => {
+                self.latency = Some((us(ms), us(jitter_ms), Dice::new(seed, "latency")))
+            }
+            What::Bandwidth { bytes_per_s } => self.rate = Some(bytes_per_s),
+            What::Split { bytes } => self.split = Some(bytes),
+            What::Merge { ms } => self.merge = Some((us(ms), None)),
+            What::Unread { ms } => self.unread_until = now.saturating_add(us(ms)),
+            What::Hang => self.hung = true, // what came before goes out
+            What::Blackhole => self.last_of(now, Out::Blackhole),
+            What::HalfClose => self.last_of(now, Out::HalfClose),
+            What::Cut => self.last_of(now, Out::Cut),
+            What::Reset => self.last_of(now, Out::Reset),
+            What::Repeat { bytes } | What::Flip { bytes } => {
+                self.change = Some(Change { what, left: bytes, kept: Vec::new() })
+            }
+            What::Replace { ref text } => {
+                self.change = Some(Change { left: text.len(), what, kept: Vec::new() });
+            }
+        }
+    }
+
+    /// Nothing of this direction goes out behind it.
+    fn last_of(&mut self, now: u64, out: Out) {
+        self.push(now, out);
+        self.hung = true;
+    }
+
+    /// Bytes go on, changed where a change is under way.
+    fn pass(&mut self, now: u64, mut bytes: &[u8]) {
+        if let Some(mut change) = self.change.take() {
+            let (mine, rest) = bytes.split_at(change.left.min(bytes.len()));
+            change.kept.extend_from_slice(mine);
+            change.left -= mine.len();
+            bytes = rest;
+            if change.left > 0 {
+                self.change = Some(change);
+                return;
+            }
+            let changed = match change.what {
+                What::Repeat { .. } => [change.kept.as_slice(), &change.kept].concat(),
+                What::Flip { .. } => change.kept.iter().map(|b| !b).collect(),
+                What::Replace { text } => text.into_bytes(),
+                _ => change.kept,
+            };
+            self.emit(now, changed);
+        }
+        if !bytes.is_empty() {
+            self.emit(now, bytes.to_vec());
+        }
+    }
+
+    fn emit(&mut self, now: u64, bytes: Vec<u8>) {
+        let slice = self.rate.map(|rate| (rate / SLICES).max(1) as usize);
+        let size = [self.split, slice].into_iter().flatten().min();
+        match size {
+            None => self.push(now, Out::Bytes(bytes)),
+            Some(size) => bytes.chunks(size).for_each(|piece| self.push(now, Out::Bytes(piece.to_vec()))),
+        }
+    }
+
+    /// Behind all that is there, at the time that it is due.
+    fn push(&mut self, now: u64, out: Out) {
+        if self.hung {
+            return;
+        }
+        let mut at = now.max(self.hold);
+        if let Out::Bytes(bytes) = &out {
+            self.held += bytes.len();
+            if let Some((least, more, dice)) = &mut self.latency {
+                at = at.saturating_add(*least).saturating_add((dice.unit() * *more as f64) as u64);
+            }
+            if let Some((span, until)) = &mut self.merge {
+                let due = until.filter(|due| now <= *due).unwrap_or(now.saturating_add(*span));
+                *until = Some(due);
+                at = at.max(due);
+            }
+            if let Some(rate) = self.rate {
+                at = at.max(self.free);
+                self.free = at.saturating_add((bytes.len() as u64).saturating_mul(1_000_000) / rate.max(1));
+            }
+        }
+        self.last = self.last.max(at);
+        self.queue.push_back((self.last, out));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::relay::script::Place;
+
+    fn due(when: When, what: What) -> Due {
+        Due { index: 0, way: Way::Down, when, gives: None, what, seed: 1 }
+    }
+
+    /// All that goes out by a time, bytes put together.
+    fn out(pipe: &mut Pipe, now: u64) -> (String, Vec<Out>) {
+        let (mut text, mut rest) = (Vec::new(), Vec::new());
+        while let Some(out) = pipe.pop(now) {
+            match out {
+                Out::Bytes(bytes) => text.extend(bytes),
+                other => rest.push(other),
+            }
+        }
+        (String::from_utf8_lossy(&text).into_owned(), rest)
+    }
+
+    fn play(when: When, what: What, pieces: &[&str]) -> (String, Vec<Out>) {
+        let mut pipe = Pipe::new(Framing::Http, Way::Down, &[due(when, what)]);
+        pieces.iter().for_each(|piece| pipe.take(0, piece.as_bytes()));
+        let got = out(&mut pipe, 0);
+        assert_eq!(pipe.held, 0, "what went out is no longer held");
+        got
+    }
+
+    #[test]
+    fn bytes_before_the_place_pass_and_the_fault_meets_the_next() {
+        for pieces in [&["abcdef"][..], &["ab", "c", "def"], &["abc", "def"]] {
+            let all = |what| play(When::Byte(3), what, pieces);
+            assert_eq!(all(What::Hang), ("abc".into(), vec![]));
+            assert_eq!(all(What::HalfClose), ("abc".into(), vec![Out::HalfClose]));
+            assert_eq!(all(What::Reset).1, [Out::Reset]);
+            assert_eq!(all(What::Repeat { bytes: 2 }).0, "abcdedef");
+            assert_eq!(all(What::Replace { text: "XY".into() }).0, "abcXYf");
+            assert_eq!(all(What::Flip { bytes: 9 }).0, "abc", "held until all are there");
+        }
+    }
+
+    #[test]
+    fn places_in_messages_are_met() {
+        let second = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+        let both = format!("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd{second}");
+        let got = play(When::Message(2, Place::Chunk), What::Replace { text: "z".into() }, &[&both]);
+        assert_eq!(got.0, both.replace("5\r\nhello", "z\r\nhello"), "the size of the second answer's chunk");
+        let got = play(When::Message(1, Place::Middle), What::HalfClose, &[&both[..20], &both[20..]]);
+        assert!(got.0.ends_with("\r\n\r\nab") && got.1 == [Out::HalfClose], "{got:?}");
+        let got = play(When::Message(2, Place::Start), What::Cut, &[&both]);
+        assert!(got.0.ends_with("abcd") && got.1.first() == Some(&Out::Cut), "{got:?}");
+    }
+
+    #[test]
+    fn times_hold_in_order() {
+        let mut pipe = Pipe::new(
+            Framing::None,
+            Way::Down,
+            &[
+                due(When::Byte(2), What::Stall { ms: 5 }),
+                due(When::After(9_000), What::Bandwidth { bytes_per_s: 1_000 }),
+                due(When::Word("now".into()), What::Reset),
+            ],
+        );
+        pipe.take(0, b"abcd");
+        assert_eq!(out(&mut pipe, 4_999).0, "ab");
+        assert_eq!(pipe.next(0), Some(5_000));
+        assert_eq!(out(&mut pipe, 5_000).0, "cd");
+        assert_eq!(pipe.next(5_000), Some(9_000), "a fault by time");
+        pipe.take(10_000, &[b'x'; 30]);
+        assert_eq!(
+            out(&mut pipe, 20_000).0.len(),
+            20,
+            "20 pass at once, the rest 20 ms later at 1,000 a second"
+        );
+        assert_eq!(out(&mut pipe, 30_000).0.len(), 10);
+        assert_eq!(pipe.awaits().collect::<Vec<_>>(), ["now"]);
+        pipe.word(31_000, "now");
+        assert_eq!(out(&mut pipe, 40_000).1, [Out::Reset]);
+        let mut full = Pipe::new(Framing::None, Way::Down, &[due(When::Byte(0), What::Stall { ms: 1 })]);
+        full.take(0, &vec![b'x'; MOST_HELD]);
+        assert!(!full.reads(0), "no more is held than the bound");
+        assert!(out(&mut full, 1_000).0.len() == MOST_HELD && full.reads(1_000));
+        let mut merged = Pipe::new(Framing::None, Way::Down, &[due(When::Byte(0), What::Merge { ms: 2 })]);
+        [0, 1_000, 2_000].iter().for_each(|at| merged.take(*at, b"ab"));
+        assert_eq!(merged.pop(1_999), None);
+        assert_eq!(merged.pop(2_000), Some(Out::Bytes(b"ababab".to_vec())), "as one piece");
+        let mut split = Pipe::new(Framing::None, Way::Down, &[due(When::Byte(0), What::Split { bytes: 1 })]);
+        split.take(0, b"ab");
+        split.end(0);
+        let pieces = [split.pop(0), split.pop(0), split.pop(0), split.pop(0)];
+        let bytes = |b: &[u8]| Some(Out::Bytes(b.to_vec()));
+        assert_eq!(pieces, [bytes(b"a"), bytes(b"b"), Some(Out::HalfClose), None]);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/relay/plan.rs
@@ -0,0 +1,102 @@
+//! What a seed makes of a script: which faults each connection meets, and where. Drawn by route and number of the
+//! connection, never by the order in which connections come, so that the same seed always gives the same plan.
+
+use super::script::{Fault, Place, Script, Way, What};
+use crate::world::dice::Dice;
+use std::hash::Hasher;
+use xxhash_rust::xxh3::Xxh3;
+
+/// When a fault happens.
+#[derive(Clone, Debug, PartialEq)]
+pub enum When {
+    /// Before this byte of its direction.
+    Byte(u64),
+    /// At this message, counted from 1.
+    Message(u64, Place),
+    /// So many microseconds after the connection came.
+    After(u64),
+    /// When this word is given.
+    Word(String),
+}
+
+/// A fault that a connection is to meet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Due {
+    /// Its place in the route's list.
+    pub index: usize,
+    /// Its direction.
+    pub way: Way,
+    /// When.
+    pub when: When,
+    /// The word that it gives.
+    pub gives: Option<String>,
+    /// What.
+    pub what: What,
+    /// Seed of draws while it lasts.
+    pub seed: u64,
+}
+
+/// The faults of one connection.
+pub fn draw(script: &Script, route: usize, connection: u64) -> Vec<Due> {
+    let Some(from) = script.route.get(route) else { return Vec::new() };
+    let one = |(index, fault): (usize, &Fault)| {
+        // A stream for each fault: another one beside it leaves its draws as they were.
+        let mut dice = Dice::new(script.seed, &format!("relay/{}/{connection}/{index}", from.name));
+        let meant = fault.connections.as_ref().is_none_or(|c| c.contains(&connection));
+        if dice.unit() >= fault.part || !meant {
+            return None;
+        }
+        let byte = fault.after_bytes.map(|least| {
+            let span = fault.until_bytes.map_or(0, |most| most - least);
+            When::Byte(least + (dice.unit() * (span + 1) as f64) as u64)
+        });
+        let message = fault.message.map(|n| When::Message(n, fault.place.unwrap_or_default()));
+        let time = fault.after_ms.map(|ms| When::After(ms.saturating_mul(1000)));
+        let when = byte.or(message).or(time).or(fault.on.clone().map(When::Word))?;
+        let seed = (dice.unit() * (1u64 << 53) as f64) as u64;
+        Some(Due { index, way: fault.way, when, gives: fault.gives.clone(), what: fault.what.clone(), seed })
+    };
+    from.fault.iter().enumerate().filter_map(one).collect()
+}
+
+/// A number that stands for what the first so many connections of each route are to meet.
+pub fn hash(script: &Script, connections: u64) -> u64 {
+    let mut hash = Xxh3::new();
+    for (route, of) in script.route.iter().enumerate() {
+        for connection in 0..connections {
+            hash.write(format!("{} {connection} {:?}", of.name, draw(script, route, connection)).as_bytes());
+        }
+    }
+    hash.finish()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn script(seed: u64, more: &str) -> Script {
+        let text = format!(
+            "seed = {seed}\n[[route]]\nname = \"a\"\nlisten = \"127.0.0.1:0\"\nto = \"127.0.0.1:9\"\n\
+             [[route.fault]]\nway = \"down\"\npart = 0.3\nafter_bytes = 10\nuntil_bytes = 99\ndo = \"reset\"\n{more}"
+        );
+        Script::read(&text, "s").expect("a script")
+    }
+
+    #[test]
+    fn a_connections_faults_depend_on_seed_route_and_number_alone() {
+        let one = script(7, "");
+        let more = script(7, "[[route.fault]]\nway = \"up\"\npart = 0.5\nafter_ms = 3\ndo = \"hang\"\n");
+        let mut met = 0;
+        for n in 0..1000 {
+            let (a, b) = (draw(&one, 0, n), draw(&more, 0, n));
+            assert_eq!(a, b.into_iter().filter(|d| d.index == 0).collect::<Vec<_>>(), "connection {n}");
+            for due in &a {
+                assert!(matches!(due.when, When::Byte(10..=99)), "{due:?}");
+            }
+            met += a.len();
+        }
+        assert!((250..350).contains(&met), "three in ten of 1,000: {met}");
+        assert_eq!(hash(&one, 50), hash(&script(7, ""), 50));
+        assert_ne!(hash(&one, 50), hash(&script(8, ""), 50));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/relay/run.rs
@@ -0,0 +1,356 @@
+//! The relay on sockets: connections, words, and the record of what was done.
+
+use super::pipe::{Out, Pipe};
+use super::plan::{draw, Due};
+use super::script::{Route, Script, Way};
+use crate::drive::wire::listen;
+use serde::Serialize;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Read at a time. One buffer serves all connections: 20,000 with one each would hold hundreds of megabytes.
+const PIECE: usize = 64 * 1024;
+/// A caller's line may be so long.
+const MOST_LINE: u64 = 1024;
+/// A pause before a listener that fails is asked again: it is out of descriptors.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// A fault that happened on a connection.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Done {
+    /// The route's name.
+    pub route: String,
+    /// The connection's number on it, from 0.
+    pub connection: u64,
+    /// The fault's place in the route's list.
+    pub fault: usize,
+    /// Bytes of its direction before it; a time or a word tells no such place.
+    pub at: Option<u64>,
+}
+
+/// What all connections of a relay share.
+struct Shared {
+    words: RefCell<BTreeSet<String>>,
+    /// Told of every word that is given.
+    given: watch::Sender<()>,
+    done: RefCell<Vec<Done>>,
+    open: Cell<usize>,
+    buffer: RefCell<Vec<u8>>,
+}
+
+/// A relay that runs on the present thread's local tasks.
+pub struct Relay {
+    /// Where its routes listen, in the script's order.
+    pub addresses: Vec<SocketAddr>,
+    shared: Rc<Shared>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Relay {
+    /// Listens on every route and relays until it is dropped; connections that are open then go on to their ends.
+    ///
+    /// # Errors
+    /// A route's address cannot be listened on.
+    pub fn start(script: Script) -> std::io::Result<Relay> {
+        let shared = Rc::new(Shared {
+            words: RefCell::default(),
+            given: watch::channel(()).0,
+            done: RefCell::default(),
+            open: Cell::default(),
+            buffer: RefCell::new(vec![0; PIECE]),
+        });
+        let script = Rc::new(script);
+        let (mut addresses, mut tasks) = (Vec::new(), Vec::new());
+        for (number, route) in script.route.iter().enumerate() {
+            let listener = listen(Some(route.listen))?;
+            addresses.push(listener.local_addr()?);
+            tasks.push(tokio::task::spawn_local(serve(listener, script.clone(), number, shared.clone())));
+        }
+        Ok(Relay { addresses, shared, tasks })
+    }
+
+    /// Gives a word: faults that wait for it happen, on connections to come as well.
+    pub fn give(&self, word: &str) {
+        self.shared.give(word);
+    }
+
+    /// Takes a word back, for connections to come.
+    pub fn take_back(&self, word: &str) {
+        self.shared.words.borrow_mut().remove(word);
+    }
+
+    /// What happened so far, sorted: the order in which connections ran beside each other is left out.
+    pub fn done(&self) -> Vec<Done> {
+        let mut done = self.shared.done.borrow().clone();
+        done.sort();
+        done
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.shared.open.get()
+    }
+
+    /// Answers callers on a socket: `give WORD`, `take WORD`, `done`, `status`, a line each.
+    ///
+    /// # Errors
+    /// The listener fails for good.
+    pub async fn control(&self, listener: TcpListener) -> std::io::Result<()> {
+        loop {
+            let (mut tcp, _) = listener.accept().await?;
+            let (read, mut write) = tcp.split();
+            let mut lines = BufReader::new(tokio::io::AsyncReadExt::take(read, MOST_LINE)).lines();
+            while let Ok(Some(line)) = lines.next_line().await {
+                let answer = match line.split_whitespace().collect::<Vec<_>>()[..] {
+                    ["give", word] => {
+                        self.give(word);
+                        "given\n".to_string()
+                    }
+                    ["take", word] => {
+                        self.take_back(word);
+                        "taken\n".to_string()
+                    }
+                    ["done"] => json(&self.done()),
+                    ["status"] => json(&serde_json::json!({
+                        "open": self.open(), "done": self.shared.done.borrow().len(),
+                        "done_hash": format!("{:016x}", hash(&self.done())),
+                        "words": self.shared.words.borrow().clone(),
+                    })),
+                    _ => "expected: give WORD, take WORD, done or status\n".to_string(),
+                };
+                lines.get_mut().get_mut().set_limit(MOST_LINE); // for the next line anew
+                if write.write_all(answer.as_bytes()).await.is_err() {
+                    break;
+                }
+            }
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(|task| task.abort());
+    }
+}
+
+fn json(value: &impl Serialize) -> String {
+    serde_json::to_string(value).unwrap_or_default() + "\n"
+}
+
+/// A number that stands for what was done, whatever ran beside what.
+pub fn hash(done: &[Done]) -> u64 {
+    let mut hash = Xxh3::new();
+    for d in done {
+        hash.write(format!("{} {} {} {:?}\n", d.route, d.connection, d.fault, d.at).as_bytes());
+    }
+    hash.finish()
+}
+
+impl Shared {
+    fn give(&self, word: &str) {
+        self.words.borrow_mut().insert(word.into());
+        self.given.send_replace(());
+    }
+}
+
+async fn serve(listener: TcpListener, script: Rc<Script>, number: usize, shared: Rc<Shared>) {
+    let mut count = 0;
+    loop {
+        let Ok((here, _)) = listener.accept().await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let Some(route) = script.route.get(number) else { return };
+        let (dues, to, connection) = (draw(&script, number, count), route.to, count);
+        count += 1;
+        let pipes = [Way::Up, Way::Down].map(|way| Pipe::new(route.frame, way, &dues));
+        let (shared, script) = (shared.clone(), script.clone());
+        tokio::task::spawn_local(async move {
+            shared.open.set(shared.open.get() + 1);
+            if let Some(route) = script.route.get(number) {
+                connection_of(here, to, pipes, &dues, Told { shared: &shared, route, connection }).await;
+            }
+            shared.open.set(shared.open.get() - 1);
+        });
+    }
+}
+
+/// Where a connection's faults are written down.
+#[derive(Clone, Copy)]
+struct Told<'a> {
+    shared: &'a Shared,
+    route: &'a Route,
+    connection: u64,
+}
+
+/// How a connection goes on for both directions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fate {
+    Open,
+    /// Nothing passes any more.
+    Silent,
+    Over,
+}
+
+async fn connection_of(here: TcpStream, to: SocketAddr, pipes: [Pipe; 2], dues: &[Due], told: Told<'_>) {
+    let Ok(there) = TcpStream::connect(to).await else {
+        // What is behind is not there: whoever connected is told in the same way.
+        reset(&here);
+        return;
+    };
+    let _ = (here.set_nodelay(true), there.set_nodelay(true));
+    let (fate, woken) = (Cell::new(Fate::Open), tokio::sync::Notify::new());
+    let [up, down] = pipes;
+    let both = Both { fate: &fate, woken: &woken, ends: [&here, &there], plain: dues.is_empty() };
+    tokio::join!(pump(&here, &there, up, both, told), pump(&there, &here, down, both, told));
+}
+
+/// What the two directions of a connection share.
+#[derive(Clone, Copy)]
+struct Both<'a> {
+    fate: &'a Cell<Fate>,
+    woken: &'a tokio::sync::Notify,
+    ends: [&'a TcpStream; 2],
+    /// It meets no fault: bytes go straight through.
+    plain: bool,
+}
+
+impl Both<'_> {
+    fn becomes(&self, fate: Fate) {
+        self.fate.set(fate);
+        self.woken.notify_waiters();
+    }
+
+    fn over(&self) -> bool {
+        self.fate.get() == Fate::Over
+    }
+}
+
+fn reset(tcp: &TcpStream) {
+    let _ = socket2::SockRef::from(tcp).set_linger(Some(Duration::ZERO)); // the close that follows is a reset
+}
+
+fn half_close(tcp: &TcpStream) {
+    let _ = socket2::SockRef::from(tcp).shutdown(std::net::Shutdown::Write);
+}
+
+/// One direction, to its end or the connection's.
+async fn pump(from: &TcpStream, to: &TcpStream, mut pipe: Pipe, both: Both<'_>, told: Told<'_>) {
+    let begun = Instant::now();
+    let now = || begun.elapsed().as_micros() as u64;
+    let mut words = told.shared.given.subscribe();
+    heed(&mut pipe, now(), told);
+    loop {
+        while let Some(out) = pipe.pop(now()) {
+            match out {
+                Out::Bytes(bytes) => {
+                    let written = write(to, &bytes, both).await;
+                    if written.is_err() {
+                        // The far end is gone; the near one learns of it as it would without a relay.
+                        reset(from);
+                        return both.becomes(Fate::Over);
+                    }
+                }
+                Out::HalfClose => half_close(to),
+                Out::Cut => return both.becomes(Fate::Over),
+                Out::Reset => {
+                    both.ends.into_iter().for_each(reset);
+                    return both.becomes(Fate::Over);
+                }
+                Out::Blackhole => both.becomes(Fate::Silent),
+            }
+            if both.over() {
+                return;
+            }
+        }
+        let woken = both.woken.notified();
+        match both.fate.get() {
+            Fate::Over => return,
+            Fate::Silent => pipe.hang(),
+            Fate::Open => {}
+        }
+        if pipe.over() {
+            return;
+        }
+        let (at, next) = (now(), pipe.next(now()));
+        let due = async {
+            match next {
+                Some(at) => tokio::time::sleep_until(begun + Duration::from_micros(at)).await,
+                None => std::future::pending().await,
+            }
+        };
+        let waits = pipe.awaits().next().is_some();
+        tokio::select! {
+            _ = woken => {}
+            _ = due => pipe.tick(now()),
+            _ = words.changed(), if waits => {}
+            ready = from.readable(), if pipe.reads(at) => {
+                let came = ready.and_then(|()| {
+                    let mut buffer = told.shared.buffer.borrow_mut();
+                    let count = from.try_read(&mut buffer)?;
+                    match count {
+                        0 => pipe.end(now()),
+                        _ => pipe.take(now(), &buffer[..count]),
+                    }
+                    Ok(())
+                });
+                match came {
+                    Err(e) if e.kind() != std::io::ErrorKind::WouldBlock => {
+                        reset(to);
+                        return both.becomes(Fate::Over);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        if !both.plain {
+            heed(&mut pipe, now(), told);
+        }
+    }
+}
+
+/// Words that were given meet those who wait for them, and what happened is written down.
+fn heed(pipe: &mut Pipe, now: u64, told: Told) {
+    let awaited: Vec<String> = {
+        let given = told.shared.words.borrow();
+        pipe.awaits().filter(|word| given.contains(*word)).map(String::from).collect()
+    };
+    awaited.iter().for_each(|word| pipe.word(now, word));
+    for did in pipe.did.drain(..) {
+        let (route, connection) = (told.route.name.clone(), told.connection);
+        told.shared.done.borrow_mut().push(Done { route, connection, fault: did.index, at: did.at });
+        if let Some(word) = did.gives {
+            told.shared.give(&word);
+        }
+    }
+}
+
+/// Writes all of it, unless the connection ends meanwhile.
+async fn write(to: &TcpStream, mut bytes: &[u8], both: Both<'_>) -> std::io::Result<()> {
+    while !bytes.is_empty() {
+        match to.try_write(bytes) {
+            Ok(count) => bytes = &bytes[count..],
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
+                let woken = both.woken.notified();
+                if both.over() {
+                    return Ok(());
+                }
+                tokio::select! {
+                    ready = to.writable() => ready?,
+                    _ = woken => {}
+                }
+            }
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
--- a/crates/lab/src/session.rs
+++ b/crates/lab/src/session.rs
@@ -3,6 +3,7 @@
 use crate::drive::run::{self, RunError};
 use crate::experiment::{Experiment, ExperimentError};
 use crate::oracle::{story, MOST_TOLD};
+use crate::relay::script::ScriptError;
 use crate::report::figures::Figures;
 use crate::report::{page, table};
 use crate::virt::policy::Which;
@@ -32,6 +33,9 @@
     /// The run in virtual time is.
     #[error(transparent)]
     Virtual(#[from] VirtualError),
+    /// The relay's script is at fault.
+    #[error(transparent)]
+    Script(#[from] ScriptError),
     /// There is no proxy to play.
     #[error("no proxy: {0}")]
     Program(String),
