--- a/crates/lab/src/campaign/mod.rs
+++ b/crates/lab/src/campaign/mod.rs
@@ -34,6 +34,9 @@
     /// Plays beside each other; each keeps about one processor busy.
     #[arg(long, default_value_t = 2)]
     jobs: usize,
+    /// End with the first that breaks a rule, as it was drawn.
+    #[arg(long)]
+    first: bool,
     /// The lotusdeck to play.
     #[arg(long)]
     proxy: Option<PathBuf>,
@@ -194,9 +197,10 @@
         (AtomicU64::new(progress.next), Instant::now() + Duration::from_secs_f64(args.seconds));
     let progress = Mutex::new(progress);
     let search = || -> Result<(), SessionError> {
-        while Instant::now() < until {
+        let broke = || !progress.lock().unwrap_or_else(|e| e.into_inner()).broke.is_empty();
+        while Instant::now() < until && !(args.first && broke()) {
             let seed = next.fetch_add(1, Relaxed);
-            one(seed, &proxy, &args.out, &progress)?;
+            one(seed, &proxy, args, &progress)?;
             let mut p = progress.lock().unwrap_or_else(|e| e.into_inner());
             p.next = p.next.max(seed + 1);
             std::fs::write(&file, serde_json::to_string_pretty(&*p).unwrap_or_default()).map_err(fault)?;
@@ -213,7 +217,8 @@
 }
 
 /// Plays the script of one seed; what breaks a rule is shrunk and saved.
-fn one(seed: u64, proxy: &Path, out: &Path, progress: &Mutex<Progress>) -> Result<(), SessionError> {
+fn one(seed: u64, proxy: &Path, args: &Args, progress: &Mutex<Progress>) -> Result<(), SessionError> {
+    let out = &args.out;
     let folder = out.join(format!("seed-{seed}"));
     let e = experiment(seed)?;
     let verdict = judge(&e, proxy, &folder)?;
@@ -233,7 +238,7 @@
         say(&format!("seed {seed}: {}: {}\n", b.oracle, b.text));
     }
     say(told);
-    let least = shrink(e, |e| breaks(e, proxy, &folder))?;
+    let least = if args.first { e } else { shrink(e, |e| breaks(e, proxy, &folder))? };
     let (file, name) = (out.join(format!("seed-{seed}.toml")), format!("seed-{seed}"));
     let least = Experiment { name, about: format!("{}: {}", broken[0].oracle, broken[0].text), ..least };
     let text = toml::to_string(&least).unwrap_or_default();
