--- a/crates/lab/src/campaign/draw.rs
+++ b/crates/lab/src/campaign/draw.rs
@@ -21,6 +21,9 @@
 "#;
 /// Injuries and troubles of one script at most: more hide each other, and shrink slowly.
 const MOST: usize = 5;
+/// What may lie behind an answer: another one, the beginning of one, noise.
+const BEHIND: [&str; 3] =
+    ["HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", "HTTP/1.1 200 OK\r\nContent-Le", "\r\n\r\nnoise"];
 /// A request that is late at a backend for the relay's sake must not look sent after the grace of a drain.
 const MOST_UP_MS: u64 = 60;
 
@@ -42,7 +45,7 @@
     let place = [Place::Start, Place::Body, Place::Middle, Place::End][dice.below(4)];
     let bytes = 1 + dice.below(9);
     let ms = 1 + dice.below(if way == Way::Up { MOST_UP_MS as usize } else { 500 }) as u64;
-    let what = match dice.below(9) {
+    let what = match dice.below(10) {
         0 => What::HalfClose,
         1 => What::Cut,
         2 => What::Reset,
@@ -54,10 +57,16 @@
         // from a good one: only heads of answers are.
         _ if way == Way::Up => What::Stall { ms },
         7 => What::Flip { bytes },
+        // Behind an answer lies what nobody asked for: it must never pass for the answer to the next request.
+        8 => What::Insert { text: BEHIND[dice.below(BEHIND.len())].into() },
         // No longer than the first line: a body that a repeat of more has shifted is as long as it should be.
         _ => What::Repeat { bytes },
     };
-    let head = matches!(what, What::Flip { .. } | What::Repeat { .. });
+    let fixed = match what {
+        What::Flip { .. } | What::Repeat { .. } => Some(Place::Start),
+        What::Insert { .. } => Some(Place::End),
+        _ => None,
+    };
     Fault {
         connections: None,
         part: 0.02 + 0.3 * dice.unit(),
@@ -65,7 +74,7 @@
         after_bytes: None,
         until_bytes: None,
         message: Some(1 + dice.below(4) as u64),
-        place: Some(if head { Place::Start } else { place }),
+        place: Some(fixed.unwrap_or(place)),
         after_ms: None,
         on: None,
         gives: None,
--- a/crates/lab/src/relay/pipe.rs
+++ b/crates/lab/src/relay/pipe.rs
@@ -236,6 +236,7 @@
             What::Repeat { bytes } | What::Flip { bytes } => {
                 self.change = Some(Change { what, left: bytes, kept: Vec::new() })
             }
+            What::Insert { text } => self.emit(now, text.into_bytes()),
             What::Replace { ref text } => {
                 self.change = Some(Change { left: text.len(), what, kept: Vec::new() });
             }
@@ -345,6 +346,7 @@
             assert_eq!(all(What::Reset).1, [Out::Reset]);
             assert_eq!(all(What::Repeat { bytes: 2 }).0, "abcdedef");
             assert_eq!(all(What::Replace { text: "XY".into() }).0, "abcXYf");
+            assert_eq!(all(What::Insert { text: "XY".into() }).0, "abcXYdef");
             assert_eq!(all(What::Flip { bytes: 9 }).0, "abc", "held until all are there");
         }
     }
--- a/crates/lab/src/relay/script.rs
+++ b/crates/lab/src/relay/script.rs
@@ -161,6 +161,8 @@
     Repeat { bytes: usize },
     /// The next bytes go out with all bits turned.
     Flip { bytes: usize },
+    /// These bytes go out beside what was sent.
+    Insert { text: String },
     /// These bytes go out in place of as many.
     Replace { text: String },
 }
@@ -225,7 +227,7 @@
                 wants(placed, &key("place"), "message beside it")?;
                 let size = match &fault.what {
                     What::Split { bytes } | What::Repeat { bytes } | What::Flip { bytes } => *bytes,
-                    What::Replace { text } => text.len(),
+                    What::Replace { text } | What::Insert { text } => text.len(),
                     What::Bandwidth { bytes_per_s } => usize::from(*bytes_per_s > 0),
                     _ => 1,
                 };
