Mend what a second reading of the relay and the campaign found

Ruled out: sharing rounds and seconds of the three cost commands, as these are declarations of arguments with their own defaults.

--- a/crates/lab/src/campaign/mod.rs
+++ b/crates/lab/src/campaign/mod.rs
@@ -83,7 +83,6 @@
     let (figures, broken) = Figures::of(&plan, &outcome);
     let mut met = Progress::default();
     let count = |of: &mut BTreeMap<String, u64>, what: String| *of.entry(what).or_default() += 1;
-    let mut states = BTreeMap::new();
     for r in &outcome.records {
         match &r.what {
             Saw::Injured { injury, .. } => {
@@ -102,12 +101,11 @@
                     How::Withdrawn => "given up",
                     How::Died => "its backend died",
                 };
-                count(&mut states, format!("{} {how}", if once { "once" } else { "free" }));
+                count(&mut met.states, format!("{} {how}", if once { "once" } else { "free" }));
             }
             _ => {}
         }
     }
-    met.states = states;
     e.trouble.iter().for_each(|t| count(&mut met.troubles, format!("{:?}", t.what)));
     if figures.void.is_some() {
         return Ok(Verdict { broken: None, met });
--- a/crates/lab/src/relay/mod.rs
+++ b/crates/lab/src/relay/mod.rs
@@ -15,7 +15,6 @@
 use crate::session::{say, SessionError};
 use run::Relay;
 use script::Script;
-use std::io::Read;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -83,7 +82,7 @@
     // It ends with whoever started it, however that ended.
     let (over, ended) = tokio::sync::oneshot::channel();
     std::thread::spawn(move || {
-        let _ = std::io::copy(&mut std::io::stdin().lock().take(u64::MAX), &mut std::io::sink());
+        let _ = std::io::copy(&mut std::io::stdin().lock(), &mut std::io::sink());
         let _ = over.send(());
     });
     tokio::select! {
