Keep a proxy's last whole list across the death of its process, trusted by age

The platform's known list is all a restarted proxy has, where the platform hands one over.

The module is untouched: the list goes in as the Cached update that it already takes.

Measured: on loopback, a proxy killed by SIGKILL and started with no list and a silent discovery serves its first request from the kept list; once discovery says the backend drains, the next request goes elsewhere, well under 500 ms.

--- a/crates/lotusdeck/src/main.rs
+++ b/crates/lotusdeck/src/main.rs
@@ -9,6 +9,7 @@
 mod operator;
 mod postgres;
 mod serve;
+mod state;
 
 use clap::{CommandFactory, Parser, Subcommand};
 use std::process::ExitCode;
--- a/crates/lotusdeck/src/operator.rs
+++ b/crates/lotusdeck/src/operator.rs
@@ -37,7 +37,7 @@
 }
 
 /// Every key that there is.
-pub const KEYS: [Key; 13] = [
+pub const KEYS: [Key; 17] = [
     number(
         "http.answer_gap_ms",
         "ms",
@@ -93,8 +93,50 @@
     number("ledger.keep_days", "days", (1, 36_500), 90, "resolved segments are dropped at this age"),
     number("ledger.keep_unresolved_days", "days", (1, 36_500), 180, "all others at this one"),
     number("ledger.warn_free_mb", "MB", (0, 1_000_000), 256, "with less space than this a line warns"),
+    Key {
+        path: "state.folder",
+        sort: Sort::Text,
+        about: "where this proxy keeps its last list across restarts; empty: nowhere",
+    },
+    Key {
+        path: "state.site",
+        sort: Sort::Text,
+        about: "names the site in what is kept; what another site kept is not taken",
+    },
+    number(
+        "state.half_life_s",
+        "s",
+        (1, 604_800),
+        600,
+        "a kept list is trusted half as much at this age, and not at all past twice it",
+    ),
+    number("state.every_ms", "ms", (100, 600_000), 1_000, "a changed list is kept at most this often"),
 ];
 
+/// `[state]`: what outlives the process (docs/recovery.md).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StateSettings {
+    /// Where it lies; `None` where nothing is kept.
+    pub folder: Option<PathBuf>,
+    /// The site's name, written and checked.
+    pub site: String,
+    /// The age at which a kept list is trusted half as much.
+    pub half_life: Duration,
+    /// A changed list is written at most this often.
+    pub every: Duration,
+}
+
+impl Default for StateSettings {
+    fn default() -> StateSettings {
+        StateSettings {
+            folder: None,
+            site: String::new(),
+            half_life: Duration::from_secs(600),
+            every: Duration::from_millis(1_000),
+        }
+    }
+}
+
 /// `[ledger]`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LedgerSettings {
@@ -143,6 +185,8 @@
     pub ledger: LedgerSettings,
     /// `[[postgres]]`, one for each front.
     pub postgres: Vec<Spec>,
+    /// `[state]`.
+    pub state: StateSettings,
 }
 
 /// A value that fits its key.
@@ -313,7 +357,7 @@
     }
 
     fn set(&mut self, path: &str, value: Value) {
-        let (pauses, ledger) = (&mut self.pauses, &mut self.ledger);
+        let (pauses, ledger, state) = (&mut self.pauses, &mut self.ledger, &mut self.state);
         match value {
             Value::Number(n) => {
                 let span = Duration::from_millis(n);
@@ -328,6 +372,8 @@
                     "ledger.keep_days" => ledger.keep_days = n,
                     "ledger.keep_unresolved_days" => ledger.keep_unresolved_days = n,
                     "ledger.warn_free_mb" => ledger.warn_free_mb = n,
+                    "state.half_life_s" => state.half_life = Duration::from_secs(n),
+                    "state.every_ms" => state.every = span,
                     _ => unreachable!("a key of the list that nobody reads: {path}"),
                 }
             }
@@ -337,6 +383,10 @@
                 }
                 "ledger.mode" => ledger.power = text == "power",
                 "ledger.on_failure" => ledger.go_on = text == "go-on",
+                "state.folder" => {
+                    state.folder = Some(PathBuf::from(text)).filter(|p| !p.as_os_str().is_empty())
+                }
+                "state.site" => state.site = text,
                 _ => unreachable!("a key of the list that nobody reads: {path}"),
             },
         }
--- a/crates/lotusdeck/src/postgres.rs
+++ b/crates/lotusdeck/src/postgres.rs
@@ -325,7 +325,7 @@
             let host = host.clone();
             tokio::task::spawn_local(async move {
                 let _moves = moved; // for as long as it is followed
-                discovery::watch(host, discovery, 0).await;
+                discovery::watch(host, discovery, 0, None).await;
             });
         }
         None => {
--- a/crates/lotusdeck/src/serve.rs
+++ b/crates/lotusdeck/src/serve.rs
@@ -2,19 +2,23 @@
 
 use crate::journaling::Journaling;
 use crate::logging::{self, Format};
-use crate::operator::{LedgerSettings, Operator, OperatorError};
+use crate::operator::{LedgerSettings, Operator, OperatorError, StateSettings};
 use crate::postgres::{self, PostgresError, Running, Spec};
+use crate::state::{self, Keeper, Place};
 use lotusdeck_core::cordon::Cordon;
 use lotusdeck_core::{Clock, Host, Journal, Lines};
 use lotusdeck_policy::{Balancer, Discovery, ListUpdate};
 use lotusdeck_proxy::admin::{Admin, MAX_CALLERS};
 use lotusdeck_proxy::body::Budget;
 use lotusdeck_proxy::config::{InForce, Node, NodeError};
+use lotusdeck_proxy::discovery::List;
+use lotusdeck_proxy::mirror::Mirror;
 use lotusdeck_proxy::pauses::Shared;
 use lotusdeck_proxy::peer::{self, Peer};
 use lotusdeck_proxy::pool::Pool;
 use lotusdeck_proxy::server::{self, Server};
 use lotusdeck_proxy::{discovery, handover};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -78,6 +82,10 @@
     Descriptors(usize, usize, usize),
     #[error("[[postgres]] has changed: that needs a new start")]
     PostgresChanged,
+    #[error("[state] has changed: that needs a new start")]
+    StateChanged,
+    #[error("state: {0}")]
+    State(std::io::Error),
     #[error("cannot listen {0} on {1}: {2}")]
     Listen(&'static str, SocketAddr, std::io::Error),
 }
@@ -123,6 +131,7 @@
     pauses: Shared,
     ledger: LedgerSettings,
     postgres: Vec<Spec>,
+    state: StateSettings,
     moved: watch::Sender<(SocketAddr, Discovery)>,
 }
 
@@ -136,6 +145,9 @@
         if operator.postgres != self.postgres {
             return Err(ServeError::PostgresChanged);
         }
+        if operator.state != self.state {
+            return Err(ServeError::StateChanged);
+        }
         let mut change = self.file.reread()?;
         self.file.replace(&mut change);
         self.pauses.set(operator.pauses);
@@ -168,6 +180,24 @@
     }
 }
 
+/// The list to begin with, and the writer of what is kept, where the operator file names a folder.
+fn kept(settings: &StateSettings, proxy: &str, known: List) -> Result<(List, Option<Keeper>), ServeError> {
+    let Some(folder) = &settings.folder else { return Ok((known, None)) };
+    let list = state::begin(settings, &Place::new(settings, folder, proxy), known);
+    let keeper = Keeper::start(Place::new(settings, folder, proxy), folder).map_err(ServeError::State)?;
+    Ok((list, keeper))
+}
+
+/// Hands the list over whenever it has changed, at most once in `every`.
+async fn keep(keeper: Keeper, mirror: Rc<RefCell<Mirror>>, every: Duration) {
+    loop {
+        if let Some(list) = mirror.borrow_mut().changed() {
+            keeper.keep(list);
+        }
+        tokio::time::sleep(every).await;
+    }
+}
+
 async fn run(args: Args) -> Result<(), ServeError> {
     // Before all else: until its handler stands, a signal ends the program at once.
     let on = |kind| signal(kind).map_err(ServeError::Signals);
@@ -177,7 +207,8 @@
     let _file_size = on(SignalKind::from_raw(SIGXFSZ))?;
     let inherited = handover::listener().map_err(|e| ServeError::Inherited(e.to_string()))?;
     let operator = Operator::load(args.operator.as_deref())?;
-    let node = Node::read(&args.config, args.admin)?;
+    let mut node = Node::read(&args.config, args.admin)?;
+    let (known, keeper) = kept(&operator.state, &node.name, std::mem::take(&mut node.known))?;
     let cordon = Cordon::load(&node.state());
     if cordon.count() > 0 {
         info!(cordoned = cordon.count(), "backends are cordoned from before");
@@ -200,7 +231,7 @@
     let fronts: Vec<Running> = operator.postgres.iter().map(start).collect::<Result<_, _>>()?;
     let host = Host::new(balancer, node.settings, clock, lines, cordon, journal);
     // The list from before the restart is in place before anything is served.
-    host.members(ListUpdate::Cached, node.known.entries());
+    host.members(ListUpdate::Cached, known.entries());
     let handed_down = inherited.is_some();
     let listener = match inherited {
         Some(listener) => tokio::net::TcpListener::from_std(listener),
@@ -210,15 +241,28 @@
     let listen = |at| server::listen(at).map_err(|e| ServeError::Listen("for operators", at, e));
     let calls = node.admin.map(listen).transpose()?;
     let address = listener.local_addr().unwrap_or(node.listen);
-    info!(name = node.name, %address, known = node.known.endpoints.len(), "listens");
+    info!(name = node.name, %address, known = known.endpoints.len(), "listens");
     tokio::task::spawn_local(host.clone().timers());
     tokio::task::spawn_local(pool.clone().sweep());
     let (moved, discovery) = watch::channel((node.discovery, mode));
-    tokio::task::spawn_local(discovery::watch(host.clone(), discovery, node.known.index));
-    let Operator { ledger: ledger_settings, postgres, .. } = operator;
+    let mirror = keeper.map(|keeper| {
+        let mirror = Rc::new(RefCell::new(Mirror::new(&known)));
+        tokio::task::spawn_local(keep(keeper, mirror.clone(), operator.state.every));
+        mirror
+    });
+    tokio::task::spawn_local(discovery::watch(host.clone(), discovery, known.index, mirror));
+    let Operator { ledger: ledger_settings, postgres, state, .. } = operator;
     let (file, operator) = (node.file, args.operator);
-    let adoption =
-        Adoption { host: host.clone(), file, operator, pauses, ledger: ledger_settings, postgres, moved };
+    let adoption = Adoption {
+        host: host.clone(),
+        file,
+        operator,
+        pauses,
+        ledger: ledger_settings,
+        postgres,
+        state,
+        moved,
+    };
     tokio::task::spawn_local(adoption.heed(hangup));
     let server = Server::new(host.clone(), pool.clone(), budget);
     let shared = peer.alive();
--- /dev/null
+++ b/crates/lotusdeck/tests/recovery.rs
@@ -0,0 +1,145 @@
+//! What outlives a process (docs/recovery.md), on loopback: the program killed and started again with discovery
+//! silent, kept lists that are cut, foreign, too old or held by another process.
+
+mod rig;
+
+use lotusdeck_recovery::{decode, encode, Saved};
+use rig::*;
+use std::path::{Path, PathBuf};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// A folder and an operator file that keeps state there.
+fn keeping(site: &str, half_life_s: u64) -> (PathBuf, PathBuf) {
+    let at =
+        std::env::temp_dir().join(format!("lotusdeck-state-{}-{site}-{half_life_s}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&at);
+    std::fs::create_dir_all(&at).unwrap();
+    let operator = at.join("operator.toml");
+    let folder = at.join("state");
+    let text = format!(
+        "[state]\nfolder = {:?}\nsite = {site:?}\nhalf_life_s = {half_life_s}\nevery_ms = 100\n",
+        folder.display()
+    );
+    std::fs::write(&operator, text).unwrap();
+    (operator, folder)
+}
+
+/// A proxy that has kept the list that discovery gave it, killed at once after.
+fn kept(operator: &Path, entries: &[String]) {
+    let proxy = Proxy::operated(&[], operator);
+    let (_, answer) = proxy.discovery.call();
+    answer.send((200, list(9, true, entries))).unwrap();
+    assert!(proxy.logged("state written").contains("index=9"));
+    // Dropped: SIGKILL, with no word to it.
+}
+
+/// Started again with no list from the platform and a discovery that never answers, it serves from what it kept;
+/// once discovery answers that the backend drains, nothing new goes there within 500 ms.
+#[test]
+fn a_proxy_killed_and_started_again_serves_from_its_kept_list_and_heeds_discovery_once_back() {
+    let (first, second) = (BackendServer::start(|_| ok("first")), BackendServer::start(|_| ok("second")));
+    let (operator, _) = keeping("power", 600);
+    kept(&operator, &[entry("b0", first.address, "SERVING")]);
+    let proxy = Proxy::operated(&[], &operator);
+    assert!(proxy.logged("state taken").contains("index=9"));
+    let (_, answer) = proxy.discovery.call();
+    assert_eq!(proxy.ask(&read(3.0)).body, b"first", "served with discovery silent");
+    let told = Instant::now();
+    let drained = [entry("b0", first.address, "DRAINING"), entry("b1", second.address, "SERVING")];
+    answer.send((200, list(12, true, &drained))).unwrap();
+    let (_, _waits) = proxy.discovery.call(); // by now the list is taken in
+    assert_eq!(proxy.ask(&read(3.0)).body, b"second");
+    assert!(told.elapsed().as_millis() < 500, "{:?}", told.elapsed());
+    assert_eq!(first.count(), 1, "nothing new to the drained backend");
+}
+
+/// A cut file, one of another site and one written by another proxy are told and passed over; the start is as
+/// without them, from the platform's list.
+#[test]
+fn kept_files_that_are_cut_or_foreign_are_passed_over_with_a_line_each() {
+    let backend = BackendServer::start(|_| ok("known"));
+    let (operator, folder) = keeping("here", 600);
+    kept(&operator, &[entry("b0", backend.address, "SERVING")]);
+    let file = folder.join("n0.state");
+    let sound = std::fs::read(&file).unwrap();
+    let mut foreign = decode(&sound).unwrap();
+    foreign.site = "elsewhere".into();
+    let mut other = decode(&sound).unwrap();
+    other.proxy = "n7".into();
+    let cases = [
+        (sound[..sound.len() - 3].to_vec(), "truncated"),
+        (encode(&foreign), "kept for site"),
+        (encode(&other), "kept by proxy"),
+        (b"garbage".to_vec(), "not a state file"),
+    ];
+    for (bytes, told) in cases {
+        std::fs::write(&file, bytes).unwrap();
+        let proxy = Proxy::operated(&[entry("b0", backend.address, "SERVING")], &operator);
+        assert!(proxy.logged("state not taken").contains(told), "{told}");
+        assert_eq!(proxy.ask(&read(3.0)).body, b"known");
+    }
+}
+
+/// A list hours old is not believed; with a half-life that allows it, its removed backend costs a few refusals,
+/// each answered at once with a time to come back, and then nothing.
+#[test]
+fn a_list_hours_old_is_weighed_by_its_age() {
+    let (gone, backend) = (Refusing::new(), BackendServer::start(|_| ok("here")));
+    let entries = [entry("b0", gone.address(), "SERVING"), entry("b1", backend.address, "SERVING")];
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+    let three_hours = 3 * 3_600_000;
+    for (half_life_s, taken) in [(600, false), (86_400, true)] {
+        let (operator, folder) = keeping("old", half_life_s);
+        std::fs::create_dir_all(&folder).unwrap();
+        let body = list(9, true, &entries).into_bytes();
+        let saved = Saved {
+            site: "old".into(),
+            proxy: "n0".into(),
+            written_ms: now - three_hours,
+            index: 9,
+            list: body,
+        };
+        std::fs::write(folder.join("n0.state"), encode(&saved)).unwrap();
+        let proxy = Proxy::operated(&[], &operator);
+        if taken {
+            proxy.logged("state taken");
+            let told: Vec<(u16, bool)> = (0..8)
+                .map(|_| proxy.ask(&read(3.0)))
+                .map(|m| (m.status(), m.header("retry-after").is_some()))
+                .collect();
+            // Refused at once and told when to come back, while the budget for further attempts fills; then ejected.
+            assert!(told.iter().all(|t| *t == (200, false) || *t == (503, true)), "{told:?}");
+            assert!(told[4..].iter().all(|t| t.0 == 200), "{told:?}");
+        } else {
+            assert!(proxy.logged("state not taken").contains("too old"));
+        }
+    }
+}
+
+/// Two processes of one proxy with one folder: the second reads, and leaves the writing to the first.
+#[test]
+fn a_second_process_with_the_same_folder_only_reads() {
+    let backend = BackendServer::start(|_| ok("b"));
+    let (operator, _) = keeping("two", 600);
+    let first = Proxy::operated(&[entry("b0", backend.address, "SERVING")], &operator);
+    first.logged("no state kept yet");
+    let second = Proxy::operated(&[entry("b0", backend.address, "SERVING")], &operator);
+    second.logged("another process keeps this proxy's state");
+    assert_eq!(second.ask(&read(3.0)).body, b"b");
+}
+
+/// Where the disk takes no more, the line says so and the file in place stays whole, only older.
+#[test]
+fn a_full_disk_leaves_the_last_kept_state_whole() {
+    let backend = BackendServer::start(|_| ok("b"));
+    let (operator, folder) = keeping("full", 600);
+    kept(&operator, &[entry("b0", backend.address, "SERVING")]);
+    let proxy = Proxy::operated_within(&[], &operator, Some(1));
+    proxy.logged("state taken");
+    let (_, answer) = proxy.discovery.call();
+    let many: Vec<String> = (0..20).map(|i| entry(&format!("b{i}"), backend.address, "SERVING")).collect();
+    answer.send((200, list(15, true, &many))).unwrap();
+    proxy.logged("state cannot be written");
+    let kept = decode(&std::fs::read(folder.join("n0.state")).unwrap()).unwrap();
+    assert_eq!(kept.index, 9);
+}
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery: the backend list in its JSON form, and the watch that keeps it up to date.
 
 use crate::exchange::driven;
+use crate::mirror::Mirror;
 use crate::stream::Stream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -9,9 +10,9 @@
 use lotusdeck_core::{span, Endpoint, Host};
 use lotusdeck_policy::settings::Row;
 use lotusdeck_policy::{Backend, BackendState, CellId, Discovery, ListUpdate, Time};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,7 +33,7 @@
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
 /// A list, or the changes to one. Entries are read one by one, so that a bad one spoils no other.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct List {
     pub index: u64,
     pub snapshot: bool,
@@ -128,6 +129,8 @@
     index: Cell<Option<u64>>,
     /// When the list held is compared with a whole one: versions may be counted otherwise where discovery is now.
     check: Cell<Option<Instant>>,
+    /// The whole list, where it is kept across restarts.
+    mirror: Option<Rc<RefCell<Mirror>>>,
 }
 
 /// Keeps the list up to date for as long as the program runs. When discovery moves the call that is out is
@@ -135,11 +138,15 @@
 ///
 /// Where lists are asked for, the new place is asked for what is newer than the list held, and for all of it some
 /// time later. Hundreds of proxies move together: with a whole list each, they waited for theirs for up to 9 s,
-/// and what they were not told of counts as told after 4 s (docs/scale.md).
-pub async fn watch(host: Rc<Host>, mut moved: Receiver<(SocketAddr, Discovery)>, known: u64) {
+/// and what they were not told of counts as told after 4 s (docs/scale.md). Where a `mirror` is given, every
+/// list taken is merged into it.
+pub async fn watch(
+    host: Rc<Host>, mut moved: Receiver<(SocketAddr, Discovery)>, known: u64,
+    mirror: Option<Rc<RefCell<Mirror>>>,
+) {
     // An agent's answers cost nothing: begin with the truth.
     let index = (moved.borrow().1 != Discovery::Push).then_some(known);
-    let held = Held { index: Cell::new(index), check: Cell::new(None) };
+    let held = Held { index: Cell::new(index), check: Cell::new(None), mirror };
     let mut told = false;
     loop {
         let (at, mode) = *moved.borrow_and_update();
@@ -197,6 +204,9 @@
                 }
                 held.index.set((!gap).then_some(list.index));
                 if !gap {
+                    if let Some(mirror) = &held.mirror {
+                        mirror.borrow_mut().take(&list);
+                    }
                     let update = if list.snapshot { ListUpdate::Full } else { ListUpdate::Changes };
                     host.members(update, list.entries());
                 }
--- /dev/null
+++ b/crates/proxy/src/mirror.rs
@@ -0,0 +1,111 @@
+//! The whole list as this proxy last had it, merged from discovery's changes, so that it can outlive the process.
+
+use crate::discovery::List;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use tracing::warn;
+
+/// Names held at most: a whole list is 4 MiB at most, some 60 bytes an entry, and changes may only name more by
+/// as many as they remove; past this bound a stranger's discovery would make it grow without end.
+const MOST: usize = 65_536;
+
+/// The list, by name.
+#[derive(Default)]
+pub struct Mirror {
+    index: u64,
+    entries: BTreeMap<String, Value>,
+    /// Changed since it was last handed out.
+    changed: bool,
+    /// Names were left out for the bound: what is held is not the whole list, and is not handed out.
+    cut: bool,
+}
+
+fn name(value: &Value) -> Option<&str> {
+    value.get("name").and_then(Value::as_str)
+}
+
+impl Mirror {
+    /// Begins with the list that the proxy starts with; it was kept or handed over already, so is not handed out
+    /// again until discovery tells something.
+    pub fn new(list: &List) -> Mirror {
+        let mut mirror = Mirror::default();
+        mirror.take(list);
+        mirror.changed = false;
+        mirror
+    }
+
+    /// News of the list: a whole one in place of what is held, or changes over it. Entries without a name were
+    /// never taken by the module either; one whose status is `DELETED` leaves.
+    pub fn take(&mut self, list: &List) {
+        if list.snapshot {
+            self.entries.clear();
+            self.cut = false;
+        }
+        for value in &list.endpoints {
+            let Some(key) = name(value) else { continue };
+            if value.get("status").and_then(Value::as_str) == Some("DELETED") {
+                self.entries.remove(key);
+            } else if self.entries.len() < MOST || self.entries.contains_key(key) {
+                self.entries.insert(key.to_string(), value.clone());
+            } else if !std::mem::replace(&mut self.cut, true) {
+                warn!(most = MOST, "discovery names more backends than are kept across restarts");
+            }
+        }
+        self.index = list.index;
+        self.changed = true;
+    }
+
+    /// The whole list, where it changed since the last call and is whole.
+    pub fn changed(&mut self) -> Option<List> {
+        if !std::mem::replace(&mut self.changed, false) || self.cut {
+            return None;
+        }
+        let endpoints = self.entries.values().cloned().collect();
+        Some(List { index: self.index, snapshot: true, endpoints })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn list(index: u64, snapshot: bool, entries: &[(&str, &str)]) -> List {
+        let endpoints =
+            entries.iter().map(|(n, s)| json!({"name": n, "address": "127.0.0.1:1", "status": s}));
+        List { index, snapshot, endpoints: endpoints.collect() }
+    }
+
+    fn status(v: &Value) -> &str {
+        v.get("status").and_then(Value::as_str).unwrap_or_default()
+    }
+
+    fn names(list: &List) -> Vec<(&str, &str)> {
+        list.endpoints.iter().map(|v| (name(v).unwrap_or_default(), status(v))).collect()
+    }
+
+    #[test]
+    fn changes_are_merged_into_the_whole_list() {
+        let mut m = Mirror::default();
+        assert!(m.changed().is_none(), "nothing was told");
+        m.take(&list(3, true, &[("a", "SERVING"), ("b", "SERVING")]));
+        m.take(&list(5, false, &[("a", "DELETED"), ("b", "DRAINING"), ("c", "SERVING")]));
+        let whole = m.changed().unwrap();
+        assert_eq!((whole.index, whole.snapshot), (5, true));
+        assert_eq!(names(&whole), [("b", "DRAINING"), ("c", "SERVING")]);
+        assert!(m.changed().is_none(), "handed out once");
+        m.take(&list(6, true, &[("d", "SERVING")]));
+        assert_eq!(names(&m.changed().unwrap()), [("d", "SERVING")], "a whole list replaces");
+    }
+
+    #[test]
+    fn past_the_bound_nothing_is_handed_out_until_a_whole_list() {
+        let mut m = Mirror::default();
+        let many: Vec<String> = (0..=MOST).map(|i| format!("n{i}")).collect();
+        let entries: Vec<(&str, &str)> = many.iter().map(|n| (n.as_str(), "SERVING")).collect();
+        m.take(&list(1, false, &entries));
+        assert!(m.changed().is_none());
+        m.take(&list(2, true, &entries[..2]));
+        assert_eq!(m.changed().map(|l| l.endpoints.len()), Some(2));
+    }
+}
