Stamp a backend given back by operators when the call is made, not when it is answered

A probe in the oracle printed the records: the attempt began at 2.278924 s, the uncordon of that backend at that proxy was recorded at 2.279086 s, 0.16 ms later. The proxy had acted on the call before the lab read its answer; drive/run.rs stamped both cordon and uncordon after the answer, so the oracle saw a send while it still took the backend as barred.

Change: Log::add_at; an uncordon is stamped at the moment its call is made, a cordon as before once it is answered. A call that is never answered records nothing, so the oracle stays as strict as before.

Ruled out: the program itself; no send came later than the operators' call, and the cordon side was never late.

--- a/crates/lab/src/drive/mod.rs
+++ b/crates/lab/src/drive/mod.rs
@@ -62,6 +62,10 @@
     pub fn add(&self, what: What) {
         self.records.borrow_mut().push(Record { at: self.clock.now(), what });
     }
+    /// Something happened at `at`, which is past: records are put in order of time before they are judged.
+    pub fn add_at(&self, at: Time, what: What) {
+        self.records.borrow_mut().push(Record { at, what });
+    }
     /// All of it; the log is empty then.
     pub fn take(&self) -> Vec<Record> {
         self.records.take()
--- a/crates/lab/src/drive/run.rs
+++ b/crates/lab/src/drive/run.rs
@@ -262,8 +262,12 @@
                 let path = if *out { "/admin/cordon" } else { "/admin/uncordon" };
                 for (proxy, p) in self.proxies.iter().enumerate() {
                     for &backend in which {
+                        let asked = self.clock.now();
                         if p.call("PUT", path, &self.plan.fleet[backend].name).await {
-                            self.log.add(What::Cordoned { proxy, backend, out: *out });
+                            // A cordon binds once it is answered; a backend given back may be sent to as soon as
+                            // the call is read, before its answer is.
+                            let at = if *out { self.clock.now() } else { asked };
+                            self.log.add_at(at, What::Cordoned { proxy, backend, out: *out });
                         }
                     }
                 }
