Play a power loss of the whole fleet in the lab, with and without kept lists

Need: the power-loss issue asks for the worth served in time in the first seconds after all proxies come back, blank against the new start, with discovery down and backends cold.

--- a/crates/lab/src/drive/proxies.rs
+++ b/crates/lab/src/drive/proxies.rs
@@ -75,6 +75,11 @@
         let [clients, operators] = ports;
         let held = [clients?, operators?];
         let [address, admin] = [held[0].address(), held[1].address()];
+        let known = if plan.experiment.discovery.handed {
+            known
+        } else {
+            r#"{"index":0,"snapshot":true,"endpoints":[]}"#
+        };
         let config = configuration(plan, number, address, admin, discovery, known);
         std::fs::write(folder.join("config.json"), format!("{config:#}")).map_err(io)?;
         if let Some(operator) = &plan.experiment.operator {
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -195,11 +195,14 @@
     pub call_ms: f64,
     /// ... and for each line that it tells, us.
     pub line_us: f64,
+    /// The platform hands each proxy the whole list at its start; where not, as after a loss of power of the
+    /// platform itself, a proxy knows only what it kept.
+    pub handed: bool,
 }
 
 impl Default for DiscoverySpec {
     fn default() -> DiscoverySpec {
-        DiscoverySpec { lag_ms: 200.0, detect_ms: 2000.0, call_ms: 0.2, line_us: 0.0 }
+        DiscoverySpec { lag_ms: 200.0, detect_ms: 2000.0, call_ms: 0.2, line_us: 0.0, handed: true }
     }
 }
 
@@ -390,32 +393,31 @@
 
 impl Experiment {
     /// Reads and checks a file. Where it names another as `extends`, beside it, what it does not say itself is as
-    /// there: a table or an array that it has replaces the other's.
+    /// there, and so on down: a table or an array that it has replaces the other's.
     ///
     /// # Errors
-    /// A file that cannot be read, or the first thing that is wrong.
+    /// A file that cannot be read, a chain of more than eight files, or the first thing that is wrong.
     pub fn load(path: &Path) -> Result<Experiment, ExperimentError> {
         let name = path.display().to_string();
-        let read = |path: &Path| {
-            let name = path.display().to_string();
-            std::fs::read_to_string(path).map_err(|e| ExperimentError::Unreadable(name, e))
-        };
-        let text = read(path)?;
-        let malformed = |name: &str| {
-            let name = name.to_string();
-            move |e| ExperimentError::Malformed(name, e)
-        };
-        let mut own: toml::Table = text.parse().map_err(malformed(&name))?;
-        let Some(base) = own.remove("extends") else { return Experiment::parse(&name, &text) };
-        let wrong =
-            || ExperimentError::Value(name.clone(), "extends".into(), "the name of a file beside this one");
-        let base = path.with_file_name(base.as_str().ok_or_else(wrong)?);
-        let mut whole: toml::Table = read(&base)?.parse().map_err(malformed(&base.display().to_string()))?;
-        whole.extend(own);
-        let it = Experiment::deserialize(whole).map_err(malformed(&name))?;
+        let whole = Experiment::table(path, 8)?;
+        let it = Experiment::deserialize(whole).map_err(|e| ExperimentError::Malformed(name.clone(), e))?;
         it.checked(&name)
     }
 
+    /// A file with all that it extends; `depth` files more at most, so that a loop of them ends.
+    fn table(path: &Path, depth: usize) -> Result<toml::Table, ExperimentError> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| ExperimentError::Unreadable(name.clone(), e))?;
+        let mut own: toml::Table = text.parse().map_err(|e| ExperimentError::Malformed(name.clone(), e))?;
+        let Some(base) = own.remove("extends") else { return Ok(own) };
+        let wrong = |what| ExperimentError::Value(name.clone(), "extends".into(), what);
+        let base = base.as_str().ok_or_else(|| wrong("the name of a file beside this one"))?;
+        let next = depth.checked_sub(1).ok_or_else(|| wrong("a chain of eight files at most"))?;
+        let mut whole = Experiment::table(&path.with_file_name(base), next)?;
+        whole.extend(own);
+        Ok(whole)
+    }
+
     /// Reads and checks a text; `name` is where it came from.
     pub fn parse(name: &str, text: &str) -> Result<Experiment, ExperimentError> {
         let it: Experiment = toml::from_str(text).map_err(|e| ExperimentError::Malformed(name.into(), e))?;
--- a/crates/lab/tests/experiments.rs
+++ b/crates/lab/tests/experiments.rs
@@ -35,4 +35,7 @@
     std::fs::write(&path, "extends = \"base.toml\"\nproxeis = 1\n").unwrap();
     let fault = Experiment::load(&path).unwrap_err().to_string();
     assert!(fault.contains("proxeis") && fault.contains("own.toml"), "{fault}");
+    std::fs::write(&path, "extends = \"own.toml\"\nname = \"own\"\n").unwrap();
+    let fault = Experiment::load(&path).unwrap_err().to_string();
+    assert!(fault.contains("eight files at most"), "a loop ends: {fault}");
 }
