--- a/crates/lotusdeck/src/state.rs
+++ b/crates/lotusdeck/src/state.rs
@@ -113,7 +113,7 @@
     match choose(index, trust, known.index, known.endpoints.len()) {
         Choice::Saved => {
             info!(index, entries, ?age, trust = trust.0, known = known.index, "state taken: the kept list");
-            list
+            cooled(list, now_ms())
         }
         Choice::Known => {
             info!(index, known = known.index, "state passed over: the platform's list is as new");
@@ -126,6 +126,16 @@
     }
 }
 
+/// The kept list with every backend taken as started now. It is used where the platform hands nothing newer, as
+/// after a loss of power of the platform, when the backends are likely to have started anew as well: each is then
+/// ramped from cold by the module's own rule until discovery tells its true start (docs/recovery.md).
+fn cooled(mut list: List, now_ms: u64) -> List {
+    for entry in list.endpoints.iter_mut().filter_map(|e| e.as_object_mut()) {
+        entry.insert("since_ms".into(), now_ms.into());
+    }
+    list
+}
+
 /// The writer's side: one thread, which takes the newest list handed over and drops those it had no time for.
 pub struct Keeper {
     slot: Arc<(Mutex<Option<List>>, Condvar)>,
@@ -186,3 +196,23 @@
         woken.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn a_kept_list_is_taken_as_started_now() {
+        let endpoints = vec![json!({"name": "a", "since_ms": 5}), json!({"name": "b"}), json!(3)];
+        let list = cooled(List { index: 2, snapshot: true, endpoints }, 9_000);
+        let since: Vec<Option<u64>> = list.endpoints.iter().map(|e| e.get("since_ms")?.as_u64()).collect();
+        assert_eq!(since, [Some(9_000), Some(9_000), None], "what is no entry stays as it was");
+    }
+
+    #[test]
+    fn names_that_a_path_must_not_hold_are_replaced() {
+        assert_eq!(file_name("../n/0 x"), "_n_0_x");
+        assert_eq!(file_name("n-1.a_b"), "n-1.a_b");
+    }
+}
