Kill a proxy twenty times while large lists are written: the kept file is always whole

Need: the power-loss issue names state written while the process is killed among its hard cases; the unit tests held every cut of the bytes, but not the program's own write under SIGKILL.

Change: a loopback test; lists of 2,000 to 4,000 entries (up to 400 KB) come as fast as the proxy takes them, written every 100 ms, and the process is killed after 120 to 320 ms drawn from a printed seed, twenty times.

Ruled out: asserting that a kill lands inside a write, which would depend on the machine's speed.

--- a/crates/lotusdeck/tests/recovery.rs
+++ b/crates/lotusdeck/tests/recovery.rs
@@ -144,3 +144,42 @@
     let kept = decode(&std::fs::read(folder.join("n0.state")).unwrap()).unwrap();
     assert_eq!(kept.index, 9);
 }
+
+/// Killed twenty times while lists of up to 400 KB come as fast as it takes them and are written every 100 ms: the
+/// file in place is always whole, and the kept version never goes back.
+#[test]
+fn a_kill_at_any_moment_of_a_write_leaves_a_whole_file() {
+    let backend = BackendServer::start(|_| ok("b"));
+    let (operator, folder) = keeping("torn", 600);
+    let file = folder.join("n0.state");
+    let seed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64 | 1;
+    println!("seed {seed}");
+    let mut dice = seed;
+    let mut roll = |n: u64| {
+        dice ^= dice << 13;
+        dice ^= dice >> 7;
+        dice ^= dice << 17;
+        dice % n
+    };
+    let entries: Vec<String> =
+        (0..4000).map(|i| entry(&format!("backend-{i:05}"), backend.address, "SERVING")).collect();
+    let (mut index, mut last, mut torn) = (10, 0, 0);
+    for _ in 0..20 {
+        let proxy = Proxy::operated(&[], &operator);
+        let until = Instant::now() + std::time::Duration::from_millis(120 + roll(200));
+        while Instant::now() < until {
+            let (_, answer) = proxy.discovery.call();
+            index += 1;
+            answer.send((200, list(index, true, &entries[..2000 + roll(2000) as usize]))).unwrap();
+        }
+        drop(proxy); // SIGKILL
+        torn += usize::from(folder.join("n0.state.new").exists());
+        let kept = decode(&std::fs::read(&file).expect("written at least once")).expect("whole");
+        assert!(kept.index >= last, "seed {seed}: {} after {last}", kept.index);
+        last = kept.index;
+    }
+    assert!(last > 20, "seed {seed}: lists were written as they came, the last kept is {last}");
+    println!(
+        "seed {seed}: {torn} of 20 kills left a new file unfinished beside the whole one; kept up to {last}"
+    );
+}
