Merge the kept list where it is told and copy it on the writer's thread only

Cause: reading the change again, serve.rs woke every state.every_ms on the event loop and Mirror::changed cloned the whole list there (up to 4 MiB), and Mirror::take cloned each entry of every list told: a scan over all on the event loop, and a task and an Rc<RefCell> for nothing.

Change: discovery hands each list, after the module took it, to a Kept sink by move; Keeper merges it under its lock and wakes its thread, which copies the whole list, writes it and sleeps state.every_ms. The keep task is gone.

Measured: the loopback tests of the kept state (6) and the mirror's (2) pass as before; clippy clean.

Ruled out: reading the list back from the core's registry, which keeps no zone, kind or group of a backend.

--- a/crates/lotusdeck/src/serve.rs
+++ b/crates/lotusdeck/src/serve.rs
@@ -12,13 +12,11 @@
 use lotusdeck_proxy::body::Budget;
 use lotusdeck_proxy::config::{InForce, Node, NodeError};
 use lotusdeck_proxy::discovery::List;
-use lotusdeck_proxy::mirror::Mirror;
 use lotusdeck_proxy::pauses::Shared;
 use lotusdeck_proxy::peer::{self, Peer};
 use lotusdeck_proxy::pool::Pool;
 use lotusdeck_proxy::server::{self, Server};
 use lotusdeck_proxy::{discovery, handover};
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -184,20 +182,11 @@
 fn kept(settings: &StateSettings, proxy: &str, known: List) -> Result<(List, Option<Keeper>), ServeError> {
     let Some(folder) = &settings.folder else { return Ok((known, None)) };
     let list = state::begin(settings, &Place::new(settings, folder, proxy), known);
-    let keeper = Keeper::start(Place::new(settings, folder, proxy), folder).map_err(ServeError::State)?;
+    let place = Place::new(settings, folder, proxy);
+    let keeper = Keeper::start(place, folder, settings.every, &list).map_err(ServeError::State)?;
     Ok((list, keeper))
 }
 
-/// Hands the list over whenever it has changed, at most once in `every`.
-async fn keep(keeper: Keeper, mirror: Rc<RefCell<Mirror>>, every: Duration) {
-    loop {
-        if let Some(list) = mirror.borrow_mut().changed() {
-            keeper.keep(list);
-        }
-        tokio::time::sleep(every).await;
-    }
-}
-
 async fn run(args: Args) -> Result<(), ServeError> {
     // Before all else: until its handler stands, a signal ends the program at once.
     let on = |kind| signal(kind).map_err(ServeError::Signals);
@@ -245,12 +234,8 @@
     tokio::task::spawn_local(host.clone().timers());
     tokio::task::spawn_local(pool.clone().sweep());
     let (moved, discovery) = watch::channel((node.discovery, mode));
-    let mirror = keeper.map(|keeper| {
-        let mirror = Rc::new(RefCell::new(Mirror::new(&known)));
-        tokio::task::spawn_local(keep(keeper, mirror.clone(), operator.state.every));
-        mirror
-    });
-    tokio::task::spawn_local(discovery::watch(host.clone(), discovery, known.index, mirror));
+    let kept = keeper.map(|keeper| Box::new(move |list| keeper.keep(list)) as discovery::Kept);
+    tokio::task::spawn_local(discovery::watch(host.clone(), discovery, known.index, kept));
     let Operator { ledger: ledger_settings, postgres, state, .. } = operator;
     let (file, operator) = (node.file, args.operator);
     let adoption = Adoption {
--- a/crates/lotusdeck/src/state.rs
+++ b/crates/lotusdeck/src/state.rs
@@ -4,6 +4,7 @@
 
 use crate::operator::StateSettings;
 use lotusdeck_proxy::discovery::List;
+use lotusdeck_proxy::mirror::Mirror;
 use lotusdeck_recovery::{choose, decode, encode, Age, Choice, ReadError, Saved, Trust};
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::Write;
@@ -136,14 +137,19 @@
     list
 }
 
-/// The writer's side: one thread, which takes the newest list handed over and drops those it had no time for.
+/// The writer's side: the whole list, merged from what discovery tells, and one thread that writes it when it has
+/// changed, at most once in `every`. The event loop only merges what it was told; copying the whole list and
+/// writing it are the thread's.
 pub struct Keeper {
-    slot: Arc<(Mutex<Option<List>>, Condvar)>,
+    shared: Arc<(Mutex<Mirror>, Condvar)>,
 }
 
 impl Keeper {
-    /// Starts the writer, or says why this process must not write here: another holds the same state.
-    pub fn start(place: Place, folder: &Path) -> std::io::Result<Option<Keeper>> {
+    /// Starts the writer from the list begun with, or says why this process must not write here: another holds the
+    /// same state.
+    pub fn start(
+        place: Place, folder: &Path, every: Duration, begun: &List,
+    ) -> std::io::Result<Option<Keeper>> {
         std::fs::create_dir_all(folder)?;
         let lock_path = folder.join(format!("{}.lock", file_name(&place.proxy)));
         let lock = OpenOptions::new().create(true).truncate(false).write(true).open(&lock_path)?;
@@ -155,19 +161,19 @@
             }
             Err(TryLockError::Error(e)) => return Err(e),
         }
-        let slot = Arc::new((Mutex::new(None::<List>), Condvar::new()));
-        let theirs = slot.clone();
+        let shared = Arc::new((Mutex::new(Mirror::new(begun)), Condvar::new()));
+        let theirs = shared.clone();
         std::thread::Builder::new().name("state".into()).spawn(move || {
             let _held = lock; // for as long as the process lives
             let (mut failing, mut written) = (false, false);
             loop {
                 let list = {
-                    let (list, woken) = &*theirs;
-                    let mut list = list.lock().unwrap_or_else(|e| e.into_inner());
+                    let (mirror, woken) = &*theirs;
+                    let mut mirror = mirror.lock().unwrap_or_else(|e| e.into_inner());
                     loop {
-                        match list.take() {
-                            Some(l) => break l,
-                            None => list = woken.wait(list).unwrap_or_else(|e| e.into_inner()),
+                        match mirror.changed() {
+                            Some(list) => break list,
+                            None => mirror = woken.wait(mirror).unwrap_or_else(|e| e.into_inner()),
                         }
                     }
                 };
@@ -184,15 +190,16 @@
                     }
                     Err(_) => {}
                 }
+                std::thread::sleep(every);
             }
         })?;
-        Ok(Some(Keeper { slot }))
+        Ok(Some(Keeper { shared }))
     }
 
-    /// Hands a list over; one not yet written is replaced.
+    /// Merges what discovery told; the thread is woken to write it.
     pub fn keep(&self, list: List) {
-        let (slot, woken) = &*self.slot;
-        *slot.lock().unwrap_or_else(|e| e.into_inner()) = Some(list);
+        let (mirror, woken) = &*self.shared;
+        mirror.lock().unwrap_or_else(|e| e.into_inner()).take(list);
         woken.notify_one();
     }
 }
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,7 +1,6 @@
 //! Discovery: the backend list in its JSON form, and the watch that keeps it up to date.
 
 use crate::exchange::driven;
-use crate::mirror::Mirror;
 use crate::stream::Stream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -12,7 +11,7 @@
 use lotusdeck_policy::{Backend, BackendState, CellId, Discovery, ListUpdate, Time};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -129,24 +128,26 @@
     index: Cell<Option<u64>>,
     /// When the list held is compared with a whole one: versions may be counted otherwise where discovery is now.
     check: Cell<Option<Instant>>,
-    /// The whole list, where it is kept across restarts.
-    mirror: Option<Rc<RefCell<Mirror>>>,
+    /// Where every list taken goes on to, where it is kept across restarts.
+    kept: Option<Kept>,
 }
 
+/// Takes every list that the module was told of, after it was told.
+pub type Kept = Box<dyn Fn(List)>;
+
 /// Keeps the list up to date for as long as the program runs. When discovery moves the call that is out is
 /// dropped at once, as it may wait for long.
 ///
 /// Where lists are asked for, the new place is asked for what is newer than the list held, and for all of it some
 /// time later. Hundreds of proxies move together: with a whole list each, they waited for theirs for up to 9 s,
-/// and what they were not told of counts as told after 4 s (docs/scale.md). Where a `mirror` is given, every
-/// list taken is merged into it.
+/// and what they were not told of counts as told after 4 s (docs/scale.md). Where `kept` is given, every list
+/// taken goes on to it.
 pub async fn watch(
-    host: Rc<Host>, mut moved: Receiver<(SocketAddr, Discovery)>, known: u64,
-    mirror: Option<Rc<RefCell<Mirror>>>,
+    host: Rc<Host>, mut moved: Receiver<(SocketAddr, Discovery)>, known: u64, kept: Option<Kept>,
 ) {
     // An agent's answers cost nothing: begin with the truth.
     let index = (moved.borrow().1 != Discovery::Push).then_some(known);
-    let held = Held { index: Cell::new(index), check: Cell::new(None), mirror };
+    let held = Held { index: Cell::new(index), check: Cell::new(None), kept };
     let mut told = false;
     loop {
         let (at, mode) = *moved.borrow_and_update();
@@ -204,11 +205,11 @@
                 }
                 held.index.set((!gap).then_some(list.index));
                 if !gap {
-                    if let Some(mirror) = &held.mirror {
-                        mirror.borrow_mut().take(&list);
-                    }
                     let update = if list.snapshot { ListUpdate::Full } else { ListUpdate::Changes };
                     host.members(update, list.entries());
+                    if let Some(kept) = &held.kept {
+                        kept(list);
+                    }
                 }
             }
             Err(e) => {
--- a/crates/proxy/src/mirror.rs
+++ b/crates/proxy/src/mirror.rs
@@ -29,24 +29,24 @@
     /// again until discovery tells something.
     pub fn new(list: &List) -> Mirror {
         let mut mirror = Mirror::default();
-        mirror.take(list);
+        mirror.take(list.clone());
         mirror.changed = false;
         mirror
     }
 
     /// News of the list: a whole one in place of what is held, or changes over it. Entries without a name were
-    /// never taken by the module either; one whose status is `DELETED` leaves.
-    pub fn take(&mut self, list: &List) {
+    /// never taken by the module either; one whose status is `DELETED` leaves. The entries are moved, not copied.
+    pub fn take(&mut self, list: List) {
         if list.snapshot {
             self.entries.clear();
             self.cut = false;
         }
-        for value in &list.endpoints {
-            let Some(key) = name(value) else { continue };
+        for value in list.endpoints {
+            let Some(key) = name(&value).map(str::to_string) else { continue };
             if value.get("status").and_then(Value::as_str) == Some("DELETED") {
-                self.entries.remove(key);
-            } else if self.entries.len() < MOST || self.entries.contains_key(key) {
-                self.entries.insert(key.to_string(), value.clone());
+                self.entries.remove(&key);
+            } else if self.entries.len() < MOST || self.entries.contains_key(&key) {
+                self.entries.insert(key, value);
             } else if !std::mem::replace(&mut self.cut, true) {
                 warn!(most = MOST, "discovery names more backends than are kept across restarts");
             }
@@ -88,13 +88,13 @@
     fn changes_are_merged_into_the_whole_list() {
         let mut m = Mirror::default();
         assert!(m.changed().is_none(), "nothing was told");
-        m.take(&list(3, true, &[("a", "SERVING"), ("b", "SERVING")]));
-        m.take(&list(5, false, &[("a", "DELETED"), ("b", "DRAINING"), ("c", "SERVING")]));
+        m.take(list(3, true, &[("a", "SERVING"), ("b", "SERVING")]));
+        m.take(list(5, false, &[("a", "DELETED"), ("b", "DRAINING"), ("c", "SERVING")]));
         let whole = m.changed().unwrap();
         assert_eq!((whole.index, whole.snapshot), (5, true));
         assert_eq!(names(&whole), [("b", "DRAINING"), ("c", "SERVING")]);
         assert!(m.changed().is_none(), "handed out once");
-        m.take(&list(6, true, &[("d", "SERVING")]));
+        m.take(list(6, true, &[("d", "SERVING")]));
         assert_eq!(names(&m.changed().unwrap()), [("d", "SERVING")], "a whole list replaces");
     }
 
@@ -103,9 +103,9 @@
         let mut m = Mirror::default();
         let many: Vec<String> = (0..=MOST).map(|i| format!("n{i}")).collect();
         let entries: Vec<(&str, &str)> = many.iter().map(|n| (n.as_str(), "SERVING")).collect();
-        m.take(&list(1, false, &entries));
+        m.take(list(1, false, &entries));
         assert!(m.changed().is_none());
-        m.take(&list(2, true, &entries[..2]));
+        m.take(list(2, true, &entries[..2]));
         assert_eq!(m.changed().map(|l| l.endpoints.len()), Some(2));
     }
 }
