--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod drive;
 pub mod duel;
 pub mod experiment;
+pub mod fleet;
 pub mod ledger;
 pub mod oracle;
 pub mod overhead;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,7 @@
 use lotusdeck_lab::report::compare;
 use lotusdeck_lab::report::figures::Figures;
 use lotusdeck_lab::session::{self, Options, SessionError};
-use lotusdeck_lab::{campaign, duel, ledger, overhead, paper, postgres, relay, swings};
+use lotusdeck_lab::{campaign, duel, fleet, ledger, overhead, paper, postgres, relay, swings};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -57,6 +57,8 @@
     PgOverhead(postgres::Cost),
     /// How fast the ledger writes and is read back, beside the machine's own floor.
     LedgerBench(ledger::Bench),
+    /// Several processes of the program lose power or restart together, blank and with kept lists (docs/recovery.md).
+    Fleet(fleet::Args),
     /// Search for faults that break a rule: draw them from seeds, play them, and shrink what breaks one.
     Campaign(campaign::Args),
     /// Stand between sockets and injure what passes, by a script (docs/relay.md); it ends with its standard input.
@@ -115,6 +117,7 @@
         Command::PgOverhead(args) => postgres::cost(&args).map(|()| true),
         Command::LedgerBench(args) => ledger::bench(&args).map(|()| true),
         Command::Campaign(args) => campaign::main(&args),
+        Command::Fleet(args) => fleet::main(&args),
         Command::Relay(args) => relay::main(&args).map(|()| true),
         Command::RelayCost(args) => relay::cost::main(&args).map(|()| true),
         Command::PlainRelay { listen, to } => {
