Tell a heeded drain as 0 ms where nothing followed the telling, not as no case at all

Cause: the fleet rig's figure for drains was absent both where discovery told of no drain and where it told of one and no proxy sent there afterwards, so the script `gone` could show a dash for a rule kept perfectly. Change: a told drain counts from 0 ms on; the dash stays for plays in which nothing drained. Seen in the rig's own table on eight processes; no product code is touched.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -195,7 +195,8 @@
     })
 }
 
-/// The latest send to a backend after discovery had told the sending proxy that it no longer serves, ms after.
+/// The latest send to a backend after discovery had told the sending proxy that it no longer serves, ms after; 0
+/// where it was told and nothing followed, `None` where discovery never told of such a backend.
 fn drain_heeded(outcome: &Outcome) -> Option<f64> {
     let mut sender = HashMap::new();
     let mut barred: HashMap<(usize, usize), Time> = HashMap::new();
@@ -207,6 +208,7 @@
             }
             What::Told { proxy, backend, status } if status != Status::Serving => {
                 barred.entry((proxy, backend)).or_insert(r.at);
+                latest = latest.or(Some(0.0));
             }
             What::Told { proxy, backend, .. } => {
                 barred.remove(&(proxy, backend));
