--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -3,6 +3,7 @@
 use crate::cordon::{Cordon, CordonError, LOOK};
 use crate::counts::Counts;
 use crate::journal::{Journal, Labels};
+use crate::memory;
 use crate::registry::{Endpoint, Registry};
 use crate::status::{BackendStatus, KindStatus, Status};
 use crate::timers::Timers;
@@ -10,6 +11,7 @@
 use crate::Clock;
 use lotusdeck_policy::settings::{Names, Settings};
 use lotusdeck_policy::*;
+use lotusdeck_recovery::Learned;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -69,6 +71,8 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     last: u64,
+    /// The last request when what was learned was last handed out.
+    learned_by: u64,
     /// Since the last line about them, and before.
     counts: Counts,
     before: Counts,
@@ -103,6 +107,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             last: 0,
+            learned_by: 0,
             counts: Counts::default(),
             before: Counts::default(),
         };
@@ -285,6 +290,24 @@
         }
     }
 
+    /// What was learned so far, by names; `None` where no request came since the last call.
+    pub fn learned(&self) -> Option<Learned> {
+        let mut s = self.state.borrow_mut();
+        let s = &mut *s;
+        let news = std::mem::replace(&mut s.learned_by, s.last) != s.last;
+        news.then(|| memory::named(&s.balancer.memory(self.clock.now()), &s.names, &s.registry))
+    }
+
+    /// Takes back what was learned before the process began; after the first list, whose names it speaks of.
+    pub fn recall(self: &Rc<Self>, learned: &Learned) {
+        let memory = {
+            let mut s = self.state.borrow_mut();
+            let s = &mut *s;
+            memory::numbered(learned, &mut s.names, &s.registry)
+        };
+        self.tell(Event::Remembered(Box::new(memory)));
+    }
+
     /// Until the module asks discovery for changes.
     pub async fn followed(&self) {
         self.follow.notified().await;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 mod counts;
 mod host;
 mod journal;
+mod memory;
 mod registry;
 mod status;
 mod timers;
--- a/crates/core/src/registry.rs
+++ b/crates/core/src/registry.rs
@@ -84,6 +84,11 @@
         self.numbers.contains_key(name) || self.former.iter().any(|former| former == name)
     }
 
+    /// The number of the backend of that name.
+    pub fn number(&self, name: &str) -> Option<BackendId> {
+        self.numbers.get(name).copied()
+    }
+
     pub fn get(&self, id: BackendId) -> Option<&Known> {
         self.backends.get(&id)
     }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -36,6 +36,9 @@
     Gone,
     /// Half of the proxies are killed twice in five seconds while discovery is down; the backends stay up.
     RestartTwice,
+    /// Every backend starts anew, and while they are cold every proxy is killed twice, two seconds apart; discovery
+    /// stays up. What each process sent a cold backend is spent budget that the next one must not spend again.
+    RestartCold,
 }
 
 /// Blank, as today, or with kept lists.
@@ -85,6 +88,10 @@
     // Restarts spread over one second, in fifths, so that no two neighbours start together.
     let spread = |proxy: usize| 0.5 + (proxy % 5) as f64 * 0.125;
     match script {
+        Script::RestartCold => (0..processes).for_each(|p| {
+            kill(p, LOSS_S + 1.5, spread(p) - 0.3);
+            kill(p, LOSS_S + 3.5, spread(p) - 0.3);
+        }),
         Script::PowerLoss | Script::Gone => (0..processes).for_each(|p| kill(p, LOSS_S, spread(p))),
         Script::RestartTwice => (0..processes / 2).for_each(|p| {
             kill(p, LOSS_S, spread(p));
@@ -97,8 +104,14 @@
     if script == Script::Gone {
         let _ = writeln!(troubles, "{{ at_s = {}, what = \"drain\", part = 0.25 }},", LOSS_S + 2.0);
     }
-    let down = if script == Script::RestartTwice { DISCOVERY_DOWN_S + 5.0 } else { DISCOVERY_DOWN_S };
-    let _ = writeln!(troubles, "{{ at_s = {LOSS_S}, what = \"discovery-down\", for_s = {down} }},");
+    let down = match script {
+        Script::RestartTwice => DISCOVERY_DOWN_S + 5.0,
+        Script::RestartCold => 0.0,
+        Script::PowerLoss | Script::Gone => DISCOVERY_DOWN_S,
+    };
+    if down > 0.0 {
+        let _ = writeln!(troubles, "{{ at_s = {LOSS_S}, what = \"discovery-down\", for_s = {down} }},");
+    }
     let operator = match way {
         Way::Blank => String::new(),
         Way::Kept => {
@@ -121,10 +134,10 @@
 /// When the last proxy is back, s.
 pub fn last_restart(script: Script, processes: usize) -> f64 {
     let latest = LOSS_S + 0.5 + (processes.min(5) - 1) as f64 * 0.125;
-    if script == Script::RestartTwice {
-        latest + 5.0
-    } else {
-        latest
+    match script {
+        Script::RestartTwice => latest + 5.0,
+        Script::RestartCold => latest + 3.2,
+        Script::PowerLoss | Script::Gone => latest,
     }
 }
 
@@ -134,6 +147,7 @@
             Script::PowerLoss => "power-loss",
             Script::Gone => "gone",
             Script::RestartTwice => "restart-twice",
+            Script::RestartCold => "restart-cold",
         }
     }
 }
@@ -161,6 +175,9 @@
     pub to_ninety_s: Option<f64>,
     /// Windows in which a cold backend was sent more than it bears, over all proxies.
     pub cold_over: usize,
+    /// The most that a backend was sent in a fall window while it was cold, over all proxies, as a part of what it
+    /// bears then.
+    pub cold_peak: f64,
     /// Rules broken, all oracles.
     pub broken: usize,
     /// Of sends to a backend after discovery told that proxy it drains or is gone, the latest, ms after the telling.
@@ -190,11 +207,20 @@
         steady,
         to_ninety_s: first.map(|s| s as f64 - restart_s),
         cold_over,
+        cold_peak: cold_peak(outcome),
         broken: broken.len(),
         drain_heeded_ms: drain_heeded(outcome),
     })
 }
 
+fn cold_peak(outcome: &Outcome) -> f64 {
+    let part = |w: &What| match *w {
+        What::Pressure { sent, bears, .. } if bears > 0.0 => sent / bears,
+        _ => 0.0,
+    };
+    outcome.records.iter().map(|r| part(&r.what)).fold(0.0, f64::max)
+}
+
 /// The latest send to a backend after discovery had told the sending proxy that it no longer serves, ms after; 0
 /// where it was told and nothing followed, `None` where discovery never told of such a backend.
 fn drain_heeded(outcome: &Outcome) -> Option<f64> {
@@ -254,7 +280,7 @@
         }
     }
     let mut text = format!(
-        "{} on {processes} processes, seeds {:?}; medians, but cold over: the most of a play, broken: of all plays\nway    {}\n",
+        "{} on {processes} processes, seeds {:?}; medians, but cold peak and cold over: the most of a play, broken: of all plays\nway    {}\n",
         args.script.as_str(),
         args.seeds,
         HEAD
@@ -274,18 +300,18 @@
     Ok(played == 2 * args.seeds.len() && all.values().flatten().all(|r| r.broken == 0))
 }
 
-const HEAD: &str = "seed  0-1 s  1-5 s  5-30 s  steady  to 90 %  cold over  broken  drain heeded";
+const HEAD: &str = "seed  0-1 s  1-5 s  5-30 s  steady  to 90 %  cold peak  cold over  broken  drain heeded";
 
 fn line(r: &Return) -> String {
     let ninety = r.to_ninety_s.map_or("never".into(), |s| format!("{s:.1} s"));
     let drain = r.drain_heeded_ms.map_or("-".into(), |ms| format!("{ms:.0} ms"));
     format!(
-        "{:>4}  {:.3}  {:.3}  {:.3}   {:.3}  {ninety:>7}  {:>9}  {:>6}  {drain:>12}",
-        r.seed, r.worth[0], r.worth[1], r.worth[2], r.steady, r.cold_over, r.broken
+        "{:>4}  {:.3}  {:.3}  {:.3}   {:.3}  {ninety:>7}  {:>9.2}  {:>9}  {:>6}  {drain:>12}",
+        r.seed, r.worth[0], r.worth[1], r.worth[2], r.steady, r.cold_peak, r.cold_over, r.broken
     )
 }
 
-/// The median of each figure on its own, the most cold windows over of any play, and all rules broken; the seed is 0.
+/// The median of each figure on its own, the highest cold peak and the most cold windows over of any play, and all rules broken; the seed is 0.
 fn median(plays: &[Return]) -> Return {
     let mid = |mut v: Vec<f64>| {
         v.sort_by(f64::total_cmp);
@@ -299,6 +325,7 @@
         steady: mid(plays.iter().map(|r| r.steady).collect()),
         to_ninety_s: ninety.is_finite().then_some(ninety),
         cold_over: plays.iter().map(|r| r.cold_over).max().unwrap_or(0),
+        cold_peak: plays.iter().map(|r| r.cold_peak).fold(0.0, f64::max),
         broken: plays.iter().map(|r| r.broken).sum(),
         drain_heeded_ms: plays.iter().filter_map(|r| r.drain_heeded_ms).max_by(f64::total_cmp),
     }
--- a/crates/lab/src/virt/rivals.rs
+++ b/crates/lab/src/virt/rivals.rs
@@ -199,6 +199,7 @@
                 }
             }
             Event::Processes { .. }
+            | Event::Remembered(_)
             | Event::Uploaded { .. }
             | Event::StreamStarted { .. }
             | Event::Timer { .. } => {}
--- a/crates/lotusdeck/src/serve.rs
+++ b/crates/lotusdeck/src/serve.rs
@@ -4,14 +4,13 @@
 use crate::logging::{self, Format};
 use crate::operator::{LedgerSettings, Operator, OperatorError, StateSettings};
 use crate::postgres::{self, PostgresError, Running, Spec};
-use crate::state::{self, Keeper, Place};
+use crate::state::{self, Beginning, Keeper, Place};
 use lotusdeck_core::cordon::Cordon;
-use lotusdeck_core::{Clock, Host, Journal, Lines};
+use lotusdeck_core::{span, Clock, Host, Journal, Lines};
 use lotusdeck_policy::{Balancer, Discovery, ListUpdate};
 use lotusdeck_proxy::admin::{Admin, MAX_CALLERS};
 use lotusdeck_proxy::body::Budget;
 use lotusdeck_proxy::config::{InForce, Node, NodeError};
-use lotusdeck_proxy::discovery::List;
 use lotusdeck_proxy::pauses::Shared;
 use lotusdeck_proxy::peer::{self, Peer};
 use lotusdeck_proxy::pool::Pool;
@@ -178,13 +177,17 @@
     }
 }
 
-/// The list to begin with, and the writer of what is kept, where the operator file names a folder.
-fn kept(settings: &StateSettings, proxy: &str, known: List) -> Result<(List, Option<Keeper>), ServeError> {
-    let Some(folder) = &settings.folder else { return Ok((known, None)) };
-    let list = state::begin(settings, &Place::new(settings, folder, proxy), known);
-    let place = Place::new(settings, folder, proxy);
-    let keeper = Keeper::start(place, folder, settings.every, &list).map_err(ServeError::State)?;
-    Ok((list, keeper))
+/// What to begin with, and the writer of what is kept, where the operator file names a folder.
+fn kept(settings: &StateSettings, node: &mut Node) -> Result<(Beginning, Option<Keeper>), ServeError> {
+    let known = std::mem::take(&mut node.known);
+    let Some(folder) = &settings.folder else {
+        return Ok((Beginning { list: known, learned: None }, None));
+    };
+    let place = Place::new(settings, folder, &node.name);
+    let window = span(node.settings.config.fall_window);
+    let beginning = state::begin(settings, &place, known, window);
+    let keeper = Keeper::start(place, settings.every, &beginning.list).map_err(ServeError::State)?;
+    Ok((beginning, Some(keeper)))
 }
 
 async fn run(args: Args) -> Result<(), ServeError> {
@@ -197,7 +200,7 @@
     let inherited = handover::listener().map_err(|e| ServeError::Inherited(e.to_string()))?;
     let operator = Operator::load(args.operator.as_deref())?;
     let mut node = Node::read(&args.config, args.admin)?;
-    let (known, keeper) = kept(&operator.state, &node.name, std::mem::take(&mut node.known))?;
+    let (Beginning { list: known, learned }, keeper) = kept(&operator.state, &mut node)?;
     let cordon = Cordon::load(&node.state());
     if cordon.count() > 0 {
         info!(cordoned = cordon.count(), "backends are cordoned from before");
@@ -221,6 +224,7 @@
     let host = Host::new(balancer, node.settings, clock, lines, cordon, journal);
     // The list from before the restart is in place before anything is served.
     host.members(ListUpdate::Cached, known.entries());
+    learned.iter().for_each(|learned| host.recall(learned));
     let handed_down = inherited.is_some();
     let listener = match inherited {
         Some(listener) => tokio::net::TcpListener::from_std(listener),
@@ -234,6 +238,9 @@
     tokio::task::spawn_local(host.clone().timers());
     tokio::task::spawn_local(pool.clone().sweep());
     let (moved, discovery) = watch::channel((node.discovery, mode));
+    if let Some(keeper) = &keeper {
+        tokio::task::spawn_local(keeper.clone().learn(host.clone()));
+    }
     let kept = keeper.map(|keeper| Box::new(move |list| keeper.keep(list)) as discovery::Kept);
     tokio::task::spawn_local(discovery::watch(host.clone(), discovery, known.index, kept));
     let Operator { ledger: ledger_settings, postgres, state, .. } = operator;
--- a/crates/lotusdeck/src/state.rs
+++ b/crates/lotusdeck/src/state.rs
@@ -1,14 +1,19 @@
-//! The proxy's state on disk (docs/recovery.md): the last list, read once at the start and written by a thread of
-//! its own, so that the event loop never waits for a disk. What is in the bytes and how far they are believed is
+//! The proxy's state on disk (docs/recovery.md): the last list and what was learned, read once at the start and
+//! written by a thread of its own, so that the event loop never waits for a disk. What is in the bytes and how far they are believed is
 //! `lotusdeck_recovery`'s.
 
 use crate::operator::StateSettings;
+use lotusdeck_core::Host;
 use lotusdeck_proxy::discovery::List;
 use lotusdeck_proxy::mirror::Mirror;
-use lotusdeck_recovery::{choose, decode, encode, Age, Choice, ReadError, Saved, Trust};
+use lotusdeck_recovery::{
+    choose, decode, encode, Age, Choice, Kept, Learned, ReadError, Saved, Trust, Weighing,
+};
+use std::collections::HashMap;
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::Write;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use thiserror::Error;
@@ -38,43 +43,71 @@
     name.trim_start_matches('.').to_string()
 }
 
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn now_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO))
 }
 
 /// Where one proxy's state lies.
+#[derive(Clone)]
 pub struct Place {
-    path: PathBuf,
+    folder: PathBuf,
     site: String,
     proxy: String,
 }
 
+/// The endings of the two files: each is written when what it holds has changed.
+const LIST: &str = "state";
+const LEARNED: &str = "learned";
+
 impl Place {
     pub fn new(settings: &StateSettings, folder: &Path, proxy: &str) -> Place {
-        let path = folder.join(format!("{}.state", file_name(proxy)));
-        Place { path, site: settings.site.clone(), proxy: proxy.into() }
+        Place { folder: folder.into(), site: settings.site.clone(), proxy: proxy.into() }
+    }
+
+    fn path(&self, ending: &str) -> PathBuf {
+        self.folder.join(format!("{}.{ending}", file_name(&self.proxy)))
     }
 
     /// What was kept, checked whole.
-    pub fn read(&self) -> Result<(Saved, List), Unread> {
-        let bytes = match std::fs::read(&self.path) {
+    fn read<T: Kept>(&self, ending: &str) -> Result<T, Unread> {
+        let bytes = match std::fs::read(self.path(ending)) {
             Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Err(Unread::Missing),
             read => read.map_err(Unread::Io)?,
         };
-        let saved = decode(&bytes)?;
-        if saved.site != self.site {
-            return Err(Unread::Site(saved.site, self.site.clone()));
+        let kept: T = decode(&bytes)?;
+        let (site, proxy) = kept.writer();
+        if site != self.site {
+            return Err(Unread::Site(site.into(), self.site.clone()));
         }
-        if saved.proxy != self.proxy {
-            return Err(Unread::Proxy(saved.proxy));
+        if proxy != self.proxy {
+            return Err(Unread::Proxy(proxy.into()));
         }
+        Ok(kept)
+    }
+
+    fn read_list(&self) -> Result<(Saved, List), Unread> {
+        let saved: Saved = self.read(LIST)?;
         let list = serde_json::from_slice(&saved.list).map_err(Unread::List)?;
         Ok((saved, list))
     }
 
     /// Writes whole or not at all: a new file beside, made to last, then put in place of the old one.
-    pub fn write(&self, list: &List) -> std::io::Result<()> {
+    fn write<T: Kept>(&self, ending: &str, kept: &T) -> std::io::Result<()> {
+        let path = self.path(ending);
+        let fresh = self.path(&format!("{ending}.new"));
+        let mut file = File::create(&fresh)?;
+        file.write_all(&encode(kept))?;
+        file.sync_all()?;
+        std::fs::rename(&fresh, &path)?;
+        // The rename lasts only once the folder does.
+        File::open(&self.folder).and_then(|f| f.sync_all())
+    }
+
+    fn write_list(&self, list: &List) -> std::io::Result<()> {
         let body = serde_json::to_vec(list).map_err(std::io::Error::other)?;
         let saved = Saved {
             site: self.site.clone(),
@@ -83,46 +116,98 @@
             index: list.index,
             list: body,
         };
-        let fresh = self.path.with_extension("state.new");
-        let mut file = File::create(&fresh)?;
-        file.write_all(&encode(&saved))?;
-        file.sync_all()?;
-        std::fs::rename(&fresh, &self.path)?;
-        // The rename lasts only once the folder does.
-        File::open(self.path.parent().unwrap_or(Path::new("."))).and_then(|f| f.sync_all())
+        self.write(LIST, &saved)
     }
+
+    fn write_learned(&self, learned: Learned) -> std::io::Result<()> {
+        let learned = Learned { site: self.site.clone(), proxy: self.proxy.clone(), ..learned };
+        self.write(LEARNED, &learned)
+    }
+}
+
+/// What a proxy begins with.
+pub struct Beginning {
+    /// The platform's list or its own.
+    pub list: List,
+    /// What is still believed of what it learned; `None` where nothing is.
+    pub learned: Option<Learned>,
+}
+
+/// What a proxy begins with: the platform's list or its own, whichever is newer and trusted, and what it learned
+/// before; every way that a kept file is passed over is told in one line, and it starts as it would without.
+pub fn begin(settings: &StateSettings, place: &Place, known: List, window: Duration) -> Beginning {
+    let now_ms = now_ms();
+    let (list, kept) = begin_list(settings, place, known, now_ms);
+    let learned = begin_learned(settings, place, &list, window, now_ms);
+    Beginning { list: if kept { cooled(list, now_ms) } else { list }, learned }
+}
+
+fn begin_learned(
+    settings: &StateSettings, place: &Place, list: &List, window: Duration, now_ms: u64,
+) -> Option<Learned> {
+    let path = place.path(LEARNED);
+    let learned: Learned = match place.read(LEARNED) {
+        Ok(learned) => learned,
+        Err(Unread::Missing) => return None,
+        Err(e) => {
+            warn!(path = %path.display(), error = %e, "what was learned is not taken; starting without it");
+            return None;
+        }
+    };
+    let weighing = Weighing {
+        now_ms,
+        half_life_ms: millis(settings.half_life),
+        window_ms: millis(window),
+        every_ms: millis(settings.every),
+    };
+    let since: HashMap<&str, u64> = list.endpoints.iter().filter_map(started).collect();
+    let written_ms = learned.written_ms;
+    let left = learned.believed(weighing, |name| since.get(name).copied());
+    let age = Age::of(written_ms, now_ms);
+    if left.overall.samples <= 0.0 {
+        warn!(?age, "what was learned is not taken: too old, of an age that cannot be told, or nothing");
+        return None;
+    }
+    let (kinds, ejected, spent) = (left.kinds.len(), left.ejected.len(), left.spent.len());
+    info!(?age, samples = left.overall.samples, kinds, ejected, spent, "what was learned is taken");
+    Some(left)
+}
+
+/// An entry's name and when its backend started, 0 where the list says nothing of it: long ago.
+fn started(entry: &serde_json::Value) -> Option<(&str, u64)> {
+    let name = entry.get("name")?.as_str()?;
+    Some((name, entry.get("since_ms").and_then(serde_json::Value::as_f64).unwrap_or(0.0) as u64))
 }
 
-/// The list that a proxy begins with: the platform's or its own, whichever is newer and trusted; every way that a
-/// kept state is passed over is told in one line, and it starts as it would without.
-pub fn begin(settings: &StateSettings, place: &Place, known: List) -> List {
-    let (saved, list) = match place.read() {
+/// The list to begin with, and whether it is the kept one.
+fn begin_list(settings: &StateSettings, place: &Place, known: List, now_ms: u64) -> (List, bool) {
+    let path = place.path(LIST);
+    let (saved, list) = match place.read_list() {
         Ok(read) => read,
         Err(Unread::Missing) => {
-            info!(path = %place.path.display(), "no state kept yet");
-            return known;
+            info!(path = %path.display(), "no state kept yet");
+            return (known, false);
         }
         Err(e) => {
-            warn!(path = %place.path.display(), error = %e, "state not taken; starting without it");
-            return known;
+            warn!(path = %path.display(), error = %e, "state not taken; starting without it");
+            return (known, false);
         }
     };
-    let age = Age::of(saved.written_ms, now_ms());
-    let half_life = u64::try_from(settings.half_life.as_millis()).unwrap_or(u64::MAX);
-    let trust = Trust::at(age, half_life);
+    let age = Age::of(saved.written_ms, now_ms);
+    let trust = Trust::at(age, millis(settings.half_life));
     let (index, entries) = (saved.index, list.endpoints.len());
     match choose(index, trust, known.index, known.endpoints.len()) {
         Choice::Saved => {
             info!(index, entries, ?age, trust = trust.0, known = known.index, "state taken: the kept list");
-            cooled(list, now_ms())
+            (list, true)
         }
         Choice::Known => {
             info!(index, known = known.index, "state passed over: the platform's list is as new");
-            known
+            (known, false)
         }
         Choice::Untrusted(trust) => {
             warn!(index, ?age, trust = trust.0, "state not taken: too old, or of an age that cannot be told");
-            known
+            (known, false)
         }
     }
 }
@@ -137,70 +222,124 @@
     list
 }
 
-/// The writer's side: the whole list, merged from what discovery tells, and one thread that writes it when it has
-/// changed, at most once in `every`. The event loop only merges what it was told; copying the whole list and
-/// writing it are the thread's.
+/// What is to be written next.
+struct Pending {
+    /// The whole list, merged from what discovery tells.
+    mirror: Mirror,
+    learned: Option<Learned>,
+}
+
+/// The writer's side: one thread that writes what has changed, at most once in `every`. The event loop only merges
+/// what it was told and hands over what was learned; copying the whole list and writing are the thread's.
+#[derive(Clone)]
 pub struct Keeper {
-    shared: Arc<(Mutex<Mirror>, Condvar)>,
+    shared: Arc<(Mutex<Pending>, Condvar)>,
+    every: Duration,
+}
+
+/// One file and how its writing goes, so that each turn for the worse or the better is one line.
+struct Writing {
+    path: PathBuf,
+    failing: bool,
+    written: bool,
+}
+
+impl Writing {
+    fn new(path: PathBuf) -> Writing {
+        Writing { path, failing: false, written: false }
+    }
+
+    fn took(&mut self, outcome: std::io::Result<()>, index: Option<u64>) {
+        let path = self.path.display();
+        match outcome {
+            Ok(()) if self.failing || !self.written => {
+                info!(index, %path, "state written");
+                (self.failing, self.written) = (false, true);
+            }
+            Ok(()) => {}
+            // The file in place stays as it was: whole, only older.
+            Err(e) if !self.failing => {
+                warn!(error = %e, %path, "state cannot be written; the last one stays");
+                self.failing = true;
+            }
+            Err(_) => {}
+        }
+    }
 }
 
 impl Keeper {
-    /// Starts the writer from the list begun with, or says why this process must not write here: another holds the
-    /// same state.
-    pub fn start(
-        place: Place, folder: &Path, every: Duration, begun: &List,
-    ) -> std::io::Result<Option<Keeper>> {
-        std::fs::create_dir_all(folder)?;
-        let lock_path = folder.join(format!("{}.lock", file_name(&place.proxy)));
+    /// Starts the writer from the list begun with. While another process holds the same state, as the old one does
+    /// during an upgrade, this one writes nothing and waits for its end.
+    pub fn start(place: Place, every: Duration, begun: &List) -> std::io::Result<Keeper> {
+        std::fs::create_dir_all(&place.folder)?;
+        let lock_path = place.path("lock");
         let lock = OpenOptions::new().create(true).truncate(false).write(true).open(&lock_path)?;
-        match lock.try_lock() {
-            Ok(()) => {}
+        let held = match lock.try_lock() {
+            Ok(()) => true,
             Err(TryLockError::WouldBlock) => {
-                warn!(path = %lock_path.display(), "another process keeps this proxy's state; this one only read it");
-                return Ok(None);
+                warn!(path = %lock_path.display(), "another process keeps this proxy's state; this one only reads until it ends");
+                false
             }
             Err(TryLockError::Error(e)) => return Err(e),
-        }
-        let shared = Arc::new((Mutex::new(Mirror::new(begun)), Condvar::new()));
+        };
+        let pending = Pending { mirror: Mirror::new(begun), learned: None };
+        let shared = Arc::new((Mutex::new(pending), Condvar::new()));
         let theirs = shared.clone();
         std::thread::Builder::new().name("state".into()).spawn(move || {
-            let _held = lock; // for as long as the process lives
-            let (mut failing, mut written) = (false, false);
+            // Held for as long as the process lives.
+            if !held {
+                match lock.lock() {
+                    Ok(()) => info!(path = %lock_path.display(), "the other process ended; this one keeps the state now"),
+                    Err(e) => {
+                        warn!(error = %e, path = %lock_path.display(), "state is not kept by this process");
+                        return;
+                    }
+                }
+            }
+            let mut lists = Writing::new(place.path(LIST));
+            let mut learning = Writing::new(place.path(LEARNED));
             loop {
-                let list = {
-                    let (mirror, woken) = &*theirs;
-                    let mut mirror = mirror.lock().unwrap_or_else(|e| e.into_inner());
+                let (list, learned) = {
+                    let (pending, woken) = &*theirs;
+                    let mut pending = pending.lock().unwrap_or_else(|e| e.into_inner());
                     loop {
-                        match mirror.changed() {
-                            Some(list) => break list,
-                            None => mirror = woken.wait(mirror).unwrap_or_else(|e| e.into_inner()),
+                        match (pending.mirror.changed(), pending.learned.take()) {
+                            (None, None) => pending = woken.wait(pending).unwrap_or_else(|e| e.into_inner()),
+                            some => break some,
                         }
                     }
                 };
-                match place.write(&list) {
-                    Ok(()) if failing || !written => {
-                        info!(index = list.index, path = %place.path.display(), "state written");
-                        (failing, written) = (false, true);
-                    }
-                    Ok(()) => {}
-                    // The file in place stays as it was: whole, only older.
-                    Err(e) if !failing => {
-                        warn!(error = %e, path = %place.path.display(), "state cannot be written; the last one stays");
-                        failing = true;
-                    }
-                    Err(_) => {}
+                if let Some(list) = list {
+                    lists.took(place.write_list(&list), Some(list.index));
+                }
+                if let Some(learned) = learned {
+                    learning.took(place.write_learned(learned), None);
                 }
                 std::thread::sleep(every);
             }
         })?;
-        Ok(Some(Keeper { shared }))
+        Ok(Keeper { shared, every })
+    }
+
+    fn give(&self, what: impl FnOnce(&mut Pending)) {
+        let (pending, woken) = &*self.shared;
+        what(&mut pending.lock().unwrap_or_else(|e| e.into_inner()));
+        woken.notify_one();
     }
 
     /// Merges what discovery told; the thread is woken to write it.
     pub fn keep(&self, list: List) {
-        let (mirror, woken) = &*self.shared;
-        mirror.lock().unwrap_or_else(|e| e.into_inner()).take(list);
-        woken.notify_one();
+        self.give(|pending| pending.mirror.take(list));
+    }
+
+    /// Hands over what was learned, once in the time between two writes, for as long as the program runs.
+    pub async fn learn(self, host: Rc<Host>) {
+        loop {
+            tokio::time::sleep(self.every).await;
+            if let Some(learned) = host.learned() {
+                self.give(|pending| pending.learned = Some(Learned { written_ms: now_ms(), ..learned }));
+            }
+        }
     }
 }
 
--- a/crates/lotusdeck/tests/recovery.rs
+++ b/crates/lotusdeck/tests/recovery.rs
@@ -3,7 +3,7 @@
 
 mod rig;
 
-use lotusdeck_recovery::{decode, encode, Saved};
+use lotusdeck_recovery::{decode, encode, Learned, Saved};
 use rig::*;
 use std::path::{Path, PathBuf};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
@@ -62,9 +62,9 @@
     kept(&operator, &[entry("b0", backend.address, "SERVING")]);
     let file = folder.join("n0.state");
     let sound = std::fs::read(&file).unwrap();
-    let mut foreign = decode(&sound).unwrap();
+    let mut foreign: Saved = decode(&sound).unwrap();
     foreign.site = "elsewhere".into();
-    let mut other = decode(&sound).unwrap();
+    let mut other: Saved = decode(&sound).unwrap();
     other.proxy = "n7".into();
     let cases = [
         (sound[..sound.len() - 3].to_vec(), "truncated"),
@@ -141,7 +141,7 @@
     let many: Vec<String> = (0..20).map(|i| entry(&format!("b{i}"), backend.address, "SERVING")).collect();
     answer.send((200, list(15, true, &many))).unwrap();
     proxy.logged("state cannot be written");
-    let kept = decode(&std::fs::read(folder.join("n0.state")).unwrap()).unwrap();
+    let kept: Saved = decode(&std::fs::read(folder.join("n0.state")).unwrap()).unwrap();
     assert_eq!(kept.index, 9);
 }
 
@@ -174,7 +174,7 @@
         }
         drop(proxy); // SIGKILL
         torn += usize::from(folder.join("n0.state.new").exists());
-        let kept = decode(&std::fs::read(&file).expect("written at least once")).expect("whole");
+        let kept: Saved = decode(&std::fs::read(&file).expect("written at least once")).expect("whole");
         assert!(kept.index >= last, "seed {seed}: {} after {last}", kept.index);
         last = kept.index;
     }
@@ -183,3 +183,63 @@
         "seed {seed}: {torn} of 20 kills left a new file unfinished beside the whole one; kept up to {last}"
     );
 }
+
+/// What was learned is kept beside the list, taken at the next start, and passed over with a line where it is cut,
+/// another file or older than the half-life allows; the list is taken all the same.
+#[test]
+fn what_was_learned_is_taken_back_or_passed_over_with_a_line() {
+    let backend = BackendServer::start(|_| ok("b"));
+    let (operator, folder) = keeping("learned", 600);
+    {
+        let proxy = Proxy::operated(&[], &operator);
+        let (_, answer) = proxy.discovery.call();
+        answer.send((200, list(9, true, &[entry("b0", backend.address, "SERVING")]))).unwrap();
+        let (_, _waits) = proxy.discovery.call();
+        (0..20).for_each(|_| drop(proxy.ask(&read(3.0))));
+        while !proxy.logged("state written").contains("n0.learned") {}
+    }
+    let file = folder.join("n0.learned");
+    let sound = std::fs::read(&file).unwrap();
+    let learned: Learned = decode(&sound).unwrap();
+    assert!(learned.overall.samples >= 1.0 && learned.overall.value > 0.0, "{learned:?}");
+    assert_eq!((learned.proxy.as_str(), learned.site.as_str()), ("n0", "learned"));
+    let again = || {
+        let proxy = Proxy::operated(&[], &operator);
+        let told = proxy.logged("what was learned");
+        assert_eq!(proxy.ask(&read(3.0)).body, b"b");
+        told
+    };
+    assert!(again().contains("is taken"));
+    let mut old = learned.clone();
+    old.written_ms -= 3 * 3_600_000;
+    let list_in_its_place = std::fs::read(folder.join("n0.state")).unwrap();
+    let cases = [
+        (sound[..sound.len() / 2].to_vec(), "truncated"),
+        (list_in_its_place, "the first bytes are not LDLEARN"),
+        (encode(&old), "too old"),
+    ];
+    for (bytes, told) in cases {
+        std::fs::write(&file, bytes).unwrap();
+        let line = again();
+        assert!(line.contains("not taken") && line.contains(told), "{told}: {line}");
+    }
+}
+
+/// The second process of an upgrade keeps the state once the first has ended.
+#[test]
+fn a_second_process_keeps_the_state_once_the_first_has_ended() {
+    let backend = BackendServer::start(|_| ok("b"));
+    let (operator, folder) = keeping("handed", 600);
+    let known = [entry("b0", backend.address, "SERVING")];
+    let first = Proxy::operated(&known, &operator);
+    first.logged("no state kept yet");
+    let second = Proxy::operated(&known, &operator);
+    second.logged("another process keeps this proxy's state");
+    drop(first);
+    second.logged("this one keeps the state now");
+    let (_, answer) = second.discovery.call();
+    answer.send((200, list(21, true, &known))).unwrap();
+    assert!(second.logged("state written").contains("index=21"));
+    let kept: Saved = decode(&std::fs::read(folder.join("n0.state")).unwrap()).unwrap();
+    assert_eq!(kept.index, 21);
+}
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -1,5 +1,7 @@
 //! The whole interface of the decision module: configuration, events, actions. No decisions here.
 
+use crate::memory::Memory;
+
 /// A point in time, in microseconds of the host's clock; it begins at no particular value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Time(pub u64);
@@ -376,6 +378,8 @@
         /// All of them.
         config: Box<Config>,
     },
+    /// What was learned before this process began, as far as it is still believed.
+    Remembered(Box<Memory>),
     /// So many processes act for this proxy, this one included: two while one takes over from another.
     Processes {
         /// How many.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,12 +6,14 @@
 #![warn(missing_docs)]
 
 mod interface;
+mod memory;
 mod rules;
 pub mod settings;
 mod state;
 mod view;
 
 pub use interface::*;
+pub use memory::{Estimate, KindMemory, Memory, Spent};
 pub use rules::{halb_shares, Balancer};
 pub use view::{BackendView, KindView};
 
--- /dev/null
+++ b/crates/policy/src/memory.rs
@@ -0,0 +1,144 @@
+//! What the module learned, handed out so that it can outlive the process, and taken back at the next start. No
+//! decisions: how far a memory of some age is believed is told by who keeps it, in the samples that it is worth.
+
+use crate::interface::*;
+use crate::rules::Balancer;
+use crate::state::Mean;
+
+/// What was spent on a backend inside the fall window is kept in so many slots at most, not by ticks: 200 backends at
+/// a tick of 5 ms would be 80,000 numbers a second.
+const SLOTS: u64 = 8;
+
+/// A mean and how many samples it is worth: each new sample weighs one among so many.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Estimate {
+    /// The mean.
+    pub value: f64,
+    /// Samples that it is worth; 0 where nothing is known.
+    pub samples: f64,
+}
+
+impl Estimate {
+    fn of(mean: &Mean) -> Estimate {
+        Estimate { value: mean.value, samples: mean.count }
+    }
+
+    /// Only what can be a mean of times or rates is taken: a file may hold anything.
+    fn mean(self) -> Option<Mean> {
+        let sound =
+            self.value > 0.0 && self.value.is_finite() && self.samples > 0.0 && self.samples.is_finite();
+        sound.then_some(Mean { value: self.value, count: self.samples })
+    }
+}
+
+/// What was learned of a kind of machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct KindMemory {
+    /// Seconds from dispatch to answer, the class mix taken out.
+    pub latency: Estimate,
+    /// Requests a second that one backend got meanwhile.
+    pub flow: Estimate,
+}
+
+/// Work that was sent to a backend while it was cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Spent {
+    /// Where to.
+    pub backend: BackendId,
+    /// How long ago, to the tick.
+    pub ago: Micros,
+    /// In requests of mean work.
+    pub work: f64,
+}
+
+/// What a module learned, by numbers of the process that holds it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Memory {
+    /// Seconds from dispatch to answer, of all classes.
+    pub overall: Estimate,
+    /// The same by class.
+    pub classes: Vec<(ClassId, Estimate)>,
+    /// By kind.
+    pub kinds: Vec<(KindId, KindMemory)>,
+    /// Backends out of use or on trial, and how often in a row they were put out of use.
+    pub ejected: Vec<(BackendId, u32)>,
+    /// Cold budget spent inside the fall window.
+    pub spent: Vec<Spent>,
+}
+
+impl Balancer {
+    /// What is worth keeping at `now`. Looks at each backend once.
+    pub fn memory(&self, now: Time) -> Memory {
+        let window = self.cfg.fall_window;
+        let cold = |b: &Backend| b.booted.is_some_and(|at| now - window - at < self.cfg.ramp);
+        let mut memory = Memory {
+            overall: Estimate::of(&self.overall),
+            classes: self
+                .classes
+                .iter()
+                .map(|c| Estimate::of(&c.latency))
+                .enumerate()
+                .map(|(i, e)| (ClassId(i), e))
+                .collect(),
+            kinds: self
+                .kinds
+                .iter()
+                .map(|(id, k)| {
+                    (*id, KindMemory { latency: Estimate::of(&k.latency), flow: Estimate::of(&k.flows) })
+                })
+                .collect(),
+            ..Memory::default()
+        };
+        for (&id, p) in &self.peers {
+            if p.ejected.is_some() {
+                memory.ejected.push((id, u32::try_from(p.strikes).unwrap_or(0)));
+            }
+            if cold(&p.entry) {
+                // The newest first, so that each slot counts from its newest: sooner forgotten would be too little.
+                let mut slot = None;
+                for (at, work) in p.spent.iter().rev().filter(|s| now - s.0 < window) {
+                    let (ago, mine) = (now - *at, ((now - *at).0 * SLOTS).checked_div(window.0));
+                    match memory.spent.last_mut().filter(|_| slot == Some(mine)) {
+                        Some(last) => last.work += work,
+                        None => memory.spent.push(Spent { backend: id, ago, work: *work }),
+                    }
+                    slot = Some(mine);
+                }
+            }
+        }
+        memory
+    }
+
+    /// Takes back what was learned before the process began, where nothing was learned since. Backends that were out
+    /// of use begin on trial; work sent before counts against the cold budget of those that were sent it.
+    pub(crate) fn recall(&mut self, now: Time, memory: &Memory) {
+        let into = |own: &mut Mean, kept: Estimate| match kept.mean() {
+            Some(mean) if own.count <= 0.0 => *own = mean,
+            _ => {}
+        };
+        into(&mut self.overall, memory.overall);
+        // A class's work is its latency beside that of all: one without the other tells nothing.
+        let whole = self.overall.count > 0.0;
+        for (id, kept) in memory.classes.iter().filter(|_| whole) {
+            self.classes.get_mut(id.0).into_iter().for_each(|c| into(&mut c.latency, *kept));
+        }
+        for (id, kept) in &memory.kinds {
+            let kind = self.kinds.entry(*id).or_default();
+            into(&mut kind.latency, kept.latency);
+            into(&mut kind.flows, kept.flow);
+        }
+        for (id, strikes) in &memory.ejected {
+            let Some(p) = self.peers.get_mut(id) else { continue };
+            // On trial from now on, as one whose term is over.
+            (p.ejected, p.strikes, p.trials) =
+                (Some(now), i32::try_from(*strikes).unwrap_or(i32::MAX).max(1), 0);
+        }
+        let window = self.cfg.fall_window;
+        for s in memory.spent.iter().filter(|s| s.ago < window && s.work > 0.0 && s.work.is_finite()) {
+            let Some(p) = self.peers.get_mut(&s.backend) else { continue };
+            let at = now - s.ago;
+            let place = p.spent.partition_point(|have| have.0 <= at);
+            p.spent.insert(place, (at, s.work));
+        }
+    }
+}
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -92,7 +92,7 @@
 
 /// The decisions of one proxy. Give it every event in order; it answers with actions.
 pub struct Balancer {
-    cfg: Config,
+    pub(crate) cfg: Config,
     dice: Dice,
     pub(crate) peers: BTreeMap<BackendId, Peer>,
     /// The peers by mark, an order that all proxies share.
@@ -109,8 +109,8 @@
     /// Another process acts for this proxy, or did inside the fall window, until then.
     shared_until: Time,
     pub(crate) kinds: BTreeMap<KindId, Kind>,
-    classes: Vec<ClassState>,
-    overall: Mean,
+    pub(crate) classes: Vec<ClassState>,
+    pub(crate) overall: Mean,
     buckets: Vec<Bucket>,
     requests: BTreeMap<RequestId, Request>,
     held: Vec<RequestId>,
@@ -195,6 +195,7 @@
             // What the other sent weighs on a cold backend for a window more.
             Event::Processes { count: 0 | 1 } => self.shared_until = now + self.cfg.fall_window,
             Event::Processes { .. } => self.shared_until = Time(u64::MAX),
+            Event::Remembered(memory) => self.recall(now, &memory),
             Event::Request(arrival) => self.request(now, arrival),
             Event::Uploaded { request, time_left } => self.uploaded(now, request, time_left),
             Event::StreamStarted { request, attempt } => {
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -65,10 +65,20 @@
         self.kinds.get(id.0 as usize).map_or("", |name| name)
     }
 
+    /// The number of the kind of that name, given here where it is new.
+    pub fn kind_id(&mut self, name: &str) -> KindId {
+        KindId(number(&mut self.kinds, name))
+    }
+
+    /// The name of a class, current or retired.
+    pub fn class_name(&self, id: ClassId) -> &str {
+        self.classes.get(id.0).map_or("", |c| &c.name)
+    }
+
     /// The row as this instance numbers it.
     pub fn entry(&mut self, row: &Row, id: BackendId) -> Backend {
         let zone = ZoneId(number(&mut self.zones, &row.zone));
-        let kind = KindId(number(&mut self.kinds, &row.kind));
+        let kind = self.kind_id(&row.kind);
         Backend { id, zone, kind, ..row.entry.clone() }
     }
 }
--- a/crates/recovery/src/frame.rs
+++ b/crates/recovery/src/frame.rs
@@ -1,20 +1,28 @@
-//! The state file's bytes: a fixed header with a format version and a checksum, then the body.
+//! The bytes of a kept file: a fixed header with a format version and a checksum, then the body.
 //!
 //! | bytes | what |
 //! | --- | --- |
-//! | 8 | `LDSTATE` and a zero byte |
+//! | 8 | what is kept: `LDSTATE` or `LDLEARN`, and a zero byte |
 //! | 2 | format version, little-endian; this is 1 |
 //! | 4 | length of the body in bytes, little-endian |
 //! | 4 | CRC-32C of the body (RFC 3720's polynomial), little-endian |
-//! | length | the body, [`Saved`] in postcard |
+//! | length | the body, [`Saved`] or [`Learned`](crate::Learned) in postcard |
 //!
 //! A torn or truncated write, a flipped bit and a file of another version are told apart, so that the log can say
 //! which it was; none of them is ever taken in part.
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-const MAGIC: &[u8; 8] = b"LDSTATE\0";
+/// What can be kept in a file of its own.
+pub trait Kept: Serialize + DeserializeOwned {
+    /// The file's first bytes.
+    const MAGIC: &'static [u8; 8];
+    /// The site and the proxy that wrote it.
+    fn writer(&self) -> (&str, &str);
+}
+
 /// Raised whenever the body changes its form; a file of another number is not read.
 pub const VERSION: u16 = 1;
 const HEADER: usize = 8 + 2 + 4 + 4;
@@ -36,6 +44,13 @@
     pub list: Vec<u8>,
 }
 
+impl Kept for Saved {
+    const MAGIC: &'static [u8; 8] = b"LDSTATE\0";
+    fn writer(&self) -> (&str, &str) {
+        (&self.site, &self.proxy)
+    }
+}
+
 /// Why a file's bytes are not taken.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum ReadError {
@@ -43,8 +58,8 @@
     #[error("truncated: {got} bytes, {wanted} expected")]
     Truncated { got: usize, wanted: usize },
     /// The first bytes are not a state file's.
-    #[error("not a state file: the first bytes are not LDSTATE")]
-    Foreign,
+    #[error("not a state file: the first bytes are not {0}")]
+    Foreign(&'static str),
     /// Written by a program of another format.
     #[error("format version {0}, this program reads {VERSION}")]
     Version(u16),
@@ -63,11 +78,11 @@
 }
 
 /// The bytes of a state.
-pub fn encode(saved: &Saved) -> Vec<u8> {
+pub fn encode<T: Kept>(saved: &T) -> Vec<u8> {
     // A Vec of bytes and strings always serialise; there is no error to carry.
     let body = postcard::to_allocvec(saved).unwrap_or_default();
     let mut out = Vec::with_capacity(HEADER + body.len());
-    out.extend_from_slice(MAGIC);
+    out.extend_from_slice(T::MAGIC);
     out.extend_from_slice(&VERSION.to_le_bytes());
     out.extend_from_slice(&u32::try_from(body.len()).unwrap_or(u32::MAX).to_le_bytes());
     out.extend_from_slice(&crc32c::crc32c(&body).to_le_bytes());
@@ -85,13 +100,11 @@
 ///
 /// # Errors
 /// Whatever is wrong with them, the first fault met.
-pub fn decode(bytes: &[u8]) -> Result<Saved, ReadError> {
+pub fn decode<T: Kept>(bytes: &[u8]) -> Result<T, ReadError> {
     let short = |wanted| ReadError::Truncated { got: bytes.len(), wanted };
-    if bytes.len() < MAGIC.len() {
-        return Err(if MAGIC.starts_with(bytes) { short(HEADER) } else { ReadError::Foreign });
-    }
-    if &bytes[..8] != MAGIC {
-        return Err(ReadError::Foreign);
+    let begins = bytes.len().min(T::MAGIC.len());
+    if bytes[..begins] != T::MAGIC[..begins] {
+        return Err(ReadError::Foreign(std::str::from_utf8(&T::MAGIC[..7]).unwrap_or_default()));
     }
     if bytes.len() < HEADER {
         return Err(short(HEADER));
@@ -129,6 +142,7 @@
     #[test]
     fn what_is_written_is_read() {
         assert_eq!(decode(&encode(&saved())), Ok(saved()));
+        assert!(matches!(decode::<crate::Learned>(&encode(&saved())), Err(ReadError::Foreign("LDLEARN"))));
     }
 
     /// Every cut of a write is told as cut, never read as a shorter state.
@@ -136,22 +150,23 @@
     fn every_truncation_is_told() {
         let bytes = encode(&saved());
         for n in 0..bytes.len() {
-            assert!(matches!(decode(&bytes[..n]), Err(ReadError::Truncated { .. })), "cut at {n}");
+            assert!(matches!(decode::<Saved>(&bytes[..n]), Err(ReadError::Truncated { .. })), "cut at {n}");
         }
     }
 
     #[test]
     fn other_files_and_versions_are_told_apart() {
         let mut bytes = encode(&saved());
-        assert_eq!(decode(b"{\"index\": 3}"), Err(ReadError::Foreign));
+        let read = decode::<Saved>;
+        assert_eq!(read(b"{\"index\": 3}"), Err(ReadError::Foreign("LDSTATE")));
         bytes[8] = 2;
-        assert_eq!(decode(&bytes), Err(ReadError::Version(2)));
+        assert_eq!(read(&bytes), Err(ReadError::Version(2)));
         bytes[8] = 1;
         bytes.push(0);
-        assert_eq!(decode(&bytes), Err(ReadError::Trailing(1)));
+        assert_eq!(read(&bytes), Err(ReadError::Trailing(1)));
         bytes.pop();
         bytes[10..14].copy_from_slice(&u32::MAX.to_le_bytes());
-        assert!(matches!(decode(&bytes), Err(ReadError::TooLong(_))));
+        assert!(matches!(read(&bytes), Err(ReadError::TooLong(_))));
     }
 
     proptest! {
@@ -161,7 +176,7 @@
             let mut bytes = encode(&saved());
             let at = at % bytes.len();
             bytes[at] ^= 1 << bit;
-            prop_assert!(decode(&bytes).is_err());
+            prop_assert!(decode::<Saved>(&bytes).is_err());
         }
     }
 }
--- /dev/null
+++ b/crates/recovery/src/learned.rs
@@ -0,0 +1,196 @@
+//! What a proxy learned of kinds, classes and backends, as kept, and what of it is believed at an age.
+//!
+//! - Speeds are means. A mean of `n` samples and age `a` is taken as worth `n * 2^(-a / h)` of them: the power prior
+//!   (Ibrahim and Chen, Statistical Science 15, 2000), the old likelihood raised to the trust of [`Trust`]. New
+//!   samples soon outweigh an old mean, and a mean of no age is taken as it stood.
+//! - Ejections are taken as trials while the trust is enough: that a backend was ill is the better guess than that it
+//!   was not, and three good answers prove otherwise.
+//! - Cold budget spent counts until the fall window has passed. What was sent after the last write is not in the file:
+//!   it is taken to have gone on at the rate of the window before, for the time between two writes at most. So a
+//!   process killed and started again sends a cold backend at most what it would have sent had it lived, and beyond
+//!   that the difference between what it sent in its last unkept moments and that rate: with writes every `e` and a
+//!   window `w`, its whole budget once more at the very worst, and `e / w` of it where it sent evenly.
+
+use crate::frame::Kept;
+use crate::trust::{Age, Trust};
+use serde::{Deserialize, Serialize};
+
+/// A mean and the samples that it is worth.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Mean {
+    /// The mean.
+    pub value: f64,
+    /// Samples that it is worth.
+    pub samples: f64,
+}
+
+/// Work sent to a cold backend.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Spent {
+    /// Its name.
+    pub backend: String,
+    /// How long before the writing, ms.
+    pub ago_ms: u64,
+    /// In requests of mean work.
+    pub work: f64,
+}
+
+/// What a proxy learned, by names.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    /// The site as the operator file names it.
+    pub site: String,
+    /// The proxy that wrote it.
+    pub proxy: String,
+    /// When it was written: milliseconds since 1970 by the writer's wall clock.
+    pub written_ms: u64,
+    /// Seconds from dispatch to answer, all classes.
+    pub overall: Mean,
+    /// The same by class.
+    pub classes: Vec<(String, Mean)>,
+    /// By kind: the same with the class mix taken out, and requests a second that one backend got.
+    pub kinds: Vec<(String, Mean, Mean)>,
+    /// Backends out of use or on trial, and how often in a row they were put out of use.
+    pub ejected: Vec<(String, u32)>,
+    /// Cold budget spent inside the fall window.
+    pub spent: Vec<Spent>,
+}
+
+impl Kept for Learned {
+    const MAGIC: &'static [u8; 8] = b"LDLEARN\0";
+    fn writer(&self) -> (&str, &str) {
+        (&self.site, &self.proxy)
+    }
+}
+
+/// What is to be known for weighing a memory.
+#[derive(Clone, Copy, Debug)]
+pub struct Weighing {
+    /// The reader's wall clock, ms since 1970.
+    pub now_ms: u64,
+    /// The age at which it is believed half as much, ms.
+    pub half_life_ms: u64,
+    /// The window over which work sent to a cold backend counts, ms.
+    pub window_ms: u64,
+    /// It was written so often at most, ms.
+    pub every_ms: u64,
+}
+
+impl Learned {
+    /// What is left of it: means worth less, ejections while it is trusted, work spent as long ago as it is now. `since`
+    /// tells when a backend started by the list begun with (ms since 1970; `None` where not listed): one that started
+    /// after the writing has nothing in common with what is told of its name.
+    pub fn believed(mut self, w: Weighing, since: impl Fn(&str) -> Option<u64>) -> Learned {
+        let age = Age::of(self.written_ms, w.now_ms);
+        let trust = Trust::at(age, w.half_life_ms);
+        let (Age::Known(age_ms), true) = (age, trust.enough()) else {
+            let Learned { site, proxy, written_ms, .. } = self;
+            return Learned { site, proxy, written_ms, ..Learned::default() };
+        };
+        let all = self.classes.iter_mut().map(|c| &mut c.1);
+        let all = all.chain(self.kinds.iter_mut().flat_map(|k| [&mut k.1, &mut k.2]));
+        all.chain([&mut self.overall]).for_each(|m| m.samples *= trust.0);
+        let written_ms = self.written_ms;
+        let same = |name: &str| since(name).is_some_and(|at| at <= written_ms);
+        self.ejected.retain(|(name, _)| same(name));
+        self.spent.retain(|s| same(&s.backend));
+        self.go_on_spending(age_ms, w);
+        self.spent.retain(|s| s.ago_ms < w.window_ms);
+        self
+    }
+
+    /// Moves what was spent by the age, and adds what was spent since at the rate of the window.
+    fn go_on_spending(&mut self, age_ms: u64, w: Weighing) {
+        let unkept_ms = age_ms.min(w.every_ms);
+        let part = unkept_ms as f64 / w.window_ms.max(1) as f64;
+        let mut further: Vec<Spent> = Vec::new();
+        for s in &mut self.spent {
+            s.ago_ms = s.ago_ms.saturating_add(age_ms);
+            match further.last_mut().filter(|f| f.backend == s.backend) {
+                Some(f) => f.work += s.work * part,
+                None => {
+                    let ago_ms = age_ms - unkept_ms;
+                    further.push(Spent { backend: s.backend.clone(), ago_ms, work: s.work * part });
+                }
+            }
+        }
+        self.spent.extend(further.into_iter().filter(|f| f.work > 0.0));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const WEIGHING: Weighing =
+        Weighing { now_ms: 1_000_000, half_life_ms: 60_000, window_ms: 2_000, every_ms: 1_000 };
+
+    fn learned(age_ms: u64) -> Learned {
+        let mean = Mean { value: 0.02, samples: 100.0 };
+        let spent = |backend: &str, ago_ms, work| Spent { backend: backend.into(), ago_ms, work };
+        Learned {
+            site: "s".into(),
+            proxy: "p".into(),
+            written_ms: WEIGHING.now_ms - age_ms,
+            overall: mean,
+            classes: vec![("page".into(), mean)],
+            kinds: vec![("big".into(), mean, Mean { value: 30.0, samples: 40.0 })],
+            ejected: vec![("ill".into(), 2), ("anew".into(), 1), ("left".into(), 1)],
+            spent: vec![spent("ill", 100, 4.0), spent("ill", 1_500, 2.0), spent("anew", 100, 9.0)],
+        }
+    }
+
+    /// `anew` started after the writing, `left` is not on the list.
+    fn since(name: &str) -> Option<u64> {
+        match name {
+            "ill" => Some(0),
+            "anew" => Some(WEIGHING.now_ms),
+            _ => None,
+        }
+    }
+
+    #[test]
+    fn means_are_worth_less_with_age_and_nothing_past_two_half_lives() {
+        let at = |age_ms| learned(age_ms).believed(WEIGHING, since);
+        assert_eq!(at(0).overall.samples, 100.0);
+        let half = at(60_000);
+        assert!(
+            (half.kinds[0].1.samples - 50.0).abs() < 1e-9 && (half.kinds[0].2.samples - 20.0).abs() < 1e-9
+        );
+        assert_eq!(half.kinds[0].1.value, 0.02, "the mean itself stays");
+        assert_eq!(half.ejected, [("ill".to_string(), 2)]);
+        let nothing = Learned { ejected: vec![], ..Learned::default() };
+        let old = at(120_001);
+        assert_eq!(
+            (&old.classes, &old.kinds, &old.ejected, &old.spent),
+            (&nothing.classes, &nothing.kinds, &nothing.ejected, &nothing.spent)
+        );
+        assert_eq!(at(0).written_ms, WEIGHING.now_ms);
+    }
+
+    /// A clock stepped back, so that the file comes from the future, leaves nothing of it.
+    #[test]
+    fn a_memory_from_the_future_is_not_believed() {
+        let early = Weighing { now_ms: WEIGHING.now_ms - 5_000, ..WEIGHING };
+        let left = learned(0).believed(early, since);
+        assert!(left.kinds.is_empty() && left.spent.is_empty() && left.ejected.is_empty());
+        assert_eq!(left.overall, Mean::default());
+    }
+
+    /// 6 of work in a window of 2 s, written 0.6 s ago: what is still inside the window, and 0.6 / 2 of it more.
+    #[test]
+    fn spending_is_taken_to_have_gone_on_between_writing_and_death() {
+        let left = learned(600).believed(WEIGHING, since);
+        let told: Vec<(&str, u64)> = left.spent.iter().map(|s| (&*s.backend, s.ago_ms)).collect();
+        assert_eq!(told, [("ill", 700), ("ill", 0)], "the older slot has left the window");
+        assert!((left.spent[1].work - 1.8).abs() < 1e-9);
+        let late = learned(1_800).believed(WEIGHING, since);
+        assert_eq!(
+            late.spent.iter().map(|s| s.ago_ms).collect::<Vec<_>>(),
+            [1_900, 800],
+            "one interval at most"
+        );
+        assert!((late.spent[1].work - 3.0).abs() < 1e-9);
+        assert!(learned(3_100).believed(WEIGHING, since).spent.is_empty(), "no window reaches so far back");
+    }
+}
