Limits of the whole fleet, sans-IO: membership by SWIM and shares lent by escrow and leases

Need (issue: fleet-wide limits): a limit that holds for the fleet was a limit for each proxy times an unknown count. Change: crates/fleet. Who is there: SWIM by the crate foca, members known by position, so never more than the fleet's size. Shares: each proxy owns an Nth and admits by it alone; what it does not use it lends for a term (escrow, leases). A lender stops before a borrower begins, the borrower counts from its question, the lender from its answer, a started process holds back what the one before may have lent: shares never add up to more than the limit, whatever links do.

--- /dev/null
+++ b/crates/fleet/src/node.rs
@@ -0,0 +1,250 @@
+//! One proxy's part in the fleet: its membership and its shares, behind datagrams and a clock that are handed in.
+
+use crate::membership::{Identity, Membership};
+use crate::share::{Refusal, Share, Terms};
+use crate::wire::{self, Message, WireError};
+use rand::rngs::SmallRng;
+use rand::{Rng, RngExt, SeedableRng};
+use serde::Serialize;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::num::NonZeroU32;
+use std::time::Duration;
+
+/// Rounds of shares in a term: a need is asked for within one, and kept up with five tries before it runs out.
+const ROUNDS: u32 = 10;
+
+/// A limit that holds for the whole fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limit {
+    /// What it is called in the log and the status.
+    pub name: String,
+    /// Requests a second.
+    pub rate: Option<f64>,
+    /// Requests at once.
+    pub slots: Option<u32>,
+    /// What each share may gather while it is not used, as a span of its rate.
+    pub burst: Duration,
+}
+
+/// What a node is told at its start.
+#[derive(Clone, Debug)]
+pub struct NodeConfig {
+    /// Whose fleet; another site's datagrams are not read.
+    pub site: String,
+    /// This proxy.
+    pub own: Identity,
+    /// Proxies of the fleet.
+    pub size: NonZeroU32,
+    /// Positions and addresses of some of them.
+    pub seeds: Vec<(u32, SocketAddr)>,
+    /// The limits, the same at every proxy.
+    pub limits: Vec<Limit>,
+    /// How long a share is lent.
+    pub term: Duration,
+    /// No request is open for longer.
+    pub longest: Duration,
+    /// Of the random choice of whom to probe and to ask.
+    pub seed: u64,
+}
+
+/// A share, to be shown.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct ShareView {
+    /// The limit's name.
+    pub limit: String,
+    /// Requests a second that this proxy may admit now.
+    pub rate: f64,
+    /// ... and at once.
+    pub slots: u32,
+    /// Of its own, lent to others.
+    pub lent_rate: f64,
+    /// The same of slots.
+    pub lent_slots: u32,
+    /// Of others', borrowed.
+    pub borrowed_rate: f64,
+    /// The same of slots.
+    pub borrowed_slots: u32,
+    /// Requests taken in and not over.
+    pub open: u32,
+    /// Requests admitted.
+    pub admitted: u64,
+    /// Requests refused.
+    pub refused: u64,
+}
+
+/// One proxy's part in the fleet.
+pub struct Node {
+    tag: u32,
+    membership: Membership,
+    names: Vec<String>,
+    shares: Vec<Share>,
+    dice: SmallRng,
+    round_at: Duration,
+    every: Duration,
+    seq: u64,
+    /// What was asked of whom: the limit, by the question's number. A number holds random bits.
+    open: BTreeMap<u64, (u16, Duration)>,
+    term: Duration,
+    out: VecDeque<(SocketAddr, Vec<u8>)>,
+}
+
+impl Node {
+    /// A node of a process that starts at `now`.
+    pub fn new(config: NodeConfig, now: Duration) -> Node {
+        let NodeConfig { site, own, size, seeds, limits, term, longest, seed } = config;
+        let terms = |limit: &Limit| Terms {
+            rate: limit.rate,
+            slots: limit.slots,
+            burst: limit.burst,
+            term,
+            longest,
+            size: size.get(),
+            position: own.position,
+        };
+        let shares = limits.iter().map(|limit| Share::new(terms(limit), now)).collect();
+        let tag = wire::tag(&format!("{site:?} {size} {term:?} {longest:?} {limits:?}"));
+        Node {
+            tag,
+            names: limits.into_iter().map(|limit| limit.name).collect(),
+            shares,
+            dice: SmallRng::seed_from_u64(seed ^ 0x666c_6565_7421),
+            membership: Membership::new(own, size, seeds, seed),
+            round_at: now,
+            every: term / ROUNDS,
+            seq: 0,
+            open: BTreeMap::new(),
+            term,
+            out: VecDeque::new(),
+        }
+    }
+
+    /// Who is there.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Bytes that another sent.
+    ///
+    /// # Errors
+    /// They are no message of this fleet; nothing changed.
+    pub fn receive(&mut self, now: Duration, bytes: &[u8]) -> Result<(), String> {
+        let message = wire::decode(self.tag, bytes).map_err(|e: WireError| e.to_string())?;
+        match message {
+            Message::Swim(data) => self.membership.receive(now, &data)?,
+            Message::Ask { from, generation, reply_to, limit, nonce, want } => {
+                let own = self.membership.own().position;
+                let Some(share) = self.shares.get_mut(usize::from(limit)).filter(|_| from != own) else {
+                    return Err(format!("asked by proxy {from} for limit {limit}"));
+                };
+                let lent = share.lend(now, (from, generation), nonce, want);
+                self.say(reply_to, &Message::Grant { from: own, nonce, lent });
+            }
+            Message::Grant { from, nonce, lent } => {
+                if let Some((limit, _)) = self.open.remove(&nonce) {
+                    if let Some(share) = self.shares.get_mut(usize::from(limit)) {
+                        share.granted(now, from, nonce, lent);
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Does what is due; to be called at [`Node::next`] or later.
+    pub fn tick(&mut self, now: Duration) {
+        self.membership.tick(now);
+        if now < self.round_at {
+            return;
+        }
+        self.round_at = now + self.every;
+        self.open.retain(|_, (_, until)| now < *until);
+        let mut said = Vec::new();
+        let Node { membership, shares, dice, seq, open, term, .. } = self;
+        let (own, live) = (membership.own(), membership.live());
+        let positions: Vec<u32> = live.keys().copied().collect();
+        for (limit, share) in (0u16..).zip(shares.iter_mut()) {
+            let mut numbers = SmallRng::seed_from_u64(dice.next_u64());
+            let pick = || (!positions.is_empty()).then(|| positions[dice.random_range(0..positions.len())]);
+            // Rising, with 24 random bits below, so that a stranger cannot guess one.
+            let number = || {
+                *seq += 1;
+                *seq << 24 | numbers.next_u64() >> 40
+            };
+            for q in share.round(now, pick, number) {
+                let Some(lender) = live.get(&q.lender) else { continue };
+                open.insert(q.seq, (limit, now + *term));
+                let (from, generation, reply_to) = (own.position, own.generation, own.address);
+                let ask = Message::Ask { from, generation, reply_to, limit, nonce: q.seq, want: q.want };
+                said.push((lender.address, ask));
+            }
+        }
+        said.into_iter().for_each(|(to, ask)| self.say(to, &ask));
+    }
+
+    /// When to call [`Node::tick`].
+    pub fn next(&self) -> Duration {
+        self.membership.next().min(self.round_at)
+    }
+
+    fn say(&mut self, to: SocketAddr, message: &Message) {
+        self.out.push_back((to, wire::encode(self.tag, message)));
+    }
+
+    /// The next datagram that has to go out.
+    pub fn to_send(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        let own = self.out.pop_front();
+        own.or_else(|| {
+            let (to, data) = self.membership.to_send()?;
+            Some((to, wire::encode(self.tag, &Message::Swim(data.to_vec()))))
+        })
+    }
+
+    /// Takes a request in under all of `limits`, by their places, or under none of them.
+    ///
+    /// # Errors
+    /// One of them is reached.
+    pub fn enter(&mut self, now: Duration, limits: &[u16]) -> Result<(), Refusal> {
+        for limit in limits {
+            if let Some(share) = self.shares.get_mut(usize::from(*limit)) {
+                share.check(now)?;
+            }
+        }
+        for limit in limits {
+            self.shares.get_mut(usize::from(*limit)).into_iter().for_each(Share::enter);
+        }
+        Ok(())
+    }
+
+    /// A request that was taken in under them is over.
+    pub fn leave(&mut self, limits: &[u16]) {
+        for limit in limits {
+            self.shares.get_mut(usize::from(*limit)).into_iter().for_each(Share::leave);
+        }
+    }
+
+    /// Another process acts for this proxy beside this one, or does no more.
+    pub fn halve(&mut self, now: Duration, halved: bool) {
+        self.shares.iter_mut().for_each(|share| share.halve(now, halved));
+    }
+
+    /// Every share at `now`.
+    pub fn shares(&self, now: Duration) -> impl Iterator<Item = ShareView> + '_ {
+        self.names.iter().zip(&self.shares).map(move |(name, share)| {
+            let (usable, lent, borrowed) = share.amounts(now);
+            let (open, admitted, refused) = share.counts();
+            ShareView {
+                limit: name.clone(),
+                rate: usable.rate,
+                slots: usable.slots,
+                lent_rate: lent.rate,
+                lent_slots: lent.slots,
+                borrowed_rate: borrowed.rate,
+                borrowed_slots: borrowed.slots,
+                open,
+                admitted,
+                refused,
+            }
+        })
+    }
+}
