Fleet-wide limits in the program: [fleet] and [[limit]], asked before the module, over injured links

Need (issue: fleet-wide limits): crates/fleet decides, but no process talked. Change: core::Gate is asked before a request comes to the module and told when it is over; a refusal is answered at once with the time to come again. lotusdeck/src/fleet.rs holds the socket, the clock and the names. [fleet] and [[limit]] in the operator file, off by default and in run; a limit of a class that is not there is refused at the start. admin status shows members and shares. The lab's relay carries datagrams link by link (relay/links.rs): loss, doubles, delay, cuts by direction, drawn by seed, link and number. Ruled out: a limit held in the module (it would need the shares in its 1,200 lines, and decides no server).

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -2,6 +2,7 @@
 
 use crate::cordon::{Cordon, CordonError, LOOK};
 use crate::counts::Counts;
+use crate::gate::{Gate, Pass};
 use crate::journal::{Journal, Labels};
 use crate::memory;
 use crate::registry::{Endpoint, Registry};
@@ -47,6 +48,8 @@
     attempts: u32,
     /// The journal is told of it.
     journaled: bool,
+    /// What it was taken in under.
+    pass: Option<Pass>,
 }
 
 struct Flight {
@@ -78,6 +81,15 @@
     before: Counts,
 }
 
+/// What stands beside the module, where there is any of it.
+#[derive(Clone, Default)]
+pub struct Beside {
+    /// Of requests that must never run twice.
+    pub journal: Option<Rc<dyn Journal>>,
+    /// Limits that hold for more than this process.
+    pub gate: Option<Rc<dyn Gate>>,
+}
+
 /// Owns the module and all requests that are open. Fronts bring requests and wait for the one answer to each.
 pub struct Host {
     state: RefCell<State>,
@@ -85,7 +97,7 @@
     pub clock: Clock,
     lines: Vec<Rc<dyn Lines>>,
     cordon: Cordon,
-    journal: Option<Rc<dyn Journal>>,
+    beside: Beside,
     timers: Timers,
     follow: Notify,
 }
@@ -94,7 +106,7 @@
     /// A host that has taken no request yet; `lines` are those of all protocols.
     pub fn new(
         balancer: Balancer, settings: Settings, clock: Clock, lines: Vec<Rc<dyn Lines>>, cordon: Cordon,
-        journal: Option<Rc<dyn Journal>>,
+        beside: Beside,
     ) -> Rc<Host> {
         let state = State {
             balancer,
@@ -112,7 +124,7 @@
             before: Counts::default(),
         };
         let (state, timers, follow) = (RefCell::new(state), Timers::default(), Notify::new());
-        Rc::new(Host { state, clock, lines, cordon, journal, timers, follow })
+        Rc::new(Host { state, clock, lines, cordon, beside, timers, follow })
     }
 
     /// The generation of settings under which a request that comes now is taken.
@@ -153,16 +165,25 @@
             s.last += 1;
             let id = RequestId(s.last);
             let deadline = self.clock.now() + arrival.time_left;
-            let journal = self.journal.as_ref().filter(|_| effect == Effect::Unsafe);
+            let journal = self.beside.journal.as_ref().filter(|_| effect == Effect::Unsafe);
             let window = match effect {
                 Effect::Keyed(_, window) => Some(window),
                 _ => None,
             };
             s.requests.insert(
                 id,
-                Live { work, window, ran: None, answer, deadline, attempts: 0, journaled: false },
+                Live { work, window, ran: None, answer, deadline, attempts: 0, journaled: false, pass: None },
             );
             s.counts.requests += 1;
+            let gate = self.beside.gate.as_ref();
+            match gate.map(|gate| gate.enter(arrival.class, arrival.tenant, &s.names)).transpose() {
+                Ok(pass) => drop(s.requests.entry(id).and_modify(|live| live.pass = pass)),
+                Err(come_again) => {
+                    s.counts.refused += 1;
+                    self.finish(&mut s, id, Answer::Refused(come_again));
+                    return (id, wait);
+                }
+            }
             if let Some(journal) = journal {
                 if let Some(come_again) = journal.refuses() {
                     s.counts.refused += 1;
@@ -274,6 +295,7 @@
     /// Another process serves beside this one, or does no more.
     pub fn shared(self: &Rc<Self>, with_another: bool) {
         info!(processes = 1 + u32::from(with_another), "processes of this proxy");
+        self.beside.gate.iter().for_each(|gate| gate.shared(with_another));
         self.tell(Event::Processes { count: 1 + u32::from(with_another) });
     }
 
@@ -348,15 +370,18 @@
     }
 
     fn journal_end(&self, request: RequestId, attempt: AttemptNo, outcome: Outcome, flight: &Flight) {
-        if let Some((journal, work)) = self.journal.as_ref().zip(flight.journaled.as_ref()) {
+        if let Some((journal, work)) = self.beside.journal.as_ref().zip(flight.journaled.as_ref()) {
             journal.ended(request, attempt, outcome, work.status(attempt));
         }
     }
 
     fn settled(&self, request: RequestId, live: &Live) {
-        if let Some(journal) = self.journal.as_ref().filter(|_| live.journaled) {
+        if let Some(journal) = self.beside.journal.as_ref().filter(|_| live.journaled) {
             journal.settled(request);
         }
+        if let Some((gate, pass)) = self.beside.gate.as_ref().zip(live.pass.as_ref()) {
+            gate.leave(pass);
+        }
     }
 
     /// The final answer.
@@ -426,7 +451,7 @@
         let (host, asked) = (self.clone(), self.clone());
         let gate = Box::new(move || asked.may_send(request, backend, send_by));
         // It is written down while the connection comes up.
-        let clearance = self.journal.as_ref().filter(|_| journaled).map(|journal| {
+        let clearance = self.beside.journal.as_ref().filter(|_| journaled).map(|journal| {
             let name = s.registry.get(backend).map_or("", |b| &b.name);
             journal.intent(request, attempt, name, address)
         });
@@ -533,7 +558,8 @@
             open_attempts: s.attempts.len(),
             timer_lag_us: self.timers.lag().0,
             counts,
-            ledger: self.journal.as_ref().map(|j| j.status()),
+            ledger: self.beside.journal.as_ref().map(|j| j.status()),
+            fleet: self.beside.gate.as_ref().map(|g| g.status()),
             kinds: s.balancer.kinds().map(kind).collect(),
             backends: s.balancer.backends().filter_map(backend).collect(),
         }
@@ -578,7 +604,8 @@
         };
         let balancer = Balancer::new(Config::example(), 1).unwrap();
         let none = std::env::temp_dir().join("lotusdeck-no-such-proxy");
-        let host = Host::new(balancer, settings, Clock::new(), Vec::new(), Cordon::load(&none), None);
+        let host =
+            Host::new(balancer, settings, Clock::new(), Vec::new(), Cordon::load(&none), Beside::default());
         let news = |state| {
             let row = Row::new("b", "127.0.0.1:9", "", "", Backend { state, ..Backend::default() });
             vec![Endpoint { name: "b".into(), address: "127.0.0.1:9".parse().unwrap(), state, row }]
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 mod clock;
 pub mod cordon;
 mod counts;
+mod gate;
 mod host;
 mod journal;
 mod memory;
@@ -14,7 +15,8 @@
 mod work;
 
 pub use clock::{span, Clock};
-pub use host::{Answer, Host};
+pub use gate::{Gate, GateStatus, Pass};
+pub use host::{Answer, Beside, Host};
 pub use journal::{Clearance, Journal, JournalStatus, Labels};
 pub use registry::Endpoint;
 pub use status::{BackendStatus, KindStatus, Status};
--- a/crates/core/src/status.rs
+++ b/crates/core/src/status.rs
@@ -1,6 +1,7 @@
 //! What the proxy knows and does at this moment, for operators.
 
 use crate::counts::Counts;
+use crate::gate::GateStatus;
 use crate::journal::JournalStatus;
 use serde::Serialize;
 
@@ -19,6 +20,8 @@
     pub counts: Counts,
     /// The journal of requests that must never run twice, where there is one.
     pub ledger: Option<JournalStatus>,
+    /// The fleet's limits, where there are any.
+    pub fleet: Option<GateStatus>,
     /// By kind of machine.
     pub kinds: Vec<KindStatus>,
     /// In the order in which they were met.
--- a/crates/lab/src/relay/mod.rs
+++ b/crates/lab/src/relay/mod.rs
@@ -1,11 +1,12 @@
 //! A relay that stands between any two sockets on loopback and injures what passes on a schedule (docs/relay.md).
 //!
 //! `script` is what an operator of the lab writes, `plan` what a seed makes of it for each connection, `frame` finds
-//! messages in the bytes, `pipe` decides what becomes of each byte, and `run` does it on sockets. `cost` measures what
+//! messages in the bytes, `links` injures datagrams, `pipe` decides what becomes of each byte, and `run` does it on sockets. `cost` measures what
 //! a relay that does nothing adds.
 
 pub mod cost;
 pub mod frame;
+pub mod links;
 pub mod pipe;
 pub mod plan;
 pub mod run;
--- a/crates/lotusdeck/src/operator.rs
+++ b/crates/lotusdeck/src/operator.rs
@@ -1,8 +1,10 @@
 //! The operator file: what an installation sets for itself, as TOML. Every key is optional; without one, or without
 //! the file, all is as the defaults say.
 
+use crate::fleet::{self, FleetSettings, LimitSpec};
 use crate::postgres::{self, Spec};
 use lotusdeck_proxy::pauses::Pauses;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use thiserror::Error;
@@ -18,6 +20,10 @@
     Choice(&'static [&'static str]),
     /// Text; empty by default.
     Text,
+    /// An address; none by default.
+    Address,
+    /// Positions in the fleet and addresses; none by default.
+    Members,
 }
 
 /// One key: all that is said of it in docs/configuration.md.
@@ -37,7 +43,7 @@
 }
 
 /// Every key that there is.
-pub const KEYS: [Key; 17] = [
+pub const KEYS: [Key; 22] = [
     number(
         "http.answer_gap_ms",
         "ms",
@@ -110,7 +116,40 @@
         600,
         "a kept list is trusted half as much at this age, and not at all past twice it",
     ),
-    number("state.every_ms", "ms", (100, 600_000), 1_000, "a changed list is kept at most this often"),
+    number(
+        "state.every_ms",
+        "ms",
+        (100, 600_000),
+        1_000,
+        "a changed list, and what was learned, are kept at most this often",
+    ),
+    Key {
+        path: "fleet.listen",
+        sort: Sort::Address,
+        about: "where datagrams of other proxies come in; empty: this proxy talks to none",
+    },
+    Key {
+        path: "fleet.advertise",
+        sort: Sort::Address,
+        about: "where the others reach it; empty: where it listens",
+    },
+    Key {
+        path: "fleet.members",
+        sort: Sort::Members,
+        about: "some of the others, to call at: the rest is learned from them",
+    },
+    Key {
+        path: "fleet.site",
+        sort: Sort::Text,
+        about: "names the site; datagrams of another one are not read",
+    },
+    number(
+        "fleet.term_ms",
+        "ms",
+        (200, 60_000),
+        1_000,
+        "how long a part of a limit is lent to another proxy",
+    ),
 ];
 
 /// `[state]`: what outlives the process (docs/recovery.md).
@@ -177,7 +216,7 @@
 }
 
 /// What the file says, defaults filled in.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operator {
     /// `[http]`.
     pub pauses: Pauses,
@@ -187,12 +226,18 @@
     pub postgres: Vec<Spec>,
     /// `[state]`.
     pub state: StateSettings,
+    /// `[fleet]`.
+    pub fleet: FleetSettings,
+    /// `[[limit]]`.
+    pub limits: Vec<LimitSpec>,
 }
 
 /// A value that fits its key.
 enum Value {
     Number(u64),
     Text(String),
+    Address(Option<SocketAddr>),
+    Members(Vec<(u32, SocketAddr)>),
 }
 
 impl Sort {
@@ -202,6 +247,8 @@
             Sort::Number(unit, least, most, _) => format!("a whole number of {unit} from {least} to {most}"),
             Sort::Choice(words) => words.join(" or "),
             Sort::Text => "text".into(),
+            Sort::Address => "an address as 10.0.0.1:7400, or nothing".into(),
+            Sort::Members => "positions and addresses as 0@10.0.0.1:7400 1@10.0.0.2:7400, or nothing".into(),
         }
     }
 
@@ -210,7 +257,7 @@
         match self {
             Sort::Number(_, _, _, default) => default.to_string(),
             Sort::Choice(words) => format!("\"{}\"", words.first().unwrap_or(&"")),
-            Sort::Text => "\"\"".into(),
+            Sort::Text | Sort::Address | Sort::Members => "\"\"".into(),
         }
     }
 
@@ -225,6 +272,9 @@
                 words.contains(&s.as_ref()).then(|| Value::Text(s.to_string()))
             }
             (Sort::Text, DeValue::String(s)) => Some(Value::Text(s.to_string())),
+            (Sort::Address, DeValue::String(s)) if s.is_empty() => Some(Value::Address(None)),
+            (Sort::Address, DeValue::String(s)) => s.parse().ok().map(|at| Value::Address(Some(at))),
+            (Sort::Members, DeValue::String(s)) => fleet::members(s).map(Value::Members),
             _ => None,
         }
     }
@@ -306,13 +356,18 @@
         let mut operator = Operator::default();
         for (table, entry) in root.get_ref() {
             let name = table.get_ref();
-            if name.as_ref() == "postgres" {
-                // Behind what is no TOML nothing can be said of it.
-                match postgres::read(text) {
-                    Ok(specs) => operator.postgres = specs,
-                    Err(fault) => faults.extend(broken.is_empty().then_some(fault)),
+            // Behind what is no TOML nothing can be said of these.
+            let mut fault = |fault| faults.extend(broken.is_empty().then_some(fault));
+            match name.as_ref() {
+                "postgres" => {
+                    postgres::read(text).map_or_else(&mut fault, |specs| operator.postgres = specs);
+                    continue;
                 }
-                continue;
+                "limit" => {
+                    fleet::read(text).map_or_else(&mut fault, |limits| operator.limits = limits);
+                    continue;
+                }
+                _ => {}
             }
             let DeValue::Table(keys) = entry.get_ref() else {
                 let text = match tables().any(|t| t == name.as_ref()) {
@@ -358,6 +413,7 @@
 
     fn set(&mut self, path: &str, value: Value) {
         let (pauses, ledger, state) = (&mut self.pauses, &mut self.ledger, &mut self.state);
+        let fleet = &mut self.fleet;
         match value {
             Value::Number(n) => {
                 let span = Duration::from_millis(n);
@@ -374,6 +430,7 @@
                     "ledger.warn_free_mb" => ledger.warn_free_mb = n,
                     "state.half_life_s" => state.half_life = Duration::from_secs(n),
                     "state.every_ms" => state.every = span,
+                    "fleet.term_ms" => fleet.term = span,
                     _ => unreachable!("a key of the list that nobody reads: {path}"),
                 }
             }
@@ -387,8 +444,12 @@
                     state.folder = Some(PathBuf::from(text)).filter(|p| !p.as_os_str().is_empty())
                 }
                 "state.site" => state.site = text,
+                "fleet.site" => fleet.site = text,
                 _ => unreachable!("a key of the list that nobody reads: {path}"),
             },
+            Value::Address(at) if path == "fleet.listen" => fleet.listen = at,
+            Value::Address(at) => fleet.advertise = at,
+            Value::Members(members) => fleet.members = members,
         }
     }
 }
@@ -407,6 +468,8 @@
                 Sort::Number(_, least, most, _) => (most.to_string(), vec![least - 1, most + 1]),
                 Sort::Choice(words) => (format!("{:?}", words[1]), vec![1]),
                 Sort::Text => ("\"x\"".into(), vec![1]),
+                Sort::Address => ("\"127.0.0.1:7400\"".into(), vec![1]),
+                Sort::Members => ("\"0@127.0.0.1:7400\"".into(), vec![1]),
             };
             let read = with(&other);
             assert!(read.is_ok() && read != Ok(Operator::default()), "{}", key.path);
--- a/crates/lotusdeck/src/postgres.rs
+++ b/crates/lotusdeck/src/postgres.rs
@@ -2,7 +2,7 @@
 
 use crate::operator::Fault;
 use lotusdeck_core::cordon::Cordon;
-use lotusdeck_core::{Clock, Endpoint, Host, Lines};
+use lotusdeck_core::{Beside, Clock, Endpoint, Host, Lines};
 use lotusdeck_pgfront::classes::Rule;
 use lotusdeck_pgfront::scram::{ScramError, Verifier};
 use lotusdeck_pgfront::{Front, FrontSettings, Login, Servers, User, SPARE};
@@ -305,7 +305,7 @@
     let servers = Servers::new(login, &settings.network, spec.connections);
     let balancer = Balancer::new(settings.config.clone(), seed)?;
     let lines: Vec<Rc<dyn Lines>> = vec![servers.clone()];
-    let host = Host::new(balancer, settings, clock, lines, Cordon::load(state), None);
+    let host = Host::new(balancer, settings, clock, lines, Cordon::load(state), Beside::default());
     let io = |e| PostgresError::Start(spec.listen, e);
     let listener = lotusdeck_proxy::server::listen(spec.listen).map_err(io)?;
     let at = listener.local_addr().unwrap_or(spec.listen);
--- a/crates/lotusdeck/src/serve.rs
+++ b/crates/lotusdeck/src/serve.rs
@@ -1,12 +1,13 @@
 //! `lotusdeck serve`: start-up, signals, and what goes on beside requests.
 
+use crate::fleet::{Fleet, FleetError, FleetSettings, LimitSpec};
 use crate::journaling::Journaling;
 use crate::logging::{self, Format};
 use crate::operator::{LedgerSettings, Operator, OperatorError, StateSettings};
 use crate::postgres::{self, PostgresError, Running, Spec};
 use crate::state::{self, Beginning, Keeper, Place};
 use lotusdeck_core::cordon::Cordon;
-use lotusdeck_core::{span, Clock, Host, Journal, Lines};
+use lotusdeck_core::{span, Beside, Clock, Gate, Host, Journal, Lines};
 use lotusdeck_policy::{Balancer, Discovery, ListUpdate};
 use lotusdeck_proxy::admin::{Admin, MAX_CALLERS};
 use lotusdeck_proxy::body::Budget;
@@ -81,6 +82,10 @@
     PostgresChanged,
     #[error("[state] has changed: that needs a new start")]
     StateChanged,
+    #[error("[fleet] or [[limit]] has changed: that needs a new start")]
+    FleetChanged,
+    #[error(transparent)]
+    Fleet(#[from] FleetError),
     #[error("state: {0}")]
     State(std::io::Error),
     #[error("cannot listen {0} on {1}: {2}")]
@@ -91,7 +96,9 @@
     /// Refused input, or a failure.
     fn code(&self) -> ExitCode {
         match self {
-            ServeError::Node(_) | ServeError::Operator(_) => ExitCode::from(crate::REFUSED),
+            ServeError::Node(_) | ServeError::Operator(_) | ServeError::Fleet(_) => {
+                ExitCode::from(crate::REFUSED)
+            }
             _ => ExitCode::FAILURE,
         }
     }
@@ -129,6 +136,7 @@
     ledger: LedgerSettings,
     postgres: Vec<Spec>,
     state: StateSettings,
+    fleet: (FleetSettings, Vec<LimitSpec>),
     moved: watch::Sender<(SocketAddr, Discovery)>,
 }
 
@@ -145,6 +153,9 @@
         if operator.state != self.state {
             return Err(ServeError::StateChanged);
         }
+        if (&operator.fleet, &operator.limits) != (&self.fleet.0, &self.fleet.1) {
+            return Err(ServeError::FleetChanged);
+        }
         let mut change = self.file.reread()?;
         self.file.replace(&mut change);
         self.pauses.set(operator.pauses);
@@ -221,7 +232,9 @@
     let sockets = left.ok_or(ServeError::Descriptors(fronted, node.sockets, 2 * RESERVE))?;
     let start = |spec| postgres::start(spec, &node.settings, node.seed, clock, &node.state());
     let fronts: Vec<Running> = operator.postgres.iter().map(start).collect::<Result<_, _>>()?;
-    let host = Host::new(balancer, node.settings, clock, lines, cordon, journal);
+    let fleet = Fleet::new(&operator.fleet, &operator.limits, &node.settings, node.seed)?;
+    let beside = Beside { journal, gate: fleet.clone().map(|f| f as Rc<dyn Gate>) };
+    let host = Host::new(balancer, node.settings, clock, lines, cordon, beside);
     // The list from before the restart is in place before anything is served.
     host.members(ListUpdate::Cached, known.entries());
     learned.iter().for_each(|learned| host.recall(learned));
@@ -243,7 +256,10 @@
     }
     let kept = keeper.map(|keeper| Box::new(move |list| keeper.keep(list)) as discovery::Kept);
     tokio::task::spawn_local(discovery::watch(host.clone(), discovery, known.index, kept));
-    let Operator { ledger: ledger_settings, postgres, state, .. } = operator;
+    if let Some(fleet) = fleet {
+        tokio::task::spawn_local(fleet.run(operator.fleet.listen));
+    }
+    let Operator { ledger: ledger_settings, postgres, state, fleet, limits, .. } = operator;
     let (file, operator) = (node.file, args.operator);
     let adoption = Adoption {
         host: host.clone(),
@@ -253,6 +269,7 @@
         ledger: ledger_settings,
         postgres,
         state,
+        fleet: (fleet, limits),
         moved,
     };
     tokio::task::spawn_local(adoption.heed(hangup));
--- a/crates/lotusdeck/tests/rig/mod.rs
+++ b/crates/lotusdeck/tests/rig/mod.rs
@@ -352,6 +352,13 @@
         Proxy::run_with(known, 1024, SETTINGS, 1024, tmp, None, discovery, Some((operator, blocks)))
     }
 
+    /// With an operator file and settings of its own.
+    pub fn operated_by(known: &[String], operator: &Path, settings: &str) -> Proxy {
+        let tmp = std::env::temp_dir().join(format!("lotusdeck-{}-{}", std::process::id(), next()));
+        let discovery = Rc::new(DiscoveryServer::start());
+        Proxy::run_with(known, 1024, settings, 1024, tmp, None, discovery, Some((operator, None)))
+    }
+
     /// On a listening socket that somebody else holds.
     pub fn inheriting(known: &[String], listener: &TcpListener) -> Proxy {
         let tmp = std::env::temp_dir().join(format!("lotusdeck-{}-{}", std::process::id(), next()));
--- a/crates/pgfront/tests/rig/mod.rs
+++ b/crates/pgfront/tests/rig/mod.rs
@@ -4,7 +4,7 @@
 
 use bytes::{BufMut, BytesMut};
 use lotusdeck_core::cordon::Cordon;
-use lotusdeck_core::{Clock, Endpoint, Host};
+use lotusdeck_core::{Beside, Clock, Endpoint, Host};
 use lotusdeck_pgfront::classes::Rule;
 use lotusdeck_pgfront::scram::Verifier;
 use lotusdeck_pgfront::wire::{message, opening, put, Opening};
@@ -254,7 +254,8 @@
         let settings = Settings { config: config.clone(), names: Names::default(), network };
         let cordon = Cordon::load(&std::env::temp_dir().join("lotusdeck-no-such-proxy"));
         let balancer = Balancer::new(config, 4).unwrap();
-        let host = Host::new(balancer, settings, Clock::new(), vec![servers.clone()], cordon, None);
+        let host =
+            Host::new(balancer, settings, Clock::new(), vec![servers.clone()], cordon, Beside::default());
         tokio::task::spawn_local(host.clone().timers());
         let user = User { name: "ann".into(), verifier: Verifier::of_password(b"do re mi", b"salt", 64) };
         let settings =
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -75,6 +75,11 @@
         self.classes.get(id.0).map_or("", |c| &c.name)
     }
 
+    /// The name of a tenant.
+    pub fn tenant_name(&self, id: TenantId) -> &str {
+        self.tenants.get(id.0).map_or("", |name| name)
+    }
+
     /// The row as this instance numbers it.
     pub fn entry(&mut self, row: &Row, id: BackendId) -> Backend {
         let zone = ZoneId(number(&mut self.zones, &row.zone));
