Forget borrowers that gave all up, so that ever new names do not fill a lender's memory

Cause, by a second reading of Share::lend: a borrower is keyed by position and generation, neither of which is proven; one that asked for the least loan and then for a trifle left an entry until the loan's end (with slots: the longest request too), free to ask again under the next name. No bound but the rate of datagrams. Positions past the fleet were taken too. Change: a rate under the least loan counts as nothing on both sides, entries of nothing are forgotten, and askers need a position of the fleet. 10,000 names leave one entry at most, 68 where each keeps what it is lent; without the change the test fails at the second name. Ruled out: forgetting by age, as the loan's end is that age.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -158,7 +158,8 @@
             }
             Message::Ask { from, generation, reply_to, limit, nonce, want } => {
                 let own = self.membership.own().position;
-                let Some(share) = self.shares.get_mut(usize::from(limit)).filter(|_| from != own) else {
+                let member = from != own && from < self.size;
+                let Some(share) = self.shares.get_mut(usize::from(limit)).filter(|_| member) else {
                     return Err(format!("asked by proxy {from} for limit {limit}"));
                 };
                 let lent = share.lend(now, (from, generation), nonce, want);
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -65,6 +65,13 @@
         Amount { rate: home.rate * LENDABLE, slots: (f64::from(home.slots) * LENDABLE) as u32 }
     }
 
+    /// What is left of an amount when a rate too small for a loan, or none at all, counts as nothing: on both sides, so
+    /// that what the one gives up the other no longer counts.
+    fn worth(&self, amount: Amount) -> Amount {
+        let enough = amount.rate > 0.0 && amount.rate >= self.home().rate * LEAST;
+        Amount { rate: if enough { amount.rate } else { 0.0 }, slots: amount.slots }
+    }
+
     /// How long the lender counts a loan as out.
     fn held(&self) -> Duration {
         let longest = if self.slots.is_some() { self.longest } else { Duration::ZERO };
@@ -263,8 +270,7 @@
     /// How much it is lent.
     pub fn lend(&mut self, now: Duration, borrower: (u32, u64), seq: u64, want: Amount) -> Amount {
         self.advance(now);
-        let want = Amount { rate: if want.rate > 0.0 { want.rate } else { 0.0 }, slots: want.slots };
-        let least = self.terms.home().rate * LEAST;
+        let want = self.terms.worth(want);
         if let Some(known) = self.lent.get_mut(&borrower) {
             if seq <= known.seq {
                 return Amount::default();
@@ -272,17 +278,16 @@
             known.seq = seq;
             known.loan.amount = lesser(known.loan.amount, want);
         }
+        // One that gave all up is not remembered: whoever asks under ever new names must not fill the memory.
+        self.lent.retain(|_, b| !b.loan.amount.is_none());
         let before = self.lent.get(&borrower).map_or(Amount::default(), |b| b.loan.amount);
         let spare = self.spare(self.at, borrower);
         // What it had it keeps; of the rest half, so that one that asks for all leaves something to the next.
         let kept = lesser(before, spare);
-        let mut lent = Amount {
+        let lent = self.terms.worth(Amount {
             rate: want.rate.min(kept.rate + (spare.rate - kept.rate) / 2.0),
             slots: want.slots.min(kept.slots + (spare.slots - kept.slots).div_ceil(2)),
-        };
-        if lent.rate < least {
-            lent.rate = 0.0;
-        }
+        });
         if lent.is_none() {
             // What it still uses of the last loan runs out by itself.
             return lent;
@@ -343,7 +348,7 @@
             Amount { rate: (short.rate / ASKS as f64).max(0.0), slots: short.slots.div_ceil(ASKS as u32) };
         let mut questions = Vec::new();
         for (&lender, loan) in &mut self.borrowed {
-            let keep = lesser(loan.amount, need);
+            let keep = self.terms.worth(lesser(loan.amount, need));
             need = Amount { rate: need.rate - keep.rate, slots: need.slots - keep.slots };
             let waits = self.asked.values().any(|a| a.lender == lender && now < a.at + term / 4);
             let due = loan.until.saturating_sub(now) < term / 2;
@@ -353,10 +358,9 @@
                 questions.push(Question { lender, seq: seq(), want: add(keep, more) });
             }
         }
-        let least = self.terms.home().rate * LEAST;
         for _ in 0..ASKS {
             let want = Amount { rate: need.rate / ASKS as f64, slots: need.slots.div_ceil(ASKS as u32) };
-            let want = Amount { rate: if want.rate < least { 0.0 } else { want.rate }, ..want };
+            let want = self.terms.worth(want);
             let busy = self.borrowed.len() + questions.len() >= MOST_LENDERS;
             let Some(lender) = pick().filter(|_| !busy && !want.is_none()) else { break };
             let known = self.borrowed.contains_key(&lender)
@@ -409,3 +413,39 @@
 fn lesser(a: Amount, b: Amount) -> Amount {
     Amount { rate: a.rate.min(b.rate), slots: a.slots.min(b.slots) }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// One that asks, gives up all but a trifle and asks again under the next name leaves nothing behind.
+    #[test]
+    fn ever_new_names_do_not_fill_the_memory() {
+        let second = Duration::from_secs(1);
+        let terms = Terms {
+            rate: Some(640.0),
+            slots: Some(40),
+            burst: second,
+            term: second,
+            longest: 30 * second,
+            size: 10,
+            position: 0,
+        };
+        let mut share = Share::new(terms, Duration::ZERO);
+        let now = 60 * second;
+        let asks = [Amount { rate: 1.0, slots: 0 }, Amount { rate: 0.0, slots: 1 }];
+        for name in 0..10_000u64 {
+            let lent = share.lend(now, (3, name), 1, asks[name as usize % 2]);
+            if name < 2 {
+                assert_eq!(lent, asks[name as usize], "it is lent at all");
+            }
+            share.lend(now, (3, name), 2, Amount { rate: 1e-300, slots: 0 });
+            assert!(share.lent.len() <= 1, "{} names remembered", share.lent.len());
+        }
+        // Those that keep what they are lent: as many as the least loans go into what may be lent.
+        for name in 0..10_000u64 {
+            share.lend(now, (4, name), 1, Amount { rate: 1e9, slots: 9 });
+        }
+        assert!(share.lent.len() <= 64 + 4, "{}", share.lent.len());
+    }
+}
