Open a silent watch anew half a second after its wait, and lose no word that a backend leaves

Cause: a watch waits 10 s, counted as silent 2 s after (WAIT + PROMPT in crates/proxy/src/discovery.rs), the very moment at which what it missed counts as told. Ruled out: the send path (the first byte asks the list), lists that come late, the module's pause before it asks (0.05 to 0.15 s).

Change: a call is silent 0.5 s after its wait, a connection to discovery has 1 s to come up, and after a failure a pushed list too is asked for what was missed, without a wait. A shorter wait was weighed: it costs calls and moves both ends alike.

Found by reading, each shown by a test that failed before: - SIGHUP moved discovery and dropped the call that was out, half an answer with it (watch): it now goes on beside the new place. - A line not understood whole lost its word DRAINING or DELETED, and a whole list with a bad line dropped a sound backend (List::entries): the word is taken, all else stays as it was. A name twice in a whole list: the word that it leaves goes first. - Changes across a gap were put aside until the whole list came: who leaves by them gets nothing new meanwhile. - A connection that came up to an address where the backend no longer was could be sent its request (may_send): it compares.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -5,7 +5,7 @@
 use crate::gate::{Gate, Pass};
 use crate::journal::{Journal, Labels};
 use crate::memory;
-use crate::registry::{Endpoint, Registry};
+use crate::registry::{News, Registry};
 use crate::status::{BackendStatus, KindStatus, Status};
 use crate::timers::Timers;
 use crate::work::{Leg, Lines, Work};
@@ -15,6 +15,7 @@
 use lotusdeck_recovery::Learned;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
@@ -258,12 +259,12 @@
     }
 
     /// News of the list.
-    pub fn members(self: &Rc<Self>, update: ListUpdate, entries: Vec<Endpoint>) {
+    pub fn members(self: &Rc<Self>, update: ListUpdate, news: impl Into<News>) {
         let backends = {
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
             let holds: HashSet<BackendId> = s.attempts.values().map(|f| f.backend).collect();
-            s.registry.take(update, entries, &mut s.names, &holds, |name| self.cordon.holds(name))
+            s.registry.take(update, news.into(), &mut s.names, &holds, |name| self.cordon.holds(name))
         };
         self.apply_cordons();
         self.tell(Event::Members { update, backends });
@@ -459,7 +460,7 @@
         let first = earlier.map(|f| f.sent).chain(live.ran).min();
         let send_by = first.zip(live.window).map(|(at, window)| at + window);
         let (host, asked) = (self.clone(), self.clone());
-        let gate = Box::new(move || asked.may_send(request, backend, send_by));
+        let gate = Box::new(move || asked.may_send(request, (backend, address), send_by));
         // It is written down while the connection comes up.
         let clearance = self.beside.journal.as_ref().filter(|_| journaled).map(|journal| {
             let name = s.registry.get(backend).map_or("", |b| &b.name);
@@ -474,12 +475,15 @@
         s.attempts.insert((request, attempt), flight);
     }
 
-    /// At the moment of the first byte: the list still allows it, the request still waits for it, and a repeat
-    /// is still one that is dropped.
-    fn may_send(&self, request: RequestId, backend: BackendId, send_by: Option<Time>) -> bool {
+    /// At the moment of the first byte: the list still allows it and still has the backend at that address, where
+    /// another may be by now; the request still waits for it, and a repeat is still one that is dropped.
+    fn may_send(
+        &self, request: RequestId, (backend, to): (BackendId, SocketAddr), send_by: Option<Time>,
+    ) -> bool {
         let s = self.state.borrow();
-        let usable =
-            |b: &crate::registry::Known| b.state == BackendState::Ready && !self.cordon.holds(&b.name);
+        let usable = |b: &crate::registry::Known| {
+            b.state == BackendState::Ready && b.address == to && !self.cordon.holds(&b.name)
+        };
         s.registry.get(backend).is_some_and(usable)
             && s.requests.contains_key(&request)
             && send_by.is_none_or(|at| self.clock.now() < at)
@@ -579,6 +583,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::registry::Endpoint;
     use crate::work::Sending;
     use lotusdeck_policy::settings::{Network, Row};
 
@@ -616,10 +621,12 @@
         let none = std::env::temp_dir().join("lotusdeck-no-such-proxy");
         let host =
             Host::new(balancer, settings, Clock::new(), Vec::new(), Cordon::load(&none), Beside::default());
-        let news = |state| {
-            let row = Row::new("b", "127.0.0.1:9", "", "", Backend { state, ..Backend::default() });
-            vec![Endpoint { name: "b".into(), address: "127.0.0.1:9".parse().unwrap(), state, row }]
+        let at = |state, port: u16| {
+            let address = SocketAddr::from(([127, 0, 0, 1], port));
+            let row = Row::new("b", &address.to_string(), "", "", Backend { state, ..Backend::default() });
+            vec![Endpoint { name: "b".into(), address, state, row }]
         };
+        let news = |state| at(state, 9);
         let scope = tokio::task::LocalSet::new();
         scope
             .run_until(async {
@@ -634,10 +641,14 @@
                     uploading: false,
                 };
                 let (id, _wait) = host.request(arrival, Rc::new(Endless), Effect::Free, || unreachable!());
-                let (now, b) = (host.clock.now(), BackendId(0));
+                let (now, b) = (host.clock.now(), (BackendId(0), SocketAddr::from(([127, 0, 0, 1], 9))));
                 assert!(host.may_send(id, b, None) && host.may_send(id, b, Some(now + Micros(60_000_000))));
                 assert!(!host.may_send(id, b, Some(now)), "the window is over");
                 assert!(!host.may_send(RequestId(99), b, None), "the request is over");
+                host.members(ListUpdate::Changes, at(BackendState::Ready, 10));
+                assert!(!host.may_send(id, b, None), "the backend is elsewhere, and another may be there");
+                host.members(ListUpdate::Changes, news(BackendState::Ready));
+                assert!(host.may_send(id, b, None));
                 host.members(ListUpdate::Changes, news(BackendState::Draining));
                 assert!(!host.may_send(id, b, None), "the backend drains");
                 host.client_gone(id);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,6 @@
 pub use gate::{Gate, GateStatus, Pass};
 pub use host::{Answer, Beside, Host};
 pub use journal::{Clearance, Journal, JournalStatus, Labels};
-pub use registry::Endpoint;
+pub use registry::{Endpoint, News, Partial};
 pub use status::{BackendStatus, KindStatus, Status};
 pub use work::{Leg, Lines, Sending, Work};
--- a/crates/core/src/registry.rs
+++ b/crates/core/src/registry.rs
@@ -21,10 +21,36 @@
     pub row: Row,
 }
 
+/// What an entry says that is not understood whole.
+pub struct Partial {
+    /// Whom it names.
+    pub name: String,
+    /// `None`: as it was.
+    pub state: Option<BackendState>,
+}
+
+/// What a list says, or the changes to one.
+#[derive(Default)]
+pub struct News {
+    /// The entries that were understood.
+    pub entries: Vec<Endpoint>,
+    /// The others, behind those: a backend that is known keeps all else that is known of it, one that is not stays
+    /// unknown.
+    pub partial: Vec<Partial>,
+}
+
+impl From<Vec<Endpoint>> for News {
+    fn from(entries: Vec<Endpoint>) -> News {
+        News { entries, partial: Vec::new() }
+    }
+}
+
 pub(crate) struct Known {
     pub name: String,
     pub address: SocketAddr,
     pub state: BackendState,
+    /// As the module was last told of it.
+    told: Backend,
 }
 
 #[derive(Default)]
@@ -44,9 +70,18 @@
     /// Takes news of the list; the entries as the module knows them. Nothing is forgotten of those that hold an
     /// attempt or are banned: a ban outlasts an absence, and so has the number that the module knows it by.
     pub fn take(
-        &mut self, update: ListUpdate, entries: Vec<Endpoint>, names: &mut Names, holds: &HashSet<BackendId>,
-        banned: impl Fn(&str) -> bool,
+        &mut self, update: ListUpdate, News { entries, partial }: News, names: &mut Names,
+        holds: &HashSet<BackendId>, banned: impl Fn(&str) -> bool,
     ) -> Vec<Backend> {
+        // What was sound of them stays in force, unless they leave or a sound entry says otherwise.
+        let few = if partial.is_empty() { &[] } else { entries.as_slice() };
+        let named: HashSet<&str> = few.iter().map(|e| e.name.as_str()).collect();
+        let was = |name: &str| Some(self.backends.get(&self.number(name)?)?.state);
+        let held = |p: Partial| {
+            let state = p.state.or_else(|| was(&p.name).filter(|_| !named.contains(p.name.as_str())))?;
+            Some((p.name, state))
+        };
+        let held: Vec<(String, BackendState)> = partial.into_iter().filter_map(held).collect();
         if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
             self.backends.values_mut().for_each(|b| b.state = BackendState::Gone);
         }
@@ -62,8 +97,16 @@
             if update != ListUpdate::Cached {
                 debug!(backend = id.0, name = %e.name, address = %e.address, state = ?e.state, "backend listed");
             }
-            self.backends.insert(id, Known { name: e.name, address: e.address, state: e.state });
-            told.push(names.entry(&e.row, id));
+            let entry = names.entry(&e.row, id);
+            told.push(entry.clone());
+            self.backends.insert(id, Known { name: e.name, address: e.address, state: e.state, told: entry });
+        }
+        for (name, state) in held {
+            let known = self.number(&name).and_then(|id| self.backends.get_mut(&id));
+            told.extend(known.map(|known| {
+                (known.state, known.told.state) = (state, state);
+                known.told.clone()
+            }));
         }
         self.backends.retain(|id, b| {
             let keep = b.state != BackendState::Gone || holds.contains(id) || banned(&b.name);
--- a/crates/lotusdeck/src/postgres.rs
+++ b/crates/lotusdeck/src/postgres.rs
@@ -334,7 +334,7 @@
                 let row = Row::new(&s.name, &s.address.to_string(), "", &s.kind, entry);
                 Endpoint { name: s.name.clone(), address: s.address, state: BackendState::Ready, row }
             };
-            host.members(ListUpdate::Full, spec.server.iter().map(line).collect());
+            host.members(ListUpdate::Full, spec.server.iter().map(line).collect::<Vec<_>>());
         }
     }
     tokio::task::spawn_local(front.clone().run(listener));
--- a/crates/lotusdeck/src/serve.rs
+++ b/crates/lotusdeck/src/serve.rs
@@ -236,7 +236,7 @@
     let beside = Beside { journal, gate: fleet.clone().map(|f| f as Rc<dyn Gate>) };
     let host = Host::new(balancer, node.settings, clock, lines, cordon, beside);
     // The list from before the restart is in place before anything is served.
-    host.members(ListUpdate::Cached, known.entries());
+    host.members(ListUpdate::Cached, known.news());
     learned.iter().for_each(|learned| host.recall(learned));
     let handed_down = inherited.is_some();
     let listener = match inherited {
--- a/crates/lotusdeck/src/state.rs
+++ b/crates/lotusdeck/src/state.rs
@@ -4,7 +4,7 @@
 
 use crate::operator::StateSettings;
 use lotusdeck_core::Host;
-use lotusdeck_proxy::discovery::List;
+use lotusdeck_proxy::list::List;
 use lotusdeck_proxy::mirror::Mirror;
 use lotusdeck_recovery::{
     choose, decode, encode, Age, Choice, Kept, Learned, ReadError, Saved, Trust, Weighing,
--- a/crates/lotusdeck/tests/rig/mod.rs
+++ b/crates/lotusdeck/tests/rig/mod.rs
@@ -258,7 +258,8 @@
     format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, entries.join(","))
 }
 
-/// Discovery: hands each call's target to the test, which answers it with a status and a body.
+/// Discovery: hands each call's target to the test, which answers it with a status and a body. Status 0: the text goes
+/// out as it is, and what is sent next goes out behind it.
 pub struct DiscoveryServer {
     pub address: SocketAddr,
     calls: mpsc::Receiver<(String, mpsc::Sender<(u16, String)>)>,
@@ -279,7 +280,13 @@
                         if tell.send((message.first, answer)).is_err() {
                             return;
                         }
-                        let Ok((status, body)) = wait.recv() else { return };
+                        let (status, body) = loop {
+                            match wait.recv() {
+                                Ok((0, raw)) if tcp.write_all(raw.as_bytes()).is_ok() => {}
+                                Ok((0, _)) | Err(_) => return,
+                                Ok(whole) => break whole,
+                            }
+                        };
                         let length = body.len();
                         let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n");
                         if tcp.write_all((head + &body).as_bytes()).is_err() {
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,6 +1,6 @@
 //! The node configuration: what this proxy is told at its start.
 
-use crate::discovery::List;
+use crate::list::List;
 use lotusdeck_policy::settings::{Faults, Settings};
 use serde::Deserialize;
 use serde_json::Value;
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,18 +1,18 @@
-//! Discovery: the backend list in its JSON form, and the watch that keeps it up to date.
+//! Discovery: the watch that keeps the backend list up to date.
 
 use crate::exchange::driven;
+use crate::list::List;
 use crate::stream::Stream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper::Request;
-use lotusdeck_core::{span, Endpoint, Host};
-use lotusdeck_policy::settings::Row;
-use lotusdeck_policy::{Backend, BackendState, CellId, Discovery, ListUpdate, Time};
-use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use lotusdeck_core::{span, Host};
+use lotusdeck_policy::{Discovery, ListUpdate};
 use std::cell::Cell;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -22,8 +22,14 @@
 
 /// One call waits so long for news.
 const WAIT: Duration = Duration::from_secs(10);
-/// What an answer may take beyond that before discovery counts as silent.
+/// What a call that does not wait may take before discovery counts as silent. What a silent one missed counts as
+/// told 6 s after it fell silent, so that another call, and one more, are answered before.
 const PROMPT: Duration = Duration::from_secs(2);
+/// What a call may take beyond its wait. What it missed counts as told 2 s after the wait is over, at which the next
+/// call has to be answered, be it at the second try: with 2 s here it was 0.2 to 1 s late at each proxy.
+const OVERDUE: Duration = Duration::from_millis(500);
+/// A connection that is not up by then will hardly come: a lost segment is sent again after 1 s.
+const CONNECT: Duration = Duration::from_secs(1);
 /// Pause after the first failed call in a row; it doubles, three times at most.
 const BACKOFF: Duration = Duration::from_millis(50);
 /// Multiples of it, whole parts left out, lie evenly spread however many there are (Kronecker's sequence).
@@ -31,67 +37,6 @@
 /// A list may be longer than a request's body, but not without bound.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
-/// A list, or the changes to one. Entries are read one by one, so that a bad one spoils no other.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub struct List {
-    pub index: u64,
-    pub snapshot: bool,
-    pub endpoints: Vec<Value>,
-}
-
-#[derive(Deserialize)]
-struct Entry {
-    name: String,
-    address: String,
-    #[serde(default)]
-    zone: String,
-    #[serde(default, rename = "type")]
-    kind: String,
-    #[serde(default)]
-    group: u64,
-    status: String,
-    #[serde(default)]
-    since_ms: f64,
-}
-
-impl Entry {
-    fn read(value: &Value) -> Result<Endpoint, String> {
-        let e = Entry::deserialize(value).map_err(|e| e.to_string())?;
-        let state = match e.status.as_str() {
-            "SERVING" => BackendState::Ready,
-            "DRAINING" => BackendState::Draining,
-            "DELETED" => BackendState::Gone,
-            other => return Err(format!("unknown status {other:?}")),
-        };
-        let address = e.address.parse().map_err(|_| format!("bad address {:?}", e.address))?;
-        let booted = (e.since_ms > 0.0).then_some(Time((e.since_ms * 1e3) as u64));
-        let entry = Backend { cell: CellId(e.group), state, booted, ..Backend::default() };
-        // The name is the same at every proxy; the address may not be.
-        let row = Row::new(&e.name, &e.address, &e.zone, &e.kind, entry);
-        Ok(Endpoint { name: e.name, address, state, row })
-    }
-}
-
-impl List {
-    /// The entries that make sense. Of the others one is logged, with their number: a list may be long.
-    pub fn entries(&self) -> Vec<Endpoint> {
-        let (mut skipped, mut sample) = (0, None);
-        let read = |value: &Value| {
-            let got = Entry::read(value);
-            got.map_err(|e| {
-                skipped += 1;
-                sample.get_or_insert_with(|| format!("{e}: {value:.200}"));
-            })
-            .ok()
-        };
-        let entries = self.endpoints.iter().filter_map(read).collect();
-        if let Some(sample) = sample {
-            warn!(skipped, first = format!("{sample:.400}"), "discovery entries skipped");
-        }
-        entries
-    }
-}
-
 #[derive(Debug)]
 enum WatchError {
     Connect(std::io::Error),
@@ -122,21 +67,28 @@
     conn: http1::Connection<Stream, Empty<Bytes>>,
 }
 
-/// What is known of the list across moves of discovery.
-struct Held {
+/// A call that is out, and the connection that it leaves. It is not dropped before it has ended: what discovery has
+/// written counts as told, read or not.
+type Call = Pin<Box<dyn Future<Output = (Option<Link>, Result<List, WatchError>)>>>;
+
+/// Takes every list that the module was told of, after it was told.
+pub type Kept = Box<dyn Fn(List)>;
+
+/// The list as it is held, across moves of discovery.
+struct Watch {
+    host: Rc<Host>,
     /// The version held; `None` where the whole list has to be asked for.
     index: Cell<Option<u64>>,
     /// When the list held is compared with a whole one: versions may be counted otherwise where discovery is now.
     check: Cell<Option<Instant>>,
+    /// Discovery has told something where it is now.
+    answered: Cell<bool>,
     /// Where every list taken goes on to, where it is kept across restarts.
     kept: Option<Kept>,
 }
 
-/// Takes every list that the module was told of, after it was told.
-pub type Kept = Box<dyn Fn(List)>;
-
-/// Keeps the list up to date for as long as the program runs. When discovery moves the call that is out is
-/// dropped at once, as it may wait for long.
+/// Keeps the list up to date for as long as the program runs. When discovery moves the new place is asked at once;
+/// the call that is out at the old one goes on beside that to its end, as it may have been answered already.
 ///
 /// Where lists are asked for, the new place is asked for what is newer than the list held, and for all of it some
 /// time later. Hundreds of proxies move together: with a whole list each, they waited for theirs for up to 9 s,
@@ -147,97 +99,147 @@
 ) {
     // An agent's answers cost nothing: begin with the truth.
     let index = (moved.borrow().1 != Discovery::Push).then_some(known);
-    let held = Held { index: Cell::new(index), check: Cell::new(None), kept };
+    let (index, check, answered) = (Cell::new(index), Cell::default(), Cell::default());
+    let watch = Rc::new(Watch { host, index, check, answered, kept });
     let mut told = false;
     loop {
         let (at, mode) = *moved.borrow_and_update();
         if let Discovery::Subscribe(_) = mode {
             if !std::mem::replace(&mut told, true) {
-                host.followed().await;
+                watch.host.followed().await;
             }
         }
+        let mut out = None;
         tokio::select! {
-            _ = follow(&host, at, mode, &held) => {}
-            Ok(()) = moved.changed() => match moved.borrow().1 {
-                Discovery::Push => held.index.set(None),
-                Discovery::Subscribe(within) => {
-                    // Spread evenly over the proxies, as their first calls could not be.
-                    let spread = (f64::from(host.settings().config.position) * GOLDEN).fract();
-                    held.check.set(Some(Instant::now() + span(within.times(1.0 + 2.0 * spread))));
+            _ = watch.follow(at, mode, &mut out) => {}
+            Ok(()) = moved.changed() => {
+                watch.answered.set(false);
+                match moved.borrow().1 {
+                    Discovery::Push => watch.index.set(None),
+                    Discovery::Subscribe(within) => {
+                        // Spread evenly over the proxies, as their first calls could not be.
+                        let position = watch.host.settings().config.position;
+                        let spread = (f64::from(position) * GOLDEN).fract();
+                        watch.check.set(Some(Instant::now() + span(within.times(1.0 + 2.0 * spread))));
+                    }
+                }
+                if let Some(call) = out {
+                    tokio::task::spawn_local(watch.clone().last_word(call));
                 }
-            },
+            }
         }
     }
 }
 
-/// Follows one discovery for ever, from what is held on.
-async fn follow(host: &Rc<Host>, at: SocketAddr, mode: Discovery, held: &Held) {
-    let asked = mode != Discovery::Push;
-    let (mut link, mut failures) = (None, 0u32);
-    // A call of the module's is answered once, by what it missed; only what follows waits for news.
-    let mut wait = if asked { Duration::ZERO } else { WAIT };
-    loop {
-        let check = held.check.get().map(|at| at.saturating_duration_since(Instant::now()));
-        let checks = check.is_some_and(|left| left.is_zero());
-        let index = held.index.get().filter(|_| !checks);
-        let (uri, patience) = match index {
-            None => ("/api/targets".to_string(), PROMPT),
-            Some(index) => {
-                let wait = check.map_or(wait, |left| wait.min(left));
-                (format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()), wait + PROMPT)
-            }
-        };
-        let call = tokio::time::timeout(patience, fetch(&mut link, at, &uri));
-        match call.await.unwrap_or(Err(WatchError::Silent)) {
-            Ok(list) => {
-                if failures > 0 {
-                    info!(index = list.index, "discovery is back");
-                }
-                (failures, wait) = (0, WAIT);
-                if list.snapshot {
-                    held.check.set(None);
-                }
-                // Changes against a newer list than the answer's: discovery began anew, so take it whole.
-                let gap = !list.snapshot && index.is_none_or(|index| list.index < index);
-                if gap && index.is_none() {
-                    warn!("discovery answered with changes to a call for the whole list");
-                    tokio::time::sleep(BACKOFF).await;
+impl Watch {
+    /// Follows one discovery for ever, from what is held on. The call that is out lies in `out`.
+    async fn follow(&self, at: SocketAddr, mode: Discovery, out: &mut Option<Call>) {
+        let asked = mode != Discovery::Push;
+        let (mut link, mut failures) = (None, 0u32);
+        // A call of the module's, or after a failure, is answered once, by what it missed; only what follows waits.
+        let mut wait = if asked { Duration::ZERO } else { WAIT };
+        loop {
+            let check = self.check.get().map(|at| at.saturating_duration_since(Instant::now()));
+            let checks = check.is_some_and(|left| left.is_zero());
+            let index = self.index.get().filter(|_| !checks);
+            let (uri, patience) = match index {
+                None => ("/api/targets".to_string(), PROMPT),
+                Some(index) => {
+                    let wait = check.map_or(wait, |left| wait.min(left));
+                    let patience = (wait + OVERDUE).max(PROMPT);
+                    (format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()), patience)
                 }
-                held.index.set((!gap).then_some(list.index));
-                if !gap {
-                    let update = if list.snapshot { ListUpdate::Full } else { ListUpdate::Changes };
-                    host.members(update, list.entries());
-                    if let Some(kept) = &held.kept {
-                        kept(list);
+            };
+            let (kept, call) = out.insert(fetch(link.take(), at, uri, patience)).await;
+            (link, *out) = (kept, None);
+            match call {
+                Ok(list) => {
+                    if failures > 0 {
+                        info!(index = list.index, "discovery is back");
+                    }
+                    (failures, wait) = (0, WAIT);
+                    self.answered.set(true);
+                    if list.snapshot {
+                        self.check.set(None);
+                    }
+                    // Changes against a newer list than the answer's: discovery began anew, so take it whole.
+                    let gap = !list.snapshot && index.is_none_or(|index| list.index < index);
+                    self.index.set((!gap).then_some(list.index));
+                    if !gap {
+                        self.take(list);
+                        continue;
+                    }
+                    // Who leaves by its word gets nothing until then: that it was told is certain.
+                    self.host.members(ListUpdate::Changes, list.leaving());
+                    if index.is_none() {
+                        warn!("discovery answered with changes to a call for the whole list");
+                        tokio::time::sleep(BACKOFF).await;
                     }
                 }
-            }
-            Err(e) => {
-                link = None;
-                failures += 1;
-                if failures == 1 {
-                    warn!(error = %e, "discovery failed");
-                }
-                if let (true, Discovery::Subscribe(within)) = (checks, mode) {
-                    held.check.set(Some(Instant::now() + span(within))); // what is newer comes first
-                }
-                if asked {
-                    host.members(ListUpdate::Lost, Vec::new());
-                    host.followed().await; // when to ask again is the module's to say
+                Err(e) => {
+                    failures += 1;
+                    if failures == 1 {
+                        warn!(error = %e, "discovery failed");
+                    }
+                    if let (true, Discovery::Subscribe(within)) = (checks, mode) {
+                        self.check.set(Some(Instant::now() + span(within))); // what is newer comes first
+                    }
                     wait = Duration::ZERO;
-                } else {
-                    tokio::time::sleep(BACKOFF * (1 << failures.min(4)) / 2).await;
+                    if asked {
+                        self.host.members(ListUpdate::Lost, Vec::new());
+                        self.host.followed().await; // when to ask again is the module's to say
+                    } else {
+                        tokio::time::sleep(BACKOFF * (1 << failures.min(4)) / 2).await;
+                    }
                 }
             }
         }
     }
+
+    fn take(&self, list: List) {
+        let update = if list.snapshot { ListUpdate::Full } else { ListUpdate::Changes };
+        self.host.members(update, list.news());
+        if let Some(kept) = &self.kept {
+            kept(list);
+        }
+    }
+
+    /// What the place that discovery has left had written by then, or writes until it ends the call. Where the new
+    /// one has answered since, with an older version, no more is believed than who leaves.
+    async fn last_word(self: Rc<Self>, call: Call) {
+        let (_link, Ok(list)) = call.await else { return };
+        let held = self.index.get();
+        let follows = list.snapshot || held.is_none_or(|held| list.index >= held);
+        match held {
+            Some(held) if self.answered.get() && list.index <= held => {}
+            _ if self.answered.get() || !follows => self.host.members(ListUpdate::Changes, list.leaving()),
+            _ => {
+                self.index.set(held.map(|_| list.index));
+                self.take(list);
+            }
+        }
+    }
+}
+
+/// A call and the connection that is left behind it; each step of it is bounded.
+fn fetch(link: Option<Link>, at: SocketAddr, uri: String, patience: Duration) -> Call {
+    Box::pin(async move {
+        let mut link = link;
+        let call = tokio::time::timeout(patience, ask(&mut link, at, &uri)).await;
+        match call.unwrap_or(Err(WatchError::Silent)) {
+            Ok(list) => (link, Ok(list)),
+            Err(e) => (None, Err(e)),
+        }
+    })
 }
 
-async fn fetch(link: &mut Option<Link>, at: SocketAddr, uri: &str) -> Result<List, WatchError> {
+async fn ask(link: &mut Option<Link>, at: SocketAddr, uri: &str) -> Result<List, WatchError> {
     let mut live = match link.take() {
         Some(live) if !live.sender.is_closed() => live,
         _ => {
-            let tcp = TcpStream::connect(at).await.map_err(WatchError::Connect)?;
+            let dial = tokio::time::timeout(CONNECT, TcpStream::connect(at)).await;
+            let tcp = dial.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()));
+            let tcp = tcp.map_err(WatchError::Connect)?;
             let (sender, conn) = http1::handshake(Stream::new(tcp)).await.map_err(boxed)?;
             Link { sender, conn }
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -12,6 +12,7 @@
 mod exchange;
 pub mod fault;
 pub mod handover;
+pub mod list;
 pub mod mirror;
 pub mod pauses;
 pub mod peer;
--- /dev/null
+++ b/crates/proxy/src/list.rs
@@ -0,0 +1,117 @@
+//! The backend list in discovery's JSON form, and what its lines say, whole or in part.
+
+use lotusdeck_core::{Endpoint, News, Partial};
+use lotusdeck_policy::settings::Row;
+use lotusdeck_policy::{Backend, BackendState, CellId, Time};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::HashMap;
+use tracing::warn;
+
+/// A list, or the changes to one. Entries are read one by one, so that a bad one spoils no other.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct List {
+    pub index: u64,
+    pub snapshot: bool,
+    pub endpoints: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct Entry {
+    name: String,
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default, rename = "type")]
+    kind: String,
+    #[serde(default)]
+    group: u64,
+    status: String,
+    #[serde(default)]
+    since_ms: f64,
+}
+
+fn state(status: &str) -> Option<BackendState> {
+    match status {
+        "SERVING" => Some(BackendState::Ready),
+        "DRAINING" => Some(BackendState::Draining),
+        "DELETED" => Some(BackendState::Gone),
+        _ => None,
+    }
+}
+
+fn leaves(state: BackendState) -> bool {
+    state != BackendState::Ready
+}
+
+impl Entry {
+    fn read(value: &Value) -> Result<Endpoint, String> {
+        let e = Entry::deserialize(value).map_err(|e| e.to_string())?;
+        let state = state(&e.status)
+            .ok_or_else(|| format!("status: expected SERVING, DRAINING or DELETED, got {:?}", e.status))?;
+        let address = e.address.parse();
+        let address = address.map_err(|_| format!("address: expected IP:port, got {:?}", e.address))?;
+        let booted = (e.since_ms > 0.0).then_some(Time((e.since_ms * 1e3) as u64));
+        let entry = Backend { cell: CellId(e.group), state, booted, ..Backend::default() };
+        // The name is the same at every proxy; the address may not be.
+        let row = Row::new(&e.name, &e.address, &e.zone, &e.kind, entry);
+        Ok(Endpoint { name: e.name, address, state, row })
+    }
+
+    /// What can be told of an entry that is not understood whole: whom it names, and whether that one leaves. Any
+    /// other word of it is not believed.
+    fn part(value: &Value) -> Option<Partial> {
+        let text = |key| value.get(key).and_then(Value::as_str);
+        let leaving = text("status").and_then(state).filter(|s| leaves(*s));
+        Some(Partial { name: text("name")?.into(), state: leaving })
+    }
+}
+
+impl List {
+    /// What it says. Of entries that are not understood whole one is logged, with their number, as a list may be
+    /// long; a word that a backend leaves is taken from them all the same, and else they change nothing. Where a
+    /// whole list names one twice, the word that it leaves goes first; in changes the last word counts.
+    pub fn news(&self) -> News {
+        let mut news = News::default();
+        let (mut skipped, mut sample) = (0, None);
+        for (at, value) in self.endpoints.iter().enumerate() {
+            match Entry::read(value) {
+                Ok(entry) => news.entries.push(entry),
+                Err(e) => {
+                    skipped += 1;
+                    sample.get_or_insert_with(|| format!("endpoints[{at}]: {e}: {value:.200}"));
+                    news.partial.extend(Entry::part(value));
+                }
+            }
+        }
+        if let Some(sample) = sample {
+            warn!(skipped, first = format!("{sample:.400}"), "discovery entries skipped");
+        }
+        if self.snapshot {
+            news.partial.extend(contradicted(&news.entries));
+        }
+        news
+    }
+
+    /// Of what it says only who leaves: all that can be believed of changes to a list that is not held.
+    pub fn leaving(&self) -> News {
+        let news = self.news();
+        let left = |e: &Endpoint| Partial { name: e.name.clone(), state: Some(e.state) };
+        let entries = news.entries.iter().filter(|e| leaves(e.state)).map(left);
+        let partial = entries.chain(news.partial.into_iter().filter(|p| p.state.is_some())).collect();
+        News { entries: Vec::new(), partial }
+    }
+}
+
+/// The leaving words of names that stand more than once in a whole list.
+fn contradicted(entries: &[Endpoint]) -> Vec<Partial> {
+    let mut states: HashMap<&str, (usize, Option<BackendState>)> = HashMap::with_capacity(entries.len());
+    for e in entries {
+        let (times, leaving) = states.entry(&e.name).or_default();
+        *times += 1;
+        *leaving = leaving.or(Some(e.state).filter(|s| leaves(*s)));
+    }
+    let twice = states.into_iter().filter(|(_, (times, _))| *times > 1);
+    let twice = twice.inspect(|(name, (times, _))| warn!(name, times, "discovery names one more than once"));
+    twice.filter_map(|(name, (_, state))| Some(Partial { name: name.into(), state: Some(state?) })).collect()
+}
--- a/crates/proxy/src/mirror.rs
+++ b/crates/proxy/src/mirror.rs
@@ -1,6 +1,6 @@
 //! The whole list as this proxy last had it, merged from discovery's changes, so that it can outlive the process.
 
-use crate::discovery::List;
+use crate::list::List;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use tracing::warn;
