Ask for list and client at the first byte written, and close no connection on an unread request

Need: requests whose client has left are not sent on; a decision is taken at the last moment at which it can be undone.

Found by reading, each shown by a test that failed before: - hyper reads no further behind bytes that follow an open request (mid_message_detect_eof), so that a client that sends more and leaves stayed waited for, and its request went out once a connection stood: 'sent for nobody: POST /pay/k1' for every way of leaving. The kernel is asked at the first byte (Stream::left, HttpWork::gate), and the module is told. - serve() closed a connection at the end of its patience, kept or new, with a whole request unread on it: 'connection 0 was closed on its request'.

Cleared, the tests passed before as well: clients that left before their request was read (24 ways), requests that meet the end of the linger, a second SIGTERM, half a head at SIGTERM, SIGTERM before discovery answered.

--- a/crates/core/src/work.rs
+++ b/crates/core/src/work.rs
@@ -48,11 +48,13 @@
 impl Leg {
     /// Waits until the attempt is written down, where that has to be. To be awaited once a connection stands, before
     /// [`Leg::may_send`] is asked; the wait is bounded. No means that not a byte may be sent.
-    pub async fn cleared(&self) -> bool {
+    pub fn cleared(&self) -> impl Future<Output = bool> + use<> {
         let clearance = self.clearance.take();
-        match clearance {
-            Some(clearance) => clearance.await,
-            None => true,
+        async {
+            match clearance {
+                Some(clearance) => clearance.await,
+                None => true,
+            }
         }
     }
 
--- a/crates/lotusdeck/tests/crossings.rs
+++ b/crates/lotusdeck/tests/crossings.rs
@@ -4,6 +4,8 @@
 mod rig;
 
 use rig::*;
+use std::io::BufRead;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 /// What may be sent to a backend once discovery has written that it leaves (`rules.stop_sending_within_us` is 500 ms
@@ -137,3 +139,223 @@
     let (_, _waits) = proxy.discovery.call();
     assert_eq!(proxy.ask(&pay(3.0)).body, b"y");
 }
+
+/// How a client goes.
+#[derive(Clone, Copy, Debug)]
+enum Leaves {
+    /// It closes.
+    Closes,
+    /// It ends its sending, which the platform's clients do by closing: nobody is taken to wait for an answer.
+    EndsSending,
+    /// Its machine sends a reset.
+    Resets,
+}
+
+/// The connection is held on to where only its sending has ended.
+fn leave(client: Client, how: Leaves) -> Option<Client> {
+    let tcp = client.0.get_ref();
+    match how {
+        Leaves::Closes => return None,
+        Leaves::EndsSending => tcp.shutdown(std::net::Shutdown::Write).unwrap(),
+        Leaves::Resets => {
+            socket2::SockRef::from(tcp).set_linger(Some(Duration::ZERO)).unwrap();
+            return None;
+        }
+    }
+    Some(client)
+}
+
+const WAYS: [Leaves; 3] = [Leaves::Closes, Leaves::EndsSending, Leaves::Resets];
+
+/// A request whose client has left lies whole in the queue of the listener, or on a kept connection, when the program
+/// comes to it: it is not sent on, whatever its class and whatever lies behind it.
+#[test]
+fn a_request_that_its_client_left_before_it_was_read_is_not_sent_on() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = Proxy::start(&[entry("b0", backend.address, "SERVING")]);
+    let mut clients = Vec::new();
+    for how in WAYS {
+        for (request, kept) in [(read(3.0), false), (read(3.0), true), (pay(3.0), false), (pay(3.0), true)] {
+            for behind in ["", "GET /"] {
+                let mut client = proxy.client();
+                if kept {
+                    assert_eq!(client.ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n").status(), 200);
+                }
+                clients.push((client, how, request.clone() + behind));
+            }
+        }
+    }
+    proxy.signal("STOP");
+    let later = proxy.client(); // in the queue before the program wakes, behind all of them
+    let gone = clients.into_iter().map(|(mut client, how, request)| {
+        client.send(&request);
+        leave(client, how)
+    });
+    let _held: Vec<Option<Client>> = gone.collect();
+    proxy.signal("CONT");
+    let mut later = later;
+    for _ in 0..5 {
+        assert_eq!(later.ask(&read(3.0)).status(), 200);
+    }
+    assert_eq!(backend.count(), 5, "what nobody waits for was sent on");
+}
+
+/// A listener to which connections do not come up until its queue is emptied.
+struct Unreached {
+    listener: socket2::Socket,
+    fillers: Vec<TcpStream>,
+}
+
+impl Unreached {
+    fn new() -> Unreached {
+        let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        listener.listen(1).unwrap();
+        let at = listener.local_addr().unwrap().as_socket().unwrap();
+        // The kernel may take a few more than it is told: its queue is full once one does not come up.
+        let fillers = std::iter::from_fn(|| TcpStream::connect_timeout(&at, Duration::from_millis(300)).ok());
+        Unreached { fillers: fillers.collect(), listener }
+    }
+    fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap().as_socket().unwrap()
+    }
+    /// Takes the fillers out of the way. The first request that comes then, on whichever connection; one that is
+    /// closed with not a byte on it was given up.
+    fn first_request(&self) -> Message {
+        let fills = |at: SocketAddr| self.fillers.iter().any(|f| f.local_addr().unwrap() == at);
+        loop {
+            let tcp: TcpStream = self.listener.accept().unwrap().0.into();
+            if tcp.peer_addr().is_ok_and(fills) {
+                continue;
+            }
+            tcp.set_read_timeout(Some(PATIENCE)).unwrap();
+            let mut peer = std::io::BufReader::new(tcp);
+            if !peer.fill_buf().unwrap_or_default().is_empty() {
+                return Message::read(&mut peer).expect("a whole request");
+            }
+        }
+    }
+}
+
+/// Waits until so many attempts are out.
+fn until_attempts(proxy: &Proxy, count: usize) {
+    let asked = "GET /admin/status HTTP/1.1\r\nHost: o\r\nContent-Length: 0\r\n\r\n";
+    let out = format!("\"open_attempts\":{count}");
+    let end = Instant::now() + PATIENCE;
+    loop {
+        let got = Client::connect(proxy.admin).ask(asked);
+        let text: String = String::from_utf8(got.body).unwrap().split_whitespace().collect();
+        if text.contains(&out) {
+            return;
+        }
+        assert!(Instant::now() < end, "no {out} in {text}");
+    }
+}
+
+/// The client sends more and leaves while a connection to the backend comes up. What came behind the request hides its
+/// end from a reader that stops there; the first byte asks for it all the same.
+#[test]
+fn a_client_that_left_behind_further_bytes_has_nothing_sent_for_it() {
+    std::thread::scope(|scope| {
+        for how in WAYS {
+            for request in [read(3.0), pay(3.0)] {
+                scope.spawn(move || {
+                    let backend = Unreached::new();
+                    let settings =
+                        SETTINGS.replace("\"dial_timeout_us\":300000", "\"dial_timeout_us\":9000000");
+                    let proxy = Proxy::with(&[entry("b0", backend.address(), "SERVING")], 1024, &settings);
+                    let mut client = proxy.client();
+                    client.send(&request);
+                    until_attempts(&proxy, 1);
+                    client.send("GET /");
+                    let _held = leave(client, how);
+                    let marker = read(3.0);
+                    let mut later = proxy.client();
+                    later.send(&marker);
+                    let first = backend.first_request();
+                    let id = first.header("x-correlation-id").expect("an id");
+                    assert!(marker.contains(id), "{how:?}: sent for nobody: {}", first.first);
+                });
+            }
+        }
+    });
+}
+
+/// The time of a silent connection runs out, kept or new, while a request lies unread on it: it is answered.
+#[test]
+fn a_request_that_meets_the_end_of_its_connections_patience_is_answered() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = Proxy::start(&[entry("b0", backend.address, "SERVING")]);
+    let mut clients: Vec<Client> = (0..40).map(|_| proxy.client()).collect();
+    for client in &mut clients[20..] {
+        assert_eq!(client.ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n").status(), 200);
+    }
+    assert_eq!(proxy.ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n").status(), 200); // all are taken in
+    proxy.signal("STOP");
+    clients.iter_mut().for_each(|client| client.send(&pay(9.0)));
+    std::thread::sleep(Duration::from_millis(2200)); // the patience is 2.1 s
+    proxy.signal("CONT");
+    for (n, client) in clients.iter_mut().enumerate() {
+        assert_eq!(
+            client.answer().map(|a| a.status()),
+            Some(200),
+            "connection {n} was closed on its request"
+        );
+    }
+}
+
+/// After SIGTERM and its linger all that is idle is closed. Requests that lie unread at that very moment, on kept
+/// connections, are read and answered first.
+#[test]
+fn requests_that_meet_the_end_of_the_linger_are_answered() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let mut proxy = Proxy::start(&[entry("b0", backend.address, "SERVING")]);
+    let mut clients: Vec<Client> = (0..30).map(|_| proxy.client()).collect();
+    for client in &mut clients {
+        assert_eq!(client.ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n").status(), 200);
+    }
+    proxy.signal("TERM");
+    proxy.logged("stopping");
+    proxy.signal("STOP");
+    clients.iter_mut().for_each(|client| client.send(&pay(3.0)));
+    std::thread::sleep(Duration::from_millis(600)); // the linger is 0.5 s
+    proxy.signal("CONT");
+    for (n, client) in clients.iter_mut().enumerate() {
+        assert_eq!(
+            client.answer().map(|a| a.status()),
+            Some(200),
+            "connection {n} was closed on its request"
+        );
+        assert!(client.ended());
+    }
+    assert!(proxy.child.wait().unwrap().success());
+}
+
+/// SIGTERM while half a head is there, before discovery has ever answered, and a second SIGTERM while an answer is
+/// owed: all that was taken is answered, and the program ends well.
+#[test]
+fn a_second_sigterm_ends_nothing_that_is_owed() {
+    for settings in [SETTINGS.to_string(), asked()] {
+        let gate = std::sync::Arc::new(Gate::default());
+        let wait = gate.clone();
+        let backend = BackendServer::start(move |_| Reply::Gate(wait.clone()));
+        let mut proxy = Proxy::with(&[entry("b0", backend.address, "SERVING")], 1024, &settings);
+        let _unanswered = proxy.discovery.call();
+        let (mut whole, mut half) = (proxy.client(), proxy.client());
+        whole.send(&pay(3.0));
+        backend.request();
+        let request = read(3.0);
+        let (first, rest) = request.split_at(30);
+        half.send(first);
+        proxy.signal("TERM");
+        proxy.logged("stopping");
+        half.send(rest);
+        backend.request();
+        proxy.signal("TERM");
+        gate.open();
+        for client in [&mut whole, &mut half] {
+            assert_eq!(client.answer().expect("what was owed").body, b"gated");
+        }
+        assert!(proxy.child.wait().unwrap().success());
+    }
+}
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -82,7 +82,8 @@
         let origin = head.uri.path_and_query().map(|p| p.as_str().parse());
         let uri = origin.and_then(Result::ok).ok_or(Fault::Target)?;
         let upload = body.flow().cloned();
-        let work = HttpWork::new(self.pool.clone(), Call { method: head.method, uri, headers, body });
+        let call = Call { method: head.method, uri, headers, body };
+        let work = HttpWork::new(self.pool.clone(), call, client.stream.clone());
         let (labelled, label) = (work.clone(), name.clone());
         let labels = move || {
             let path = labelled.path();
@@ -109,6 +110,7 @@
         let answer = tokio::select! {
             biased;
             got = answer.as_mut() => got,
+            _ = work.left.notified() => return Err(Fault::Left), // `owed` tells the module
             over = due => {
                 over?; // no request after all: `owed` tells the module that nobody waits
                 self.host.deadline(id);
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -4,6 +4,7 @@
 use crate::exchange::{clean, exchange, Broken};
 use crate::pool::Pool;
 use crate::relay::Relay;
+use crate::stream::{Gate, Stream};
 use crate::strip_hop_by_hop;
 use hyper::body::Body;
 use hyper::ext::on_informational;
@@ -18,6 +19,7 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// A client's request as it goes on to backends.
@@ -53,14 +55,32 @@
 pub struct HttpWork {
     pool: Rc<Pool>,
     call: Call,
+    /// Whose request it is.
+    client: Stream,
+    /// Told where the client was found to have left when something was about to be sent for it.
+    pub(crate) left: Rc<Notify>,
     served: RefCell<Vec<(AttemptNo, Served)>>,
     statuses: RefCell<Vec<(AttemptNo, u16)>>,
 }
 
 impl HttpWork {
     /// Of a request that was read; attempts go out on the pool's connections.
-    pub fn new(pool: Rc<Pool>, call: Call) -> Rc<HttpWork> {
-        Rc::new(HttpWork { pool, call, served: RefCell::default(), statuses: RefCell::default() })
+    pub fn new(pool: Rc<Pool>, call: Call, client: Stream) -> Rc<HttpWork> {
+        let (served, statuses, left) = (RefCell::default(), RefCell::default(), Rc::default());
+        Rc::new(HttpWork { pool, call, client, left, served, statuses })
+    }
+
+    /// Asked at the first byte of an attempt. The end of a client may be hidden from hyper, which reads no further
+    /// behind bytes that follow a request, and may have come while this process was doing something else.
+    fn gate(&self, leg: Leg) -> Gate {
+        let (client, left) = (self.client.clone(), self.left.clone());
+        Box::new(move || {
+            let gone = client.left();
+            if gone {
+                left.notify_one();
+            }
+            !gone && leg.may_send()
+        })
     }
 
     /// Its path as the client wrote it.
@@ -79,11 +99,11 @@
 impl Work for HttpWork {
     fn attempt(self: Rc<Self>, leg: Leg) -> Sending {
         Box::pin(async move {
-            let to = (leg.backend, leg.address);
-            let sent = self.pool.attempt(to, &self.call, leg.deadline, leg.cleared(), || leg.may_send());
-            let ended = sent.await;
-            self.statuses.borrow_mut().extend(ended.status.map(|s| (leg.attempt, s)));
-            self.served.borrow_mut().extend(ended.served.map(|s| (leg.attempt, s)));
+            let (attempt, to, deadline) = (leg.attempt, (leg.backend, leg.address), leg.deadline);
+            let cleared = leg.cleared();
+            let ended = self.pool.attempt(to, &self.call, deadline, cleared, self.gate(leg)).await;
+            self.statuses.borrow_mut().extend(ended.status.map(|s| (attempt, s)));
+            self.served.borrow_mut().extend(ended.served.map(|s| (attempt, s)));
             ended.outcome
         })
     }
@@ -98,22 +118,30 @@
 }
 
 impl Pool {
-    /// Sends `call` to a backend and waits for the answer, or for its first bytes where it is large. `may_send` is
-    /// asked at the moment of the first byte: the backend may have begun to drain while the connection came up.
+    /// Sends `call` to a backend and waits for the answer, or for its first bytes where it is large. `gate` is asked
+    /// at the moment of the first byte: the backend may have begun to drain, or the client have left, while the
+    /// connection came up.
     pub(crate) async fn attempt(
         self: &Rc<Self>, (id, to): (BackendId, SocketAddr), call: &Call, deadline: Instant,
-        cleared: impl Future<Output = bool>, may_send: impl Fn() -> bool,
+        cleared: impl Future<Output = bool>, gate: Gate,
     ) -> Ended {
-        let c = match self.take(id, to) {
-            Some(c) => c,
-            None => match self.connect(to).await {
-                Ok(c) => c,
-                Err(outcome) => return outcome.into(),
-            },
+        // A kept connection is looked at when it is used: it may be closed while the journal writes.
+        let fresh = match self.keeps(id) {
+            true => None,
+            false => Some(self.connect(to).await),
         };
         let cleared = cleared.await;
+        let taken = || self.take(id, to).map(Ok);
+        let c = match fresh.or_else(taken) {
+            Some(connected) => connected,
+            None => self.connect(to).await,
+        };
+        let c = match c {
+            Ok(c) => c,
+            Err(outcome) => return outcome.into(),
+        };
         let left = deadline.saturating_duration_since(Instant::now());
-        if !cleared || left.is_zero() || call.body.spent() || !may_send() {
+        if !cleared || left.is_zero() || call.body.spent() {
             self.put(id, c); // an unused connection stays warm
             return Outcome::NeverSent.into();
         }
@@ -128,9 +156,13 @@
         let seen = early.clone();
         on_informational(&mut request, move |_| seen.store(true, Relaxed));
         let length = request.body().size_hint().exact();
-        c.stream.begin_request(length);
+        c.stream.begin_request(length, gate);
         let upload = call.body.flow();
         let ended = exchange(&c.stream, request, &early, upload, self.budget.keep(), self.pauses.get()).await;
+        if c.stream.withheld() {
+            self.put(id, c);
+            return Outcome::NeverSent.into();
+        }
         // Where chunks hide what is on its way the last byte counts as written once it was given away.
         let given = length.is_none() && upload.is_some_and(|u| u.whole());
         let heard = ended.as_ref().is_ok_and(|e| judge(&e.head) == Outcome::Full);
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -50,6 +50,7 @@
         let moving = || now - self.stream.moved() < HEAD_REST;
         match self.stream.heard() {
             _ if self.busy.get() || self.leaving.get() => None,
+            Some(_) if self.stream.unread() => None,
             Some(_) => (!moving()).then_some(Standing::Stopped),
             None if self.stream.stirred() => None,
             None if self.proven.get() => Some(Standing::Idle),
--- a/crates/proxy/src/fault.rs
+++ b/crates/proxy/src/fault.rs
@@ -22,6 +22,8 @@
     Target,
     /// Its path leads out of the class that it begins with.
     Path,
+    /// Its client went away: this is told to nobody.
+    Left,
 }
 
 impl Fault {
@@ -42,6 +44,7 @@
             Fault::Body => (StatusCode::BAD_REQUEST, "the body is malformed\n"),
             Fault::Slow => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
             Fault::Path => (StatusCode::BAD_REQUEST, "the path leads out of its class\n"),
+            Fault::Left => (StatusCode::BAD_REQUEST, "the client left\n"),
             Fault::Target => (StatusCode::BAD_REQUEST, "the target has no path\n"),
         }
     }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -89,6 +89,11 @@
         c.since.elapsed() < self.keep.get() && !c.stream.stirred()
     }
 
+    /// There may be a warm connection.
+    pub(crate) fn keeps(&self, id: BackendId) -> bool {
+        self.lines.borrow().get(&id).is_some_and(|line| !line.idle.is_empty())
+    }
+
     /// A warm connection, checked at this moment.
     pub(crate) fn take(&self, id: BackendId, to: SocketAddr) -> Option<Conn> {
         let mut lines = self.lines.borrow_mut();
@@ -185,7 +190,7 @@
     use hyper::{HeaderMap, Method, Uri};
     use lotusdeck_core::Lines;
     use lotusdeck_policy::Micros;
-    use std::io::Read;
+    use std::io::{Read, Write};
 
     fn pool(max: usize) -> Rc<Pool> {
         let (connect_timeout, conn_idle) = (Micros(5_000_000), Micros(60_000_000));
@@ -216,9 +221,11 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let (pool, to) = (pool(4), listener.local_addr().unwrap());
         let to = (BackendId(0), to);
-        let ended = pool.attempt(to, &call(), soon(), std::future::ready(true), || false).await;
+        let closed = Box::new(|| false);
+        let ended = pool.attempt(to, &call(), soon(), std::future::ready(true), closed).await;
         assert_eq!(ended.outcome, Outcome::NeverSent);
-        let unsafe_to_send = pool.attempt(to, &call(), soon(), std::future::ready(false), || true).await;
+        let open = Box::new(|| true);
+        let unsafe_to_send = pool.attempt(to, &call(), soon(), std::future::ready(false), open).await;
         assert_eq!(unsafe_to_send.outcome, Outcome::NeverSent, "not written down yet");
         let mut peer = listener.accept().unwrap().0;
         drop(pool);
@@ -227,6 +234,33 @@
         assert!(got.is_empty(), "{got:?}");
     }
 
+    /// The backend closes a kept connection while the journal writes: what must not run twice goes out on another.
+    #[tokio::test]
+    async fn a_kept_connection_is_looked_at_when_it_is_used() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let (pool, to) = (pool(4), listener.local_addr().unwrap());
+        pool.serve(&HashSet::from([BackendId(0)]));
+        pool.put(BackendId(0), pool.connect(to).await.ok().unwrap());
+        let kept = listener.accept().unwrap().0;
+        let answers = std::thread::spawn(move || {
+            let mut peer = listener.accept().unwrap().0;
+            let mut got = [0; 512];
+            let mut read = 0;
+            while !got[..read].ends_with(b"cash") {
+                read += peer.read(&mut got[read..]).unwrap();
+            }
+            peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+        });
+        tokio::time::sleep(QUIET).await;
+        let cleared = async {
+            drop(kept);
+            true
+        };
+        let ended = pool.attempt((BackendId(0), to), &call(), soon(), cleared, Box::new(|| true)).await;
+        assert_eq!(ended.outcome, Outcome::Ok);
+        answers.join().unwrap();
+    }
+
     /// At the bound the backend is not called ill, and an idle connection to another makes room first.
     #[tokio::test]
     async fn the_bound_on_connections_holds_and_the_idle_make_way() {
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -35,6 +35,9 @@
 const READ_PATIENCE: Duration = Duration::from_secs(20);
 /// A connection with an open request is looked at again after this time.
 const BUSY_LOOK: Duration = Duration::from_millis(500);
+/// A connection whose time is over while something lies unread on it is looked at again after this time: the next turn
+/// of the loop reads it.
+const UNREAD_LOOK: Duration = Duration::from_millis(20);
 /// The largest head, to which hyper holds a connection's buffer.
 const MAX_HEAD: usize = 16 * 1024;
 /// Connections that never sent a whole request hold this part of the places before they go first at any age.
@@ -275,6 +278,7 @@
         let mut seen = (0, client.accepted);
         loop {
             tokio::select! {
+                biased; // what has come is read before a connection is closed for its silence
                 _ = conn.as_mut() => return,
                 _ = cut.as_mut(), if client.leaving.get() && !client.busy.get() => return,
                 _ = due.as_mut() => {
@@ -290,6 +294,8 @@
                             return; // it reads nothing
                         }
                         due.as_mut().reset(now + BUSY_LOOK);
+                    } else if client.stream.unread() {
+                        due.as_mut().reset(now + UNREAD_LOOK);
                     } else if client.stream.heard().is_some() || !client.proven.get() {
                         return; // no whole head came
                     } else {
@@ -301,9 +307,11 @@
                     if client.leaving.get() {
                         cut.as_mut().reset(tokio::time::Instant::now() + CLOSE_PATIENCE);
                     }
-                    let standing = client.standing(tokio::time::Instant::now(), true);
+                    // A first request that comes while its connection is closed goes unanswered, so that the young ones
+                    // are given their time; what lies unread may be a request.
+                    let standing = client.standing(tokio::time::Instant::now(), false);
                     let none_owed = client.leaving.get() && !client.proven.get() && !client.busy.get();
-                    if none_owed || matches!(standing, Some(Standing::Silent | Standing::Stopped)) {
+                    if none_owed && !client.stream.unread() || matches!(standing, Some(Standing::Silent | Standing::Stopped)) {
                         return;
                     }
                     // A request that has just come is answered first; `answer` then ends the connection.
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -3,7 +3,8 @@
 
 use crate::chunks::Chunks;
 use hyper::rt::{Read, ReadBufCursor, Write};
-use std::cell::Cell;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -44,8 +45,15 @@
     sent: Cell<u64>,
     /// Told at the first of these bytes.
     first: Notify,
+    /// Asked before the first byte of a request, as long as none of it is out.
+    gate: RefCell<Option<Gate>>,
+    /// It said no.
+    withheld: Cell<bool>,
 }
 
+/// Whether a request may still be sent.
+pub type Gate = Box<dyn Fn() -> bool>;
+
 impl Stream {
     pub fn new(tcp: TcpStream) -> Stream {
         let _ = tcp.set_nodelay(true); // small writes are whole messages here
@@ -64,11 +72,17 @@
             received: Cell::default(),
             sent: Cell::default(),
             first: Notify::new(),
+            gate: RefCell::default(),
+            withheld: Cell::default(),
         }))
     }
 
-    /// From now on counts the bytes of a new request with a body of that size, if it is known.
-    pub fn begin_request(&self, body: Option<u64>) {
+    /// From now on counts the bytes of a new request with a body of that size, if it is known. `gate` is asked when
+    /// its first byte is about to go out, which is the last moment at which it never ran for certain; where it says
+    /// no the write fails and nothing is out.
+    pub fn begin_request(&self, body: Option<u64>, gate: Gate) {
+        self.0.gate.replace(Some(gate));
+        self.0.withheld.set(false);
         self.0.matched.set(0);
         self.0.body_left.set(body.unwrap_or(u64::MAX));
     }
@@ -78,8 +92,20 @@
         self.0.matched.get() == 4 && self.0.body_left.get() == 0
     }
 
+    /// Not a byte of the request went out, as its gate said no.
+    pub fn withheld(&self) -> bool {
+        self.0.withheld.get()
+    }
+
+    fn barred(&self) -> bool {
+        let barred = self.0.gate.borrow().as_ref().is_some_and(|open| !open());
+        self.0.withheld.set(barred);
+        barred
+    }
+
     fn wrote(&self, bytes: &[u8]) {
         let s = &self.0;
+        s.gate.take();
         s.sent.set(s.sent.get() + bytes.len() as u64);
         s.body_left.set(s.body_left.get().saturating_sub(behind_head(&s.matched, bytes) as u64));
     }
@@ -147,7 +173,7 @@
     /// More has come than a message with a body of that size, or than one in chunks.
     pub fn surplus(&self, body: u64) -> bool {
         let own = if self.0.chunked.get() { 0 } else { body };
-        self.0.behind.get() > own || matches!(self.peek(), Ok(n) if n > 0)
+        self.0.behind.get() > own || self.unread()
     }
 
     /// From now on what comes is a message of its own.
@@ -173,12 +199,35 @@
         self.0.heard.get().is_some() || !self.peek().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// The other side sends no more, by the kernel's word: it has closed or reset the connection, be it behind bytes
+    /// that nobody has read. One that only ended its sending counts as gone as well: what it asked for may be answered
+    /// to nobody, and the platform's clients end their sending by leaving.
+    pub fn left(&self) -> bool {
+        match self.peek() {
+            Ok(0) => true,
+            Ok(_) => hung_up(&self.0.tcp),
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Bytes wait in the kernel that nobody has read.
+    pub fn unread(&self) -> bool {
+        matches!(self.peek(), Ok(n) if n > 0)
+    }
+
     /// Asks the kernel itself: the event loop may not have come round to it yet.
     fn peek(&self) -> io::Result<usize> {
         socket2::SockRef::from(&self.0.tcp).peek(&mut [std::mem::MaybeUninit::uninit()])
     }
 }
 
+/// Whether the other side's end lies behind bytes that are still to be read.
+fn hung_up(tcp: &TcpStream) -> bool {
+    let mut asked = [PollFd::new(tcp, PollFlags::RDHUP)];
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    poll(&mut asked, Some(&at_once)).is_ok_and(|ready| ready > 0)
+}
+
 /// How many of these bytes lie behind the head's end (CRLF CRLF), of which so many were matched before.
 fn behind_head(matched: &Cell<u8>, bytes: &[u8]) -> usize {
     for (at, byte) in bytes.iter().enumerate() {
@@ -219,6 +268,9 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.tcp.poll_write_ready(cx))?;
+            if self.barred() {
+                return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
+            }
             match self.0.tcp.try_write(buf) {
                 Ok(n) => {
                     self.wrote(&buf[..n]);
@@ -262,7 +314,7 @@
         let (mut stream, mut peer) = pair().await;
         for parts in [["POST / HTTP/1.1\r\nA: 1\r", "\n\r\nbod", "y"], ["GET / HTTP/1.1\r\n", "\r\nbo", "dy"]]
         {
-            stream.begin_request(Some(4));
+            stream.begin_request(Some(4), Box::new(|| true));
             for part in parts {
                 assert!(!stream.request_written(), "before {part:?}");
                 write(&mut stream, part.as_bytes()).await;
@@ -270,13 +322,60 @@
             assert!(stream.request_written());
             peer.read_exact(&mut vec![0; parts.concat().len()]).unwrap();
         }
-        stream.begin_request(Some(0));
+        stream.begin_request(Some(0), Box::new(|| true));
         write(&mut stream, b"GET / HTTP/1.1\r\n\r").await;
         assert!(!stream.request_written());
         write(&mut stream, b"\n").await;
         assert!(stream.request_written());
     }
 
+    /// The gate is asked at the first byte, and at no later one: what has begun may run.
+    #[tokio::test]
+    async fn not_a_byte_goes_out_behind_a_closed_gate() {
+        let (mut stream, mut peer) = pair().await;
+        let open = Rc::new(Cell::new(false));
+        let asked = open.clone();
+        stream.begin_request(Some(0), Box::new(move || asked.get()));
+        let head = b"GET / HTTP/1.1\r\n\r\n";
+        let barred = std::future::poll_fn(|cx| Pin::new(&mut stream).poll_write(cx, head)).await;
+        assert!(barred.is_err() && stream.withheld() && !stream.request_written());
+        open.set(true);
+        write(&mut stream, &head[..5]).await;
+        open.set(false);
+        write(&mut stream, &head[5..]).await;
+        assert!(stream.request_written() && !stream.withheld());
+        let mut got = vec![0; head.len()];
+        peer.read_exact(&mut got).unwrap();
+        assert_eq!(got, head);
+    }
+
+    /// Gone is gone, however much lies unread before it.
+    #[tokio::test]
+    async fn a_client_that_left_is_seen_behind_its_bytes() {
+        let (stream, mut peer) = pair().await;
+        assert!(!stream.left());
+        peer.write_all(b"more").unwrap();
+        assert!(!stream.left());
+        drop(peer);
+        assert!(stream.left());
+        let (stream, peer) = pair().await;
+        peer.shutdown(std::net::Shutdown::Write).unwrap();
+        assert!(stream.left());
+        let (stream, mut peer) = pair().await;
+        peer.write_all(b"more").unwrap();
+        socket2::SockRef::from(&peer).set_linger(Some(std::time::Duration::ZERO)).unwrap();
+        drop(peer); // a reset
+        assert!(stream.left());
+        let (mut stream, mut peer) = pair().await;
+        peer.write_all(b"more").unwrap();
+        let mut room = [0; 8];
+        let mut room = hyper::rt::ReadBuf::new(&mut room);
+        std::future::poll_fn(|cx| Pin::new(&mut stream).poll_read(cx, room.unfilled())).await.unwrap();
+        socket2::SockRef::from(&peer).set_linger(Some(std::time::Duration::ZERO)).unwrap();
+        drop(peer);
+        assert!(stream.left() && stream.left(), "a reset behind bytes that were read is told once only");
+    }
+
     /// The kernel is asked, not the event loop, which has had no chance to hear of it here.
     #[tokio::test]
     async fn what_the_other_side_does_is_seen_at_once() {
