Let go of a gate that said no: it held the client's descriptor as long as the connection was kept

Found in a second reading of the change: Stream kept the closure of a withheld request with the connection that went back into the pool, and with it the client's socket. It is dropped with its answer, and the request stays withheld until the next begins. Test: not_a_byte_goes_out_behind_a_closed_gate counts the owners of what the gate held.

--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -97,10 +97,15 @@
         self.0.withheld.get()
     }
 
+    /// Asks the gate as long as nothing is out. One that said no is asked no more, and let go of: it may hold on to a
+    /// client's connection, and this one may be kept for long.
     fn barred(&self) -> bool {
-        let barred = self.0.gate.borrow().as_ref().is_some_and(|open| !open());
-        self.0.withheld.set(barred);
-        barred
+        let s = &self.0;
+        if s.gate.borrow().as_ref().is_some_and(|open| !open()) {
+            s.withheld.set(true);
+            s.gate.take();
+        }
+        s.withheld.get()
     }
 
     fn wrote(&self, bytes: &[u8]) {
@@ -339,7 +344,12 @@
         let head = b"GET / HTTP/1.1\r\n\r\n";
         let barred = std::future::poll_fn(|cx| Pin::new(&mut stream).poll_write(cx, head)).await;
         assert!(barred.is_err() && stream.withheld() && !stream.request_written());
+        assert_eq!(Rc::strong_count(&open), 1, "what the gate held is let go of");
         open.set(true);
+        let again = std::future::poll_fn(|cx| Pin::new(&mut stream).poll_write(cx, head)).await;
+        assert!(again.is_err(), "a request that was withheld stays so");
+        let asked = open.clone();
+        stream.begin_request(Some(0), Box::new(move || asked.get()));
         write(&mut stream, &head[..5]).await;
         open.set(false);
         write(&mut stream, &head[5..]).await;
