--- a/crates/lotusdeck/tests/crossings.rs
+++ b/crates/lotusdeck/tests/crossings.rs
@@ -219,17 +219,21 @@
     fn address(&self) -> SocketAddr {
         self.listener.local_addr().unwrap().as_socket().unwrap()
     }
-    /// Takes the fillers out of the way. The first request that comes then, on whichever connection; one that is
-    /// closed with not a byte on it was given up.
-    fn first_request(&self) -> Message {
+    /// Takes the fillers out of the way; the next connection that was held back.
+    fn reached(&self) -> std::io::BufReader<TcpStream> {
         let fills = |at: SocketAddr| self.fillers.iter().any(|f| f.local_addr().unwrap() == at);
         loop {
             let tcp: TcpStream = self.listener.accept().unwrap().0.into();
-            if tcp.peer_addr().is_ok_and(fills) {
-                continue;
+            if !tcp.peer_addr().is_ok_and(fills) {
+                tcp.set_read_timeout(Some(PATIENCE)).unwrap();
+                return std::io::BufReader::new(tcp);
             }
-            tcp.set_read_timeout(Some(PATIENCE)).unwrap();
-            let mut peer = std::io::BufReader::new(tcp);
+        }
+    }
+    /// The first request that comes, on whichever connection; one that is closed with not a byte on it was given up.
+    fn first_request(&self) -> Message {
+        loop {
+            let mut peer = self.reached();
             if !peer.fill_buf().unwrap_or_default().is_empty() {
                 return Message::read(&mut peer).expect("a whole request");
             }
@@ -281,6 +285,42 @@
     });
 }
 
+/// While a connection comes up the backend begins to drain, leaves the list, or is said to be at another address, where
+/// another may be by now: not a byte goes out on it, and requests go where the list says.
+#[test]
+fn news_that_comes_while_a_connection_comes_up_stops_the_send() {
+    std::thread::scope(|scope| {
+        for news in ["DRAINING", "DELETED", "elsewhere"] {
+            scope.spawn(move || {
+                let (old, other) = (Unreached::new(), BackendServer::start(|_| ok("other")));
+                let settings = SETTINGS.replace("\"dial_timeout_us\":300000", "\"dial_timeout_us\":9000000");
+                let serving = [entry("b0", old.address(), "SERVING")];
+                let proxy = Proxy::with(&serving, 1024, &settings);
+                proxy.discovery.call().1.send((200, list(9, true, &serving))).unwrap();
+                let (_, answer) = proxy.discovery.call();
+                let mut client = proxy.client();
+                client.send(&pay(3.0));
+                until_attempts(&proxy, 1);
+                let told = match news {
+                    "elsewhere" => vec![entry("b0", other.address, "SERVING")],
+                    state => {
+                        vec![entry("b0", old.address(), state), entry("b1", other.address, "SERVING")]
+                    }
+                };
+                answer.send((200, list(10, false, &told))).unwrap();
+                let (_, _waits) = proxy.discovery.call(); // by now the list is taken in
+                let mut peer = old.reached();
+                let status = client.answer().expect("an answer").status();
+                assert!(matches!(status, 200 | 503), "{news}: it never ran, and got {status}");
+                assert_eq!(proxy.ask(&pay(3.0)).body, b"other", "{news}");
+                drop(proxy);
+                let sent = peer.fill_buf().unwrap_or_default();
+                assert!(sent.is_empty(), "{news}: {}", String::from_utf8_lossy(sent));
+            });
+        }
+    });
+}
+
 /// The time of a silent connection runs out, kept or new, while a request lies unread on it: it is answered.
 #[test]
 fn a_request_that_meets_the_end_of_its_connections_patience_is_answered() {
