Heed settings by name: no Retry-After where they bar it, no quota of a customer they left out

Cause, found by reading for what one deployment may pick up from another, each shown by a test that failed before: - `limits.retry_after` was never read (crates/policy/src/settings.rs, sockets): advice went to clients of sites that give none, as lakes-tourney, since the first site gives it. 'assertion failed: !advised()'. - A customer that new settings leave out kept its number and with it its old quota (Settings::succeeded_by; Names::tenant looked names up among all ever told): its requests went on being worth less past a share that no settings gave it. 'left: [Some(500.0), Some(30.0), Some(5.0)]'. - Two customers of one name were taken, the second's quota for nobody: refused now with its place, as two classes of one name are. A file without the key advises as before. Ruled out by the same reading: classes (a name looks up current ones only), zones and kinds (names only, no rule hangs on them), cordons and kept state in $TMPDIR (by proxy and site).

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -613,7 +613,7 @@
             network: Network {
                 connect_timeout: second,
                 conn_idle: second,
-                max_retry_after: second,
+                max_retry_after: Some(second),
                 deadlines: vec![second],
             },
         };
--- a/crates/lotusdeck/tests/proxy.rs
+++ b/crates/lotusdeck/tests/proxy.rs
@@ -131,6 +131,23 @@
     }
 }
 
+/// Advice on when to come again goes only where the settings in force allow it.
+#[test]
+fn a_refusal_has_no_advice_where_the_settings_bar_it() {
+    let away = BackendServer::start(|_| Reply::Answer(503, "X-Unprocessed: 1", String::new()));
+    let barred = SETTINGS.replace("\"max_retry_after_us\"", "\"retry_after\":false,\"max_retry_after_us\"");
+    let proxy = Proxy::with(&[entry("b0", away.address, "SERVING")], 1024, &barred);
+    let advised = || {
+        let answer = proxy.ask(&pay(3.0));
+        assert_eq!(answer.status(), 503);
+        answer.header("retry-after").is_some()
+    };
+    assert!(!advised());
+    proxy.reconfigure(&proxy.config.1.replace("\"retry_after\":false", "\"retry_after\":true"));
+    proxy.logged("settings taken");
+    assert!(advised());
+}
+
 #[test]
 fn silence_is_answered_before_the_client_gives_up() {
     let backend = BackendServer::start(|_| Reply::Silence);
--- a/crates/pgfront/tests/rig/mod.rs
+++ b/crates/pgfront/tests/rig/mod.rs
@@ -246,7 +246,7 @@
         let network = Network {
             connect_timeout: Micros(1_000_000),
             conn_idle: Micros(60_000_000),
-            max_retry_after: Micros(1_000_000),
+            max_retry_after: Some(Micros(1_000_000)),
             deadlines: vec![deadline; 2],
         };
         let login = Login { user: "deck".into(), database: "scores".into(), password: None };
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -10,17 +10,24 @@
 pub struct Names {
     zones: Vec<String>,
     kinds: Vec<String>,
-    classes: Vec<ClassName>,
-    tenants: Vec<String>,
+    classes: Vec<Told>,
+    tenants: Vec<Told>,
 }
 
+/// A name that settings told: it keeps its number when later ones leave it out.
 #[derive(Clone, Debug)]
-struct ClassName {
+struct Told {
     name: String,
     /// New requests may be of it.
     current: bool,
 }
 
+impl Told {
+    fn new(name: &str) -> Told {
+        Told { name: name.into(), current: true }
+    }
+}
+
 /// An entry of a backend list under its plain names; each proxy has numbers of its own for these.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -57,7 +64,7 @@
 
     /// The tenant of that name.
     pub fn tenant(&self, name: &str) -> Option<TenantId> {
-        self.tenants.iter().position(|n| n == name).map(TenantId)
+        self.tenants.iter().position(|t| t.current && t.name == name).map(TenantId)
     }
 
     /// The name of a kind.
@@ -75,9 +82,9 @@
         self.classes.get(id.0).map_or("", |c| &c.name)
     }
 
-    /// The name of a tenant.
+    /// The name of a tenant, current or left out since.
     pub fn tenant_name(&self, id: TenantId) -> &str {
-        self.tenants.get(id.0).map_or("", |name| name)
+        self.tenants.get(id.0).map_or("", |t| &t.name)
     }
 
     /// The row as this instance numbers it.
@@ -196,13 +203,18 @@
     noting(settings, decisions)
 }
 
-fn class(key: &Key, names: &mut Vec<ClassName>) -> Class {
+/// The name of a class or tenant, which no other may have: rules are found by it.
+fn told(key: &Key, names: &mut Vec<Told>, sort: &'static str) {
     let name = key.get("name");
     let text = name.text();
     if names.iter().any(|n| n.name == text) {
-        name.want::<()>(None, "a name that no other class has");
+        name.want::<()>(None, sort);
     }
-    names.push(ClassName { name: text.into(), current: true });
+    names.push(Told::new(text));
+}
+
+fn class(key: &Key, names: &mut Vec<Told>) -> Class {
+    told(key, names, "a name that no other class has");
     let (effect, scope) = (key.get("effect"), key.get("key_scope"));
     let scope = || match scope.text() {
         "all" => KeyScope::All,
@@ -251,7 +263,7 @@
     let classes = root.get("profiles").list().iter().map(|key| class(key, &mut names.classes)).collect();
     let mut tenants = Vec::new();
     for tenant in root.get("customers").list() {
-        names.tenants.push(tenant.get("name").text().into());
+        told(&tenant, &mut names.tenants, "a name that no other customer has");
         tenants.push(Tenant { quota_per_s: tenant.get("quota_rps").real() });
     }
     let (limits, rules, goal) = (root.get("limits"), root.get("rules"), root.get("blend"));
@@ -294,8 +306,8 @@
     pub connect_timeout: Micros,
     /// Backends close connections that were idle for so long.
     pub conn_idle: Micros,
-    /// The longest advice that a client follows.
-    pub max_retry_after: Micros,
+    /// The longest advice on when to come again that a client follows; `None` where clients are given none.
+    pub max_retry_after: Option<Micros>,
     /// How long a client waits at most, by class.
     pub deadlines: Vec<Micros>,
 }
@@ -311,10 +323,13 @@
         }
         Micros(key.value.and_then(Value::as_u64).unwrap_or(0))
     };
+    let advised = limits.get("retry_after");
+    let advised = advised.value.is_none() || advised.flag();
+    let max_retry_after = limits.get("max_retry_after_us").micros();
     Network {
         connect_timeout: limits.get("dial_timeout_us").micros(),
         conn_idle: limits.get("conn_idle_us").micros(),
-        max_retry_after: limits.get("max_retry_after_us").micros(),
+        max_retry_after: advised.then_some(max_retry_after),
         deadlines: root.get("profiles").list().iter().map(deadline).collect(),
     }
 }
@@ -356,9 +371,10 @@
         let classes = std::mem::replace(&mut out.config.classes, self.config.classes.clone());
         let deadlines = std::mem::replace(&mut out.network.deadlines, self.network.deadlines.clone());
         out.config.classes.iter_mut().for_each(|c| c.retired = true);
-        out.names.classes.iter_mut().for_each(|c| c.current = false);
+        // What is left out here holds for nobody who comes from now on.
+        out.names.classes.iter_mut().chain(&mut out.names.tenants).for_each(|told| told.current = false);
         for ((class, deadline), named) in classes.into_iter().zip(deadlines).zip(new.names.classes) {
-            let same = |(c, n): (&Class, &ClassName)| n.name == named.name && c.effect == class.effect;
+            let same = |(c, n): (&Class, &Told)| n.name == named.name && c.effect == class.effect;
             match out.config.classes.iter().zip(&out.names.classes).position(same) {
                 Some(at) => {
                     (out.config.classes[at], out.network.deadlines[at]) = (class, deadline);
@@ -372,11 +388,13 @@
             }
         }
         let tenants = std::mem::replace(&mut out.config.tenants, self.config.tenants.clone());
-        for (tenant, name) in tenants.into_iter().zip(new.names.tenants) {
-            let at = number(&mut out.names.tenants, &name) as usize;
-            match out.config.tenants.get_mut(at) {
-                Some(old) => *old = tenant,
-                None => out.config.tenants.push(tenant),
+        for (tenant, named) in tenants.into_iter().zip(new.names.tenants) {
+            match out.names.tenants.iter().position(|t| t.name == named.name) {
+                Some(at) => (out.config.tenants[at], out.names.tenants[at]) = (tenant, named),
+                None => {
+                    out.config.tenants.push(tenant);
+                    out.names.tenants.push(named);
+                }
             }
         }
         out
@@ -387,7 +405,7 @@
         let current = |of: &Settings| -> Vec<String> {
             let classes = of.names.classes.iter().zip(&of.config.classes).zip(&of.network.deadlines);
             let current = classes.filter(|((n, _), _)| n.current);
-            let told = |((n, c), d): ((&ClassName, &Class), &Micros)| {
+            let told = |((n, c), d): ((&Told, &Class), &Micros)| {
                 format!("{} ({:?}, aim {} us, deadline {} us)", n.name, c.effect, c.aim.0, d.0)
             };
             current.map(told).collect()
--- /dev/null
+++ b/crates/policy/tests/settings.rs
@@ -0,0 +1,55 @@
+//! What settings say holds by name, and for no longer than they say it.
+
+use lotusdeck_policy::settings::Settings;
+use serde_json::{json, Value};
+
+/// Settings whose customers have these names and quotas, in requests a second.
+fn with(customers: &[(&str, f64)]) -> Value {
+    let customers: Vec<Value> =
+        customers.iter().map(|(name, rps)| json!({"name": name, "quota_rps": rps})).collect();
+    json!({
+        "blend": {"whole": 0.6, "worst_class": 0.2}, "costs": {"cross_zone": 0.0}, "customers": customers,
+        "discovery": "automatic", "position": 0, "group_size": 1, "granularity_us": 5000, "kinds": ["big"],
+        "my_zone": "east", "zones": ["east"], "over_share_worth": 0.1,
+        "limits": {"cancel": true, "max_attempts": 4, "parallel_tries": true, "dial_timeout_us": 300_000,
+            "conn_idle_us": 60_000_000, "max_retry_after_us": 2_000_000},
+        "profiles": [{"name": "read", "aim_us": 900_000, "deadline_us": 3_000_000, "effect": "free",
+            "gain": 1.0, "late_worth": 0.5}],
+        "rules": {"cold_from": 0.3, "fall_multiple": 2.5, "must_ask_in_us": 9_000_000,
+            "ramp_time_us": 9_000_000, "tip_after_us": 2_000_000},
+    })
+}
+
+fn read(settings: &Value) -> Settings {
+    Settings::read(settings).expect("sound settings")
+}
+
+/// The quota of whoever comes under that name.
+fn quota(settings: &Settings, name: &str) -> Option<f64> {
+    settings.names.tenant(name).map(|tenant| settings.config.tenants[tenant.0].quota_per_s)
+}
+
+/// A customer has the quota that the settings in force give to its name, wherever it stands in them, and none once
+/// they leave it out; its number stays its own, as requests that are open go by it.
+#[test]
+fn a_customer_has_the_quota_that_the_settings_in_force_name() {
+    let first = read(&with(&[("north", 500.0), ("south", 20.0)]));
+    let south = first.names.tenant("south");
+    let second = first.succeeded_by(read(&with(&[("west", 5.0), ("south", 30.0)])), &first.names);
+    let asked = ["north", "south", "west"];
+    assert_eq!(asked.map(|name| quota(&second, name)), [None, Some(30.0), Some(5.0)]);
+    assert_eq!(second.names.tenant("south"), south);
+    let third = second.succeeded_by(read(&with(&[("north", 7.0)])), &second.names);
+    assert_eq!(asked.map(|name| quota(&third, name)), [Some(7.0), None, None]);
+    assert_eq!(third.names.tenant("north"), first.names.tenant("north"));
+    let none = third.succeeded_by(read(&with(&[])), &third.names);
+    assert_eq!(asked.map(|name| quota(&none, name)), [None; 3]);
+}
+
+/// Rules are found by name: two customers of one name are told with their place, and nothing is taken.
+#[test]
+fn two_customers_of_one_name_are_refused() {
+    let faults = Settings::read(&with(&[("north", 500.0), ("north", 20.0)])).expect_err("a fault");
+    let told: Vec<String> = faults.0.iter().map(ToString::to_string).collect();
+    assert_eq!(told, ["customers[1].name: expected a name that no other customer has, got \"north\""]);
+}
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -134,8 +134,8 @@
             },
             Ok(Answer::Refused(retry_after)) => {
                 let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
-                let advice = retry_after.min(rules.network.max_retry_after).secs();
-                if let Ok(text) = format!("{advice:.3}").parse() {
+                let advice = rules.network.max_retry_after.map(|most| retry_after.min(most).secs());
+                if let Some(Ok(text)) = advice.map(|after| format!("{after:.3}").parse()) {
                     response.headers_mut().insert(RETRY_AFTER, text);
                 }
                 response
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -195,8 +195,7 @@
 
     fn pool(max: usize) -> Rc<Pool> {
         let (connect_timeout, conn_idle) = (Micros(5_000_000), Micros(60_000_000));
-        let network =
-            Network { connect_timeout, conn_idle, max_retry_after: Micros(0), deadlines: Vec::new() };
+        let network = Network { connect_timeout, conn_idle, max_retry_after: None, deadlines: Vec::new() };
         let pool = Rc::new(Pool::new(&network, Budget::new(1 << 20), Shared::default()));
         pool.bound(max);
         pool
