--- a/crates/lotusdeck/tests/closing.rs
+++ b/crates/lotusdeck/tests/closing.rs
@@ -95,7 +95,7 @@
     }
 }
 
-/// Every one is served, whichever it is; the clients, and whether their connections stay.
+/// Every one is served; the clients, with the connections that they were served on.
 async fn all_served(clients: Vec<Client>) -> Vec<Client> {
     let mut served = Vec::new();
     for (n, mut client) in clients.into_iter().enumerate() {
