Keep clients in the order of closing: room for a new one cost a system call a client

Cause: Server::close_longest_idle asked Client::standing of every kept client, at each accept while the table was full, and each asked the kernel (recv with MSG_PEEK); Server::staying counted all of them up to three times an accept and twice an answer.

Change: clients.rs keeps the order by what is known without the kernel and asks the kernel about the one chosen; counts are kept, not taken. 16 connections are accepted a turn of the loop at most, and the discovery watch and the listener are polled before each batch of other tasks. lotusdeck-lab crowd-cost measures it.

--- /dev/null
+++ b/crates/lab/src/crowd_cost.rs
@@ -0,0 +1,185 @@
+//! What a new connection costs a proxy whose places are all held by clients that sent part of a head and no more:
+//! processor time by the number of connections that it keeps.
+
+use crate::drive::proxies::Proxy;
+use crate::drive::run::RunError;
+use crate::experiment::{Experiment, ExperimentError};
+use crate::session::{program, say, SessionError};
+use crate::world::plan::Plan;
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// Part of a head, as a client leaves it that opens a connection and goes on with nothing.
+const PART_OF_A_HEAD: &[u8] = b"GET /read/k HTTP/1.1\r\nHost";
+/// Longer than the 500 ms after which a connection with part of a head may be closed (`HEAD_REST` of the proxy), and
+/// short enough that none is closed for its age (2.8 s) before the measurement.
+const SETTLE: Duration = Duration::from_millis(600);
+/// Descriptors that a proxy keeps for all but clients and upstreams (`RESERVE` of `lotusdeck serve`).
+const RESERVED: usize = 64;
+/// Connections over their bound that a proxy takes (`OVER_BOUND` of `lotusdeck serve`).
+const OVER_BOUND: usize = 24;
+/// The end of a measurement at which the proxy has not taken all connections.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// A look at whether the proxy has come to rest.
+const LOOK: Duration = Duration::from_millis(20);
+/// Less processor time than this between two looks is rest, in nanoseconds: timers alone take some 100 us a second.
+const REST_NS: u64 = 200_000;
+
+/// What to measure.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Args {
+    /// Connections that the proxy keeps, by steps.
+    #[arg(long, value_delimiter = ',', default_value = "256,1024,4096,16384")]
+    kept: Vec<usize>,
+    /// New connections in one measurement.
+    #[arg(long, default_value_t = 500)]
+    connections: usize,
+    /// Rounds; each plays every program at every step.
+    #[arg(long, default_value_t = 3)]
+    rounds: usize,
+    /// The lotusdeck to play.
+    #[arg(long)]
+    proxy: Option<PathBuf>,
+    /// Another lotusdeck to play beside it, in turn.
+    #[arg(long)]
+    beside: Option<PathBuf>,
+    /// Where configurations and logs go.
+    #[arg(long, default_value = "lab-runs/crowd-cost")]
+    out: PathBuf,
+}
+
+/// What one program needed at one step.
+struct Row {
+    program: PathBuf,
+    kept: usize,
+    /// Microseconds of processor time a connection, one for each round.
+    micros: Vec<f64>,
+}
+
+impl Row {
+    fn median(&self) -> f64 {
+        let mut sorted: Vec<f64> = self.micros.iter().copied().filter(|us| us.is_finite()).collect();
+        sorted.sort_by(f64::total_cmp);
+        sorted.get(sorted.len() / 2).copied().unwrap_or(f64::NAN)
+    }
+}
+
+/// The experiment behind a proxy's configuration: one backend that is never asked.
+fn experiment(kept: usize) -> Result<Experiment, ExperimentError> {
+    // The proxy gives clients three fifths of what it may open.
+    let sockets = kept * 5 / 3 + RESERVED + 2;
+    let text = format!(
+        "name = 'crowd-cost'\nduration_s = 1.0\nproxies = 1\nload = {{ rps = 1.0 }}\n\
+         limits = {{ sockets = {sockets}, memory_mb = 2048 }}\n\
+         class = [{{ name = 'read', effect = 'free', share = 1.0, aim_ms = 1000, deadline_ms = 5000, work_ms = 1 }}]\n\
+         kind = [{{ name = 'm', count = 1 }}]\n"
+    );
+    Experiment::parse("crowd-cost", &text)
+}
+
+/// Nanoseconds that a process has run, by the scheduler's own count (proc(5), schedstat).
+fn ran_ns(pid: u32) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).unwrap_or_default();
+    text.split_ascii_whitespace().next().and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+fn connect(to: SocketAddr, count: usize) -> std::io::Result<Vec<TcpStream>> {
+    let mut clients = Vec::with_capacity(count);
+    for _ in 0..count {
+        let mut client = TcpStream::connect(to)?;
+        client.write_all(PART_OF_A_HEAD)?;
+        clients.push(client);
+    }
+    Ok(clients)
+}
+
+/// Until the process uses no more processor time.
+fn rest(pid: u32) {
+    let end = Instant::now() + PATIENCE;
+    let mut before = ran_ns(pid);
+    while Instant::now() < end {
+        std::thread::sleep(LOOK);
+        let now = ran_ns(pid);
+        if now.saturating_sub(before) < REST_NS {
+            return;
+        }
+        before = now;
+    }
+}
+
+/// How many of these the proxy has closed.
+fn closed(clients: &[TcpStream]) -> std::io::Result<usize> {
+    let mut count = 0;
+    for client in clients {
+        client.set_nonblocking(true)?;
+        let waiting = client.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+        count += usize::from(!waiting);
+    }
+    Ok(count)
+}
+
+/// Microseconds of processor time for each connection that the proxy closed to make room for a new one.
+fn measure(proxy: &Proxy, kept: usize, connections: usize) -> std::io::Result<f64> {
+    let pid = proxy.pid().unwrap_or_default();
+    let old = connect(proxy.address, kept)?;
+    std::thread::sleep(SETTLE);
+    let before = ran_ns(pid);
+    let _new = connect(proxy.address, connections)?;
+    rest(pid);
+    let ran = ran_ns(pid).saturating_sub(before);
+    let made_way = closed(&old)?;
+    // Where more have gone, their age has ended them while the others came: the figure would be of both.
+    let sound = (1..=connections + OVER_BOUND).contains(&made_way);
+    Ok(if sound { ran as f64 / 1e3 / made_way as f64 } else { f64::NAN })
+}
+
+async fn play(args: &Args, program: &Path, kept: usize) -> Result<f64, SessionError> {
+    let plan = Plan::draw(&experiment(kept)?, 1);
+    // Nobody accepts there: discovery is silent.
+    let silent = TcpListener::bind("127.0.0.1:0").map_err(RunError::Io)?;
+    let discovery = silent.local_addr().map_err(RunError::Io)?;
+    let folder = args.out.join(format!("kept-{kept}"));
+    let known = r#"{"index":0,"snapshot":true,"endpoints":[]}"#;
+    let prepared = Proxy::prepare(0, &plan, program, &folder, discovery, known);
+    let mut proxy = prepared.map_err(RunError::Proxy)?;
+    proxy.start().await.map_err(RunError::Proxy)?;
+    let micros = measure(&proxy, kept, args.connections).map_err(RunError::Io)?;
+    proxy.kill().await;
+    Ok(micros)
+}
+
+fn report(rows: &[Row], args: &Args) -> String {
+    let mut out = format!(
+        "medians of {} rounds, {} new connections each; NaN: connections ended by age meanwhile\n",
+        args.rounds, args.connections
+    );
+    let _ = writeln!(out, "{:>8} {:>14}  program", "kept", "us/exchange");
+    for row in rows {
+        let _ = writeln!(out, "{:>8} {:>14.1}  {}", row.kept, row.median(), row.program.display());
+    }
+    out
+}
+
+/// Measures and prints.
+pub fn main(args: &Args) -> Result<(), SessionError> {
+    let own = program(args.proxy.as_deref())?;
+    let programs: Vec<PathBuf> = std::iter::once(own).chain(args.beside.clone()).collect();
+    let file = |e| SessionError::File("crowd-cost".into(), e);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(file)?;
+    let empty = |kept: &usize| {
+        let row = |program: &PathBuf| Row { program: program.clone(), kept: *kept, micros: Vec::new() };
+        programs.iter().map(row).collect::<Vec<Row>>()
+    };
+    let mut rows: Vec<Row> = args.kept.iter().flat_map(empty).collect();
+    for _ in 0..args.rounds {
+        for row in &mut rows {
+            let micros = runtime.block_on(play(args, &row.program, row.kept))?;
+            row.micros.push(micros);
+        }
+    }
+    say(&report(&rows, args));
+    Ok(())
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! processes on loopback, oracles that judge by what the stand-ins saw, and figures.
 
 pub mod campaign;
+pub mod crowd_cost;
 pub mod drive;
 pub mod duel;
 pub mod experiment;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,7 @@
 use lotusdeck_lab::report::compare;
 use lotusdeck_lab::report::figures::Figures;
 use lotusdeck_lab::session::{self, Options, SessionError};
-use lotusdeck_lab::{campaign, duel, fleet, ledger, overhead, paper, postgres, relay, swings};
+use lotusdeck_lab::{campaign, crowd_cost, duel, fleet, ledger, overhead, paper, postgres, relay, swings};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -43,6 +43,8 @@
     },
     /// What a proxy costs: direct, through a plain relay and through lotusdeck, interleaved.
     Overhead(overhead::Args),
+    /// What a new connection costs a proxy whose places are all held by clients that sent half a head and stay.
+    CrowdCost(crowd_cost::Args),
     /// Play several policies on the same arrivals and troubles, in virtual time.
     Duel(duel::Args),
     /// Whether many proxies swing together: how the kinds' shares move, beyond chance.
@@ -109,6 +111,7 @@
             Ok(true)
         }
         Command::Overhead(args) => overhead::main(&args).map(|()| true),
+        Command::CrowdCost(args) => crowd_cost::main(&args).map(|()| true),
         Command::Duel(args) => duel::main(&args).map(|()| true),
         Command::Swings(args) => swings::main(&args).map(|()| true),
         Command::Paper(args) => paper::main(&args).map(|()| true),
--- a/crates/lotusdeck/src/serve.rs
+++ b/crates/lotusdeck/src/serve.rs
@@ -255,7 +255,7 @@
         tokio::task::spawn_local(keeper.clone().learn(host.clone()));
     }
     let kept = keeper.map(|keeper| Box::new(move |list| keeper.keep(list)) as discovery::Kept);
-    tokio::task::spawn_local(discovery::watch(host.clone(), discovery, known.index, kept));
+    let watch = discovery::watch(host.clone(), discovery, known.index, kept);
     if let Some(fleet) = fleet {
         tokio::task::spawn_local(fleet.run(operator.fleet.listen, host.clone()));
     }
@@ -306,7 +306,12 @@
         info!("stopping");
         fronts.iter().for_each(Running::stop);
     };
-    server.run(listener, handed_down, stop).await;
+    // The loop comes round to these two before each batch of other tasks: news of the list goes before new clients.
+    tokio::select! {
+        biased;
+        () = watch => {}
+        () = server.run(listener, handed_down, stop) => {}
+    }
     if let Some(ledger) = ledger {
         ledger.close().await;
     }
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
-use lotusdeck_core::{Answer, Clock, Host, Labels};
+use lotusdeck_core::{Answer, Host, Labels};
 use lotusdeck_policy::*;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -35,7 +35,7 @@
         client.flowing.set(matches!(answer.body(), AnswerBody::Flow(..)));
         // Where many are kept their clients may have none left to ask on: each goes after its answer.
         let most = self.max.get();
-        let many = || self.staying(|c| c.proven.get()) > most / 2 || self.staying(|_| true) > most;
+        let many = || self.clients.proven() > most / 2 || self.clients.staying() > most;
         if end || self.stopping.get() || many() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -93,7 +93,7 @@
             Labels { id, class: class.into(), key: key.into() }
         };
         let _open = Open::new(&self.ids, name).ok_or(Fault::IdInUse)?;
-        client.proven.set(true);
+        client.prove();
         let (id, answer) = self.host.request(arrival, work.clone(), effect, labels);
         let mut owed = Owed { host: &self.host, id, open: true };
         let mut answer = pin!(answer);
@@ -148,17 +148,17 @@
 
 /// Marks the end of an answer: its connection waits for the next request.
 pub(crate) struct Answered {
+    pub server: Rc<Server>,
     pub client: Rc<Client>,
-    pub clock: Clock,
 }
 
 impl Drop for Answered {
     fn drop(&mut self) {
-        self.client.since.set(self.clock.now());
         self.client.idle_since.set(tokio::time::Instant::now());
         self.client.stream.mark_idle();
         self.client.busy.set(false);
         self.client.flowing.set(false);
+        self.server.clients.rests(&self.client);
     }
 }
 
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -1,8 +1,9 @@
-//! A client's connection: how it stands, how long it may rest, and who leaves first.
+//! A client's connection: how it stands and how long it may rest.
 
+use crate::clients::{ClientId, Filed, Population};
 use crate::stream::Stream;
-use lotusdeck_policy::Time;
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -13,49 +14,80 @@
 /// ... and the first on a connection so long after it came: any client is owed an end within 3 s.
 const FIRST_HEAD_PATIENCE: Duration = Duration::from_millis(2800);
 /// A connection that sends nothing for so long, before its first request or within a head, makes way first.
-const FIRST_PATIENCE: Duration = Duration::from_millis(100);
-const HEAD_REST: Duration = Duration::from_millis(500);
+pub(crate) const FIRST_PATIENCE: Duration = Duration::from_millis(100);
+pub(crate) const HEAD_REST: Duration = Duration::from_millis(500);
 
 pub(crate) struct Client {
+    pub id: ClientId,
     pub stream: Stream,
     pub accepted: tokio::time::Instant,
+    /// A request is open on it.
     pub busy: Cell<bool>,
     /// It has sent a whole request that made sense.
-    pub proven: Cell<bool>,
+    proven: Cell<bool>,
     /// A large answer is on its way to it.
     pub flowing: Cell<bool>,
     /// When it was accepted or last answered.
-    pub since: Cell<Time>,
     pub idle_since: Cell<tokio::time::Instant>,
-    /// It was chosen to make room.
-    pub leaving: Cell<bool>,
+    /// It was chosen to make room, or has ended.
+    leaving: Cell<bool>,
+    /// Its place in the order of closing; `None` while a request is open on it.
+    pub filed: Cell<Option<Filed>>,
+    population: Rc<Population>,
     pub close: Notify,
 }
-/// Who leaves first where room is needed.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Standing {
-    /// It never sent a byte, and had the time to.
-    Silent,
-    /// A part of a head came and no more of it.
-    Stopped,
-    /// It waits between requests.
-    Idle,
-    /// It has just come.
-    Young,
-}
 
 impl Client {
-    /// `None`: a request is open on it or on its way. In a crowd of the silent none is too young.
-    pub fn standing(&self, now: tokio::time::Instant, crowd: bool) -> Option<Standing> {
-        let moving = || now - self.stream.moved() < HEAD_REST;
+    /// A connection that was accepted just now.
+    pub fn new(id: ClientId, stream: Stream, population: Rc<Population>) -> Client {
+        let accepted = tokio::time::Instant::now();
+        Client {
+            id,
+            stream,
+            accepted,
+            busy: Cell::default(),
+            proven: Cell::default(),
+            flowing: Cell::default(),
+            idle_since: Cell::new(accepted),
+            leaving: Cell::default(),
+            filed: Cell::default(),
+            population,
+            close: Notify::new(),
+        }
+    }
+
+    /// It has sent a whole request that made sense.
+    pub fn is_proven(&self) -> bool {
+        self.proven.get()
+    }
+
+    /// A whole request that makes sense has come on it.
+    pub fn prove(&self) {
+        if !self.proven.replace(true) && !self.leaving.get() {
+            self.population.proved();
+        }
+    }
+
+    /// It was chosen to make room, or has ended.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// From now on it counts no more among those that stay.
+    pub fn leave(&self) {
+        if !self.leaving.replace(true) {
+            self.population.left(self.proven.get());
+        }
+    }
+
+    /// Nothing is owed on it, and it had the time to ask: it never sent a byte, or sent a part of a head and no more.
+    pub fn asks_nothing(&self, now: tokio::time::Instant) -> bool {
+        if self.busy.get() || self.leaving.get() {
+            return false;
+        }
         match self.stream.heard() {
-            _ if self.busy.get() || self.leaving.get() => None,
-            Some(_) if self.stream.unread() => None,
-            Some(_) => (!moving()).then_some(Standing::Stopped),
-            None if self.stream.stirred() => None,
-            None if self.proven.get() => Some(Standing::Idle),
-            None if crowd || now - self.accepted >= FIRST_PATIENCE => Some(Standing::Silent),
-            None => Some(Standing::Young),
+            Some(_) => !self.stream.unread() && now - self.stream.moved() >= HEAD_REST,
+            None => !self.proven.get() && now - self.accepted >= FIRST_PATIENCE && !self.stream.stirred(),
         }
     }
 
--- /dev/null
+++ b/crates/proxy/src/clients/tests.rs
@@ -0,0 +1,153 @@
+//! The order of closing, on real connections whose bytes the event loop reads only where a test reads them.
+
+use super::*;
+use hyper::rt::{Read, ReadBuf};
+use std::future::poll_fn;
+use std::io::Write;
+use std::net::TcpStream as Peer;
+use std::pin::Pin;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Places of the table in these tests.
+const MOST: usize = 1000;
+
+/// A table, and the clients' side of its connections.
+struct Table {
+    clients: Clients,
+    listener: std::net::TcpListener,
+}
+
+impl Table {
+    fn new() -> Table {
+        Table { clients: Clients::default(), listener: std::net::TcpListener::bind("127.0.0.1:0").unwrap() }
+    }
+
+    async fn join(&self) -> (Rc<Client>, Peer) {
+        let tcp = TcpStream::connect(self.listener.local_addr().unwrap()).await.unwrap();
+        let population = self.clients.population.clone();
+        let stream = crate::stream::Stream::new(tcp);
+        let client = Rc::new(Client::new(self.clients.next_id(), stream, population));
+        self.clients.insert(client.clone());
+        (client, self.listener.accept().unwrap().0)
+    }
+
+    /// One that has been served and waits for its next request.
+    async fn served(&self) -> (Rc<Client>, Peer) {
+        let (client, peer) = self.join().await;
+        client.prove();
+        client.idle_since.set(Instant::now());
+        self.clients.rests(&client);
+        (client, peer)
+    }
+
+    fn chosen(&self) -> Option<ClientId> {
+        match self.clients.choose_leaving(Instant::now(), MOST) {
+            Choice::Leaves(client) => Some(client.id),
+            Choice::Nobody => None,
+            Choice::Unfinished => panic!("few connections take one turn"),
+        }
+    }
+}
+
+/// What the event loop does when bytes have come.
+async fn read(client: &Client) {
+    let mut stream = client.stream.clone();
+    let mut room = [0; 64];
+    let mut buffer = ReadBuf::new(&mut room);
+    poll_fn(|cx| Pin::new(&mut stream).poll_read(cx, buffer.unfilled())).await.unwrap();
+}
+
+/// Sends part of a head; it lies in the kernel of the proxy's side when this returns.
+async fn send_part(client: &Client, peer: &mut Peer) {
+    peer.write_all(b"GET /a HTTP/1.1\r\nHo").unwrap();
+    while !client.stream.unread() {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn who_asks_nothing_goes_before_clients_between_requests_and_the_youngest_last() {
+    let table = Table::new();
+    let (between, _a) = table.served().await;
+    let (partial, mut b) = table.join().await;
+    send_part(&partial, &mut b).await;
+    read(&partial).await;
+    let (silent, _c) = table.join().await;
+    tokio::time::advance(HEAD_REST).await;
+    let (young, _d) = table.join().await;
+    let order: Vec<Option<ClientId>> = (0..5).map(|_| table.chosen()).collect();
+    let expected = [Some(silent.id), Some(partial.id), Some(between.id), Some(young.id), None];
+    assert_eq!(order, expected);
+    assert_eq!((table.clients.staying(), table.clients.len()), (0, 4), "told to leave, and not gone yet");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_with_bytes_unread_or_a_request_open_is_never_chosen() {
+    let table = Table::new();
+    let (unread, mut a) = table.served().await;
+    let (asking, _b) = table.served().await;
+    tokio::time::advance(HEAD_REST).await;
+    send_part(&unread, &mut a).await;
+    asking.busy.set(true);
+    assert_eq!(table.chosen(), None);
+    // Read, and no more of it comes: it goes once it had the time. The other's answer has ended meanwhile.
+    read(&unread).await;
+    asking.busy.set(false);
+    asking.idle_since.set(Instant::now());
+    table.clients.rests(&asking);
+    tokio::time::advance(HEAD_REST).await;
+    assert_eq!([table.chosen(), table.chosen()], [Some(unread.id), Some(asking.id)]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_head_that_goes_on_is_spared_and_one_that_stops_is_not() {
+    let table = Table::new();
+    let (slow, mut a) = table.join().await;
+    let (stopped, mut b) = table.join().await;
+    for (client, peer) in [(&slow, &mut a), (&stopped, &mut b)] {
+        send_part(client, peer).await;
+        read(client).await;
+    }
+    tokio::time::advance(HEAD_REST / 2).await;
+    send_part(&slow, &mut a).await;
+    read(&slow).await;
+    tokio::time::advance(HEAD_REST / 2).await;
+    assert_eq!([table.chosen(), table.chosen()], [Some(stopped.id), None]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn many_that_wait_for_nothing_are_chosen_by_one_look_each() {
+    let table = Table::new();
+    let mut held = Vec::new();
+    for _ in 0..200 {
+        let (client, mut peer) = table.join().await;
+        send_part(&client, &mut peer).await;
+        read(&client).await;
+        held.push((client, peer));
+    }
+    tokio::time::advance(HEAD_REST + Duration::from_millis(1)).await;
+    for (client, _) in &held {
+        assert_eq!(table.chosen(), Some(client.id), "the one that stopped first");
+    }
+    // Each was filed twice: when it was accepted, and when it was found to have sent part of a head.
+    assert_eq!(table.clients.filings.get(), 400);
+}
+
+#[tokio::test(start_paused = true)]
+async fn counts_follow_who_proves_itself_leaves_and_ends() {
+    let table = Table::new();
+    let (usual, _a) = table.served().await;
+    let (silent, _b) = table.join().await;
+    let counts = || (table.clients.staying(), table.clients.proven(), table.clients.unproven());
+    assert_eq!(counts(), (2, 1, 1));
+    tokio::time::advance(FIRST_PATIENCE).await;
+    assert_eq!(table.chosen(), Some(silent.id));
+    assert_eq!(counts(), (1, 1, 0));
+    silent.prove(); // its request came in the last moment: it leaves all the same, once
+    table.clients.remove(&silent);
+    table.clients.remove(&usual);
+    assert_eq!(counts(), (0, 0, 0));
+    table.clients.rests(&usual); // its answer ends after its connection: it is nobody's place
+    assert_eq!((table.clients.len(), table.chosen()), (0, None));
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod chunks;
 mod client;
+mod clients;
 pub mod config;
 pub mod discovery;
 mod exchange;
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -2,7 +2,8 @@
 
 use crate::answer::Answered;
 use crate::body::{AnswerBody, Budget};
-use crate::client::{Client, Standing, IDLE_PATIENCE};
+use crate::client::{Client, IDLE_PATIENCE};
+use crate::clients::{Choice, Clients};
 use crate::pool::Pool;
 use crate::stream::Stream;
 use crate::timer::Timer;
@@ -12,7 +13,7 @@
 use lotusdeck_core::{span, Host};
 use lotusdeck_policy::*;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -31,6 +32,10 @@
 /// Kept before the end for the last answers' way out.
 const FLUSH: Duration = Duration::from_millis(100);
 const BACKLOG: u32 = 1024;
+/// Connections accepted before the event loop goes on to what else is due. The discovery watch and the clients that are
+/// kept wait behind these at most; accepting takes some 20 us a connection, so that 16 of them take well under a
+/// millisecond.
+const ACCEPTS_A_TURN: u32 = 16;
 /// A client that takes nothing of its answer for so long takes no more.
 const READ_PATIENCE: Duration = Duration::from_secs(20);
 /// A connection with an open request is looked at again after this time.
@@ -40,23 +45,32 @@
 const UNREAD_LOOK: Duration = Duration::from_millis(20);
 /// The largest head, to which hyper holds a connection's buffer.
 const MAX_HEAD: usize = 16 * 1024;
-/// Connections that never sent a whole request hold this part of the places before they go first at any age.
-const UNPROVEN_PART: usize = 4;
 /// A connection that was told to end and has not is cut after this time: its client reads nothing.
 const CLOSE_PATIENCE: Duration = Duration::from_secs(1);
 /// Lines about a failing listener come no faster.
 const ACCEPT_LOG: Micros = Micros(1_000_000);
 
+/// Whether a place becomes free where all are taken.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Room {
+    /// A connection was told to end.
+    Soon,
+    /// Requests are open or on their way on all connections.
+    None,
+    /// The search has to go on in another turn of the event loop.
+    Unknown,
+}
+
+/// The listener's side of the proxy: client connections and the requests on them.
 pub struct Server {
     pub(crate) host: Rc<Host>,
     pub(crate) pool: Rc<Pool>,
     pub(crate) max: Cell<usize>,
     over: Cell<usize>,
     pub(crate) budget: Budget,
-    clients: RefCell<HashMap<u64, Rc<Client>>>,
+    pub(crate) clients: Clients,
     /// The ids of the requests that are open.
     pub(crate) ids: RefCell<HashSet<HeaderValue>>,
-    next: Cell<u64>,
     accepting: Cell<bool>,
     pub(crate) stopping: Cell<bool>,
     /// When the program may be killed, once it was told to stop.
@@ -79,8 +93,8 @@
 impl Server {
     /// A server that accepts nobody yet.
     pub fn new(host: Rc<Host>, pool: Rc<Pool>, budget: Budget) -> Rc<Server> {
-        let (clients, ids) = (RefCell::default(), RefCell::default());
-        let (next, stopping, left, told) = (Cell::new(0), Cell::new(false), Notify::new(), Cell::default());
+        let (clients, ids) = (Clients::default(), RefCell::default());
+        let (stopping, left, told) = (Cell::new(false), Notify::new(), Cell::default());
         let (accepted, evicted, faults) = (Cell::new(0), Cell::new(0), Cell::new(0));
         let accepting = Cell::new(false);
         Rc::new(Server {
@@ -91,7 +105,6 @@
             budget,
             clients,
             ids,
-            next,
             accepting,
             stopping,
             end: Cell::default(),
@@ -109,7 +122,7 @@
     }
 
     pub fn clients(&self) -> usize {
-        self.clients.borrow().len()
+        self.clients.len()
     }
 
     /// So many connections are kept, and so many more until each has its answer. Those that are beyond it leave
@@ -117,21 +130,17 @@
     pub fn bound(&self, max: usize, over: usize) {
         self.max.set(max);
         self.over.set(over);
-        while self.staying(|_| true) > max && self.close_longest_idle() {}
-    }
-
-    /// How many of a kind there are that were not told to leave.
-    pub(crate) fn staying(&self, of: impl Fn(&Client) -> bool) -> usize {
-        self.clients.borrow().values().filter(|c| !c.leaving.get() && of(c)).count()
+        while self.clients.staying() > max && self.make_room() != Room::None {}
     }
 
     /// One line on clients and connections since the last.
     pub fn report(&self) {
         info!(
             clients = self.clients(),
-            unproven = self.staying(|c| !c.proven.get()),
+            unproven = self.clients.unproven(),
             accepted = self.accepted.take(),
             evicted = self.evicted.take(),
+            filed = self.clients.filings.take(),
             turned_away = self.faults.take(),
             upstreams = self.pool.open(),
             connects = self.pool.opened.take(),
@@ -144,11 +153,16 @@
     pub async fn run(self: Rc<Self>, listener: TcpListener, inherited: bool, stop: impl Future<Output = ()>) {
         let mut stop = pin!(stop);
         self.accepting.set(true);
+        let mut accepts = 0;
         loop {
             tokio::select! {
                 _ = self.accept(&listener) => {}
                 _ = &mut stop => break,
             }
+            accepts += 1;
+            if accepts % ACCEPTS_A_TURN == 0 {
+                tokio::task::yield_now().await;
+            }
         }
         self.accepting.set(false);
         let told = tokio::time::Instant::now();
@@ -167,7 +181,7 @@
         self.stopping.set(true);
         while self.clients() > 0 && tokio::time::Instant::now() < end {
             // Told again and again: one whose request had just arrived is not closed at the first time.
-            self.clients.borrow().values().for_each(|c| c.close.notify_one());
+            self.clients.for_each(|c| c.close.notify_one());
             let _ = tokio::time::timeout(Duration::from_millis(20), self.left.notified()).await;
         }
     }
@@ -192,8 +206,9 @@
 
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         while self.clients() >= self.max.get() + self.over.get() {
-            if self.staying(|_| true) > self.max.get() {
-                self.close_longest_idle();
+            if self.clients.staying() > self.max.get() && self.make_room() == Room::Unknown {
+                tokio::task::yield_now().await;
+                continue;
             }
             // Those that were told to leave have to be given the time: telling more makes no room sooner.
             let _ = tokio::time::timeout(Duration::from_millis(20), self.left.notified()).await;
@@ -202,7 +217,7 @@
             Ok((tcp, _)) => self.take_in(tcp),
             Err(e) => {
                 // Out of descriptors, or a client that left in the queue: never the end of the program.
-                let made_room = self.close_longest_idle() || self.pool.close_oldest();
+                let made_room = self.make_room() == Room::Soon || self.pool.close_oldest();
                 let now = self.host.clock.now();
                 if now - self.told.get() >= ACCEPT_LOG {
                     self.told.set(now);
@@ -215,47 +230,31 @@
         }
     }
 
-    /// The one that earns least leaves: see `Standing`.
-    fn close_longest_idle(&self) -> bool {
-        let now = tokio::time::Instant::now();
-        let clients = self.clients.borrow();
-        let crowd = self.staying(|c| !c.proven.get()) > self.max.get() / UNPROVEN_PART;
-        let may_go =
-            clients.values().filter_map(|c| c.standing(now, crowd).map(|s| (s, c.idle_since.get(), c)));
-        let Some((_, _, client)) = may_go.min_by_key(|(standing, since, _)| (*standing, *since)) else {
-            return false;
-        };
-        self.evicted.set(self.evicted.get() + 1);
-        client.leaving.set(true); // another call at the same moment chooses another
-        client.close.notify_one();
-        true
+    /// Tells the connection that is closed first to end. See `clients`.
+    fn make_room(&self) -> Room {
+        match self.clients.choose_leaving(tokio::time::Instant::now(), self.max.get()) {
+            Choice::Leaves(client) => {
+                self.evicted.set(self.evicted.get() + 1);
+                client.close.notify_one();
+                Room::Soon
+            }
+            Choice::Nobody => Room::None,
+            Choice::Unfinished => Room::Unknown,
+        }
     }
 
     fn take_in(self: &Rc<Self>, tcp: TcpStream) {
-        if self.staying(|_| true) >= self.max.get() {
-            self.close_longest_idle();
+        if self.clients.staying() >= self.max.get() {
+            self.make_room();
         }
         self.accepted.set(self.accepted.get() + 1);
-        let key = self.next.get();
-        self.next.set(key + 1);
-        let (stream, since) = (Stream::new(tcp), Cell::new(self.host.clock.now()));
-        let accepted = tokio::time::Instant::now();
-        let client = Rc::new(Client {
-            stream,
-            accepted,
-            busy: Cell::default(),
-            proven: Cell::default(),
-            flowing: Cell::default(),
-            since,
-            idle_since: Cell::new(accepted),
-            leaving: Cell::default(),
-            close: Notify::new(),
-        });
-        self.clients.borrow_mut().insert(key, client.clone());
+        let population = self.clients.population.clone();
+        let client = Rc::new(Client::new(self.clients.next_id(), Stream::new(tcp), population));
+        self.clients.insert(client.clone());
         let server = self.clone();
         tokio::task::spawn_local(async move {
             server.serve(&client).await;
-            server.clients.borrow_mut().remove(&key);
+            server.clients.remove(&client);
             server.left.notify_one();
         });
     }
@@ -264,7 +263,7 @@
         let service = service_fn(|request| async {
             client.busy.set(true);
             let mut answer = self.answer(client, request).await;
-            let done = Answered { client: client.clone(), clock: self.host.clock };
+            let done = Answered { server: self.clone(), client: client.clone() };
             if let AnswerBody::Flow(_, until) = answer.body_mut() {
                 *until = Some(Box::new(done)); // it is busy until the last byte is on its way
             }
@@ -280,7 +279,7 @@
             tokio::select! {
                 biased; // what has come is read before a connection is closed for its silence
                 _ = conn.as_mut() => return,
-                _ = cut.as_mut(), if client.leaving.get() && !client.busy.get() => return,
+                _ = cut.as_mut(), if client.is_leaving() && !client.busy.get() => return,
                 _ = due.as_mut() => {
                     let now = tokio::time::Instant::now();
                     let (next, moved) = (client.due(now), client.stream.sent());
@@ -296,7 +295,7 @@
                         due.as_mut().reset(now + BUSY_LOOK);
                     } else if client.stream.unread() {
                         due.as_mut().reset(now + UNREAD_LOOK);
-                    } else if client.stream.heard().is_some() || !client.proven.get() {
+                    } else if client.stream.heard().is_some() || !client.is_proven() {
                         return; // no whole head came
                     } else {
                         conn.as_mut().graceful_shutdown();
@@ -304,14 +303,13 @@
                     }
                 }
                 _ = client.close.notified() => {
-                    if client.leaving.get() {
+                    if client.is_leaving() {
                         cut.as_mut().reset(tokio::time::Instant::now() + CLOSE_PATIENCE);
                     }
                     // A first request that comes while its connection is closed goes unanswered, so that the young ones
                     // are given their time; what lies unread may be a request.
-                    let standing = client.standing(tokio::time::Instant::now(), false);
-                    let none_owed = client.leaving.get() && !client.proven.get() && !client.busy.get();
-                    if none_owed && !client.stream.unread() || matches!(standing, Some(Standing::Silent | Standing::Stopped)) {
+                    let none_owed = client.is_leaving() && !client.is_proven() && !client.busy.get();
+                    if none_owed && !client.stream.unread() || client.asks_nothing(tokio::time::Instant::now()) {
                         return;
                     }
                     // A request that has just come is answered first; `answer` then ends the connection.
