Split the operator file's reading by duty: keys, sections, settings, faults

It is a folder now: keys.rs (the table and its types), sections.rs (what fits a key, and one short function per section that takes it), settings.rs ([state] and [ledger]), faults.rs (errors and messages), mod.rs (load and parse), tests.rs. `Sort` is `ValueType`, with named limits in place of a tuple; the similarity at which a name is suggested is a named constant. A new section adds its keys to keys.rs and a set_ function to sections.rs. No behaviour changes; the four tests moved unchanged but for the renamed type.

--- a/crates/lotusdeck/src/check.rs
+++ b/crates/lotusdeck/src/check.rs
@@ -24,8 +24,13 @@
 pub fn main(args: &Args) -> ExitCode {
     if args.keys {
         for k in &KEYS {
-            let text =
-                format!("{}: {}, default {}: {}\n", k.path, k.sort.expected(), k.sort.default(), k.about);
+            let text = format!(
+                "{}: {}, default {}: {}\n",
+                k.path,
+                k.value_type.expected(),
+                k.value_type.default(),
+                k.about
+            );
             say(&text);
         }
     }
--- /dev/null
+++ b/crates/lotusdeck/src/operator/faults.rs
@@ -0,0 +1,65 @@
+//! What can be wrong with an operator file, and how messages name what was found and what was meant.
+
+use std::path::PathBuf;
+use thiserror::Error;
+use toml::de::DeValue;
+
+/// From this similarity on (normalized Damerau-Levenshtein, 0 to 1) an unknown name is answered with the known one: a
+/// slip in a short name, or a missing unit at its end, still finds it.
+const SIMILAR: f64 = 0.6;
+
+/// One thing that is wrong with an operator file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Offset of the place at fault in the text, bytes.
+    pub at: usize,
+    /// Where and what, in words.
+    pub text: String,
+}
+
+/// Why a file was not taken.
+#[derive(Debug, Error)]
+pub enum OperatorError {
+    /// It cannot be read.
+    #[error("cannot read {0}: {1}")]
+    Unreadable(PathBuf, std::io::Error),
+    /// Something in it is wrong: the first fault, and how many there are.
+    #[error("{0}: {1} ({2} faults in all; `lotusdeck check` tells each)")]
+    Faults(PathBuf, String, usize),
+}
+
+impl Fault {
+    /// A place where the text is not TOML.
+    pub fn syntax(error: &toml::de::Error) -> Fault {
+        let at = error.span().map_or(0, |span| span.start);
+        Fault { at, text: error.message().into() }
+    }
+}
+
+/// The type of a TOML value, in words.
+pub fn type_name(value: &DeValue) -> &'static str {
+    match value {
+        DeValue::String(_) => "text",
+        DeValue::Integer(_) => "a whole number",
+        DeValue::Float(_) => "a number with a fraction",
+        DeValue::Boolean(_) => "true or false",
+        DeValue::Datetime(_) => "a date",
+        DeValue::Array(_) => "an array",
+        DeValue::Table(_) => "a table",
+    }
+}
+
+/// The known name most like `name`, if any is like it.
+fn nearest<'a>(name: &str, known: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    let scored = known.map(|known| (strsim::normalized_damerau_levenshtein(name, known), known));
+    let similar = scored.filter(|(score, _)| *score >= SIMILAR);
+    similar.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, known)| known)
+}
+
+/// The message on a name that there is not; `what` says whether it is a key or a table.
+pub fn unknown<'a>(what: &str, name: &str, known: impl Iterator<Item = &'a str>) -> String {
+    match nearest(name, known) {
+        Some(nearest) => format!("{name}: no such {what}; did you mean {nearest}?"),
+        None => format!("{name}: no such {what}"),
+    }
+}
--- /dev/null
+++ b/crates/lotusdeck/src/operator/keys.rs
@@ -0,0 +1,185 @@
+//! The table of keys: name, type, range, default and meaning of each. docs/configuration.md says the same of every key,
+//! and a test compares the two.
+
+/// The type of a key's value, with its limits and its default.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ValueType {
+    /// A whole number within a range.
+    Number {
+        /// The unit that it counts.
+        unit: &'static str,
+        /// The smallest value that is accepted.
+        least: i64,
+        /// The largest value that is accepted.
+        most: i64,
+        /// The value where the key is absent.
+        default: i64,
+    },
+    /// One of these words; the first is the default.
+    Choice(&'static [&'static str]),
+    /// Text; empty by default.
+    Text,
+    /// A socket address; none by default.
+    Address,
+    /// Positions in the fleet and socket addresses; none by default.
+    Members,
+}
+
+impl ValueType {
+    /// What is expected, in words, as messages and docs/configuration.md give it.
+    pub fn expected(&self) -> String {
+        match self {
+            ValueType::Number { unit, least, most, .. } => {
+                format!("a whole number of {unit} from {least} to {most}")
+            }
+            ValueType::Choice(words) => words.join(" or "),
+            ValueType::Text => "text".into(),
+            ValueType::Address => "an address as 10.0.0.1:7400, or nothing".into(),
+            ValueType::Members => {
+                "positions and addresses as 0@10.0.0.1:7400 1@10.0.0.2:7400, or nothing".into()
+            }
+        }
+    }
+
+    /// The value where the key is absent, as it would be written in the file.
+    pub fn default(&self) -> String {
+        match self {
+            ValueType::Number { default, .. } => default.to_string(),
+            ValueType::Choice(words) => format!("\"{}\"", words.first().unwrap_or(&"")),
+            ValueType::Text | ValueType::Address | ValueType::Members => "\"\"".into(),
+        }
+    }
+}
+
+/// One key, with all that docs/configuration.md says of it.
+pub struct Key {
+    /// Table and name, joined by a dot.
+    pub path: &'static str,
+    /// The type of its value.
+    pub value_type: ValueType,
+    /// What it does.
+    pub about: &'static str,
+}
+
+/// A key of a whole number; `range` is the smallest and the largest value that is accepted.
+const fn number(
+    path: &'static str, unit: &'static str, range: (i64, i64), default: i64, about: &'static str,
+) -> Key {
+    let (least, most) = range;
+    Key { path, value_type: ValueType::Number { unit, least, most, default }, about }
+}
+
+/// Every key of the plain tables. `[[postgres]]` and `[[limit]]` are read by the modules that use them.
+pub const KEYS: [Key; 22] = [
+    number(
+        "http.answer_gap_ms",
+        "ms",
+        (10, 60_000),
+        300,
+        "an answer that has begun and rests for longer is a failed attempt",
+    ),
+    number(
+        "http.answer_silence_ms",
+        "ms",
+        (100, 600_000),
+        10_000,
+        "a large answer on its way to the client that rests for longer is cut",
+    ),
+    number(
+        "http.upload_stall_ms",
+        "ms",
+        (50, 60_000),
+        1_500,
+        "a client whose body rests for longer is answered 408",
+    ),
+    number(
+        "http.upload_unread_ms",
+        "ms",
+        (50, 60_000),
+        3_000,
+        "a backend that takes nothing of a body for longer has gone",
+    ),
+    Key {
+        path: "ledger.folder",
+        value_type: ValueType::Text,
+        about: "where the journal of requests that must never run twice lies; empty: there is none",
+    },
+    Key {
+        path: "ledger.mode",
+        value_type: ValueType::Choice(&["process", "power"]),
+        about: "what a record survives before its request is sent: the process's death, or the loss of power",
+    },
+    Key {
+        path: "ledger.on_failure",
+        value_type: ValueType::Choice(&["refuse", "go-on"]),
+        about: "while nothing can be written such requests get 503, or are sent and read as uncertain later",
+    },
+    number("ledger.wait_ms", "ms", (1, 60_000), 200, "an attempt waits so long at most for its record"),
+    number("ledger.segment_mb", "MB", (1, 1024), 16, "room of a segment, reserved when it is made"),
+    number(
+        "ledger.keep_mb",
+        "MB",
+        (1, 1_000_000),
+        1_024,
+        "beyond it the oldest resolved segments are dropped",
+    ),
+    number("ledger.keep_days", "days", (1, 36_500), 90, "resolved segments are dropped at this age"),
+    number("ledger.keep_unresolved_days", "days", (1, 36_500), 180, "all others at this one"),
+    number("ledger.warn_free_mb", "MB", (0, 1_000_000), 256, "with less space than this a line warns"),
+    Key {
+        path: "state.folder",
+        value_type: ValueType::Text,
+        about: "where this proxy keeps its last list across restarts; empty: nowhere",
+    },
+    Key {
+        path: "state.site",
+        value_type: ValueType::Text,
+        about: "names the site in what is kept; what another site kept is not taken",
+    },
+    number(
+        "state.half_life_s",
+        "s",
+        (1, 604_800),
+        600,
+        "a kept list is trusted half as much at this age, and not at all past twice it",
+    ),
+    number(
+        "state.every_ms",
+        "ms",
+        (100, 600_000),
+        1_000,
+        "a changed list, and what was learned, are kept at most this often",
+    ),
+    Key {
+        path: "fleet.listen",
+        value_type: ValueType::Address,
+        about: "where datagrams of other proxies come in; empty: this proxy talks to none",
+    },
+    Key {
+        path: "fleet.advertise",
+        value_type: ValueType::Address,
+        about: "where the others reach it; empty: where it listens",
+    },
+    Key {
+        path: "fleet.members",
+        value_type: ValueType::Members,
+        about: "some of the others, to call at: the rest is learned from them",
+    },
+    Key {
+        path: "fleet.site",
+        value_type: ValueType::Text,
+        about: "names the site; datagrams of another one are not read",
+    },
+    number(
+        "fleet.term_ms",
+        "ms",
+        (200, 60_000),
+        1_000,
+        "how long a part of a limit is lent to another proxy",
+    ),
+];
+
+/// The names of the tables that keys stand in; each as often as it has keys.
+pub fn tables() -> impl Iterator<Item = &'static str> {
+    KEYS.iter().filter_map(|key| key.path.split_once('.').map(|(table, _)| table))
+}
--- /dev/null
+++ b/crates/lotusdeck/src/operator/sections.rs
@@ -0,0 +1,150 @@
+//! Reading and checking by section: which value fits a key, and where it goes.
+
+use super::faults::{type_name, unknown, Fault};
+use super::keys::{ValueType, KEYS};
+use super::settings::{LedgerSettings, StateSettings};
+use super::Operator;
+use crate::fleet::{self, FleetSettings};
+use lotusdeck_proxy::pauses::Pauses;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use toml::de::{DeInteger, DeValue};
+use toml::Spanned;
+
+/// A value that fits its key.
+pub enum Value {
+    /// A number within the key's range, in its unit.
+    Number(u64),
+    /// Text, or one of the words of a choice.
+    Text(String),
+    /// A socket address, if one is given.
+    Address(Option<SocketAddr>),
+    /// Positions in the fleet and socket addresses.
+    Members(Vec<(u32, SocketAddr)>),
+}
+
+/// Checks the value of the key `path` against the table of keys.
+///
+/// # Errors
+/// The key is not in the table, or the value does not fit it.
+pub fn check(path: &str, value: &Spanned<DeValue>) -> Result<Value, Fault> {
+    let at = value.span().start;
+    let Some(key) = KEYS.iter().find(|key| key.path == path) else {
+        let known = KEYS.iter().map(|key| key.path);
+        return Err(Fault { at, text: unknown("key", path, known) });
+    };
+    fit(&key.value_type, value.get_ref()).ok_or_else(|| {
+        let expected = key.value_type.expected();
+        let got = found(value.get_ref());
+        Fault { at, text: format!("{path}: expected {expected}, got {got}") }
+    })
+}
+
+/// What was found instead of a fitting value, in words.
+fn found(value: &DeValue) -> String {
+    match value {
+        DeValue::Integer(number) => number.as_str().to_string(),
+        DeValue::String(text) => format!("{text:?}"),
+        other => type_name(other).into(),
+    }
+}
+
+/// The value, where it is of that type and within its limits.
+fn fit(value_type: &ValueType, value: &DeValue) -> Option<Value> {
+    match (value_type, value) {
+        (ValueType::Number { least, most, .. }, DeValue::Integer(number)) => {
+            let number = parse_integer(number)?;
+            (least..=most).contains(&&number).then_some(Value::Number(number.unsigned_abs()))
+        }
+        (ValueType::Choice(words), DeValue::String(text)) => {
+            words.contains(&text.as_ref()).then(|| Value::Text(text.to_string()))
+        }
+        (ValueType::Text, DeValue::String(text)) => Some(Value::Text(text.to_string())),
+        (ValueType::Address, DeValue::String(text)) if text.is_empty() => Some(Value::Address(None)),
+        (ValueType::Address, DeValue::String(text)) => {
+            text.parse().ok().map(|address| Value::Address(Some(address)))
+        }
+        (ValueType::Members, DeValue::String(text)) => fleet::members(text).map(Value::Members),
+        _ => None,
+    }
+}
+
+/// A TOML integer of any base; `None` where it does not fit 64 bits.
+fn parse_integer(number: &DeInteger) -> Option<i64> {
+    let digits: String = number.as_str().chars().filter(|c| *c != '_').collect();
+    i64::from_str_radix(&digits, number.radix()).ok()
+}
+
+impl Operator {
+    /// Takes a checked value; `path` is a key of the table.
+    pub(super) fn set(&mut self, path: &str, value: Value) {
+        match path.split_once('.') {
+            Some(("http", key)) => set_http(&mut self.pauses, key, value),
+            Some(("ledger", key)) => set_ledger(&mut self.ledger, key, value),
+            Some(("state", key)) => set_state(&mut self.state, key, value),
+            Some(("fleet", key)) => set_fleet(&mut self.fleet, key, value),
+            _ => unread(path),
+        }
+    }
+}
+
+/// `[http]`.
+fn set_http(pauses: &mut Pauses, key: &str, value: Value) {
+    match (key, value) {
+        ("answer_gap_ms", Value::Number(ms)) => pauses.answer_gap = Duration::from_millis(ms),
+        ("answer_silence_ms", Value::Number(ms)) => pauses.answer_silence = Duration::from_millis(ms),
+        ("upload_stall_ms", Value::Number(ms)) => pauses.upload_stall = Duration::from_millis(ms),
+        ("upload_unread_ms", Value::Number(ms)) => pauses.upload_unread = Duration::from_millis(ms),
+        _ => unread(key),
+    }
+}
+
+/// `[ledger]`.
+fn set_ledger(ledger: &mut LedgerSettings, key: &str, value: Value) {
+    match (key, value) {
+        ("folder", Value::Text(text)) => ledger.folder = folder(text),
+        ("mode", Value::Text(word)) => ledger.power = word == "power",
+        ("on_failure", Value::Text(word)) => ledger.go_on = word == "go-on",
+        ("wait_ms", Value::Number(ms)) => ledger.wait = Duration::from_millis(ms),
+        ("segment_mb", Value::Number(mb)) => ledger.segment_mb = mb,
+        ("keep_mb", Value::Number(mb)) => ledger.keep_mb = mb,
+        ("keep_days", Value::Number(days)) => ledger.keep_days = days,
+        ("keep_unresolved_days", Value::Number(days)) => ledger.keep_unresolved_days = days,
+        ("warn_free_mb", Value::Number(mb)) => ledger.warn_free_mb = mb,
+        _ => unread(key),
+    }
+}
+
+/// `[state]`.
+fn set_state(state: &mut StateSettings, key: &str, value: Value) {
+    match (key, value) {
+        ("folder", Value::Text(text)) => state.folder = folder(text),
+        ("site", Value::Text(text)) => state.site = text,
+        ("half_life_s", Value::Number(s)) => state.half_life = Duration::from_secs(s),
+        ("every_ms", Value::Number(ms)) => state.every = Duration::from_millis(ms),
+        _ => unread(key),
+    }
+}
+
+/// `[fleet]`.
+fn set_fleet(fleet: &mut FleetSettings, key: &str, value: Value) {
+    match (key, value) {
+        ("listen", Value::Address(address)) => fleet.listen = address,
+        ("advertise", Value::Address(address)) => fleet.advertise = address,
+        ("members", Value::Members(members)) => fleet.members = members,
+        ("site", Value::Text(text)) => fleet.site = text,
+        ("term_ms", Value::Number(ms)) => fleet.term = Duration::from_millis(ms),
+        _ => unread(key),
+    }
+}
+
+/// A folder; empty text names none.
+fn folder(text: String) -> Option<PathBuf> {
+    Some(PathBuf::from(text)).filter(|path| !path.as_os_str().is_empty())
+}
+
+/// A key of the table that no section reads: a mistake in this program, which the test of every key finds.
+fn unread(key: &str) -> ! {
+    unreachable!("a key of the list that nobody reads: {key}")
+}
