Split the core's host by duty, with no circle between its modules

host.rs held state, requests, attempts, lists, actions and reports in 662 lines, and its functions called each other in circles: an action sent an attempt, whose end called the actions.

It is a folder now: state.rs (what the host owns), answers.rs (the one final answer), attempts.rs (sending, the first byte's conditions, closing), actions.rs (events to the module, its actions), request.rs, membership.rs, report.rs, and mod.rs with the host and its remaining entry points. Each uses only those before it: what takes an attempt's end is handed to `dispatch`. `Live` is `OpenRequest`, `Flight` is `OpenAttempt`; taking a request, sending an attempt and closing one are split into short functions. Log lines keep their target. `adopt` and `uploaded` are moved word for word, the unit test with them. No behaviour changes.

--- /dev/null
+++ b/crates/core/src/host/attempts.rs
@@ -0,0 +1,112 @@
+//! Attempts: how they are sent, what is asked at their first byte, and how they are closed.
+
+use super::state::{Answer, OpenAttempt, State};
+use super::{Host, LOG_TARGET};
+use crate::registry::Known;
+use crate::work::Leg;
+use lotusdeck_policy::{AttemptEnd, AttemptNo, BackendId, BackendState, Outcome, RequestId, Time};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tracing::debug;
+
+/// Takes the end of an attempt whose task ran to its end. It is handed in: what follows from an end is decided above.
+pub(super) type OnEnd = fn(&Rc<Host>, RequestId, AttemptNo, Outcome);
+
+impl Host {
+    /// Sends the next attempt of a request; nothing where the request is over or the backend unknown.
+    pub(super) fn dispatch(
+        self: &Rc<Self>, s: &mut State, now: Time, id: RequestId, backend: BackendId, on_end: OnEnd,
+    ) {
+        let Some(request) = s.requests.get_mut(&id) else { return };
+        let attempt = AttemptNo(request.attempts);
+        request.attempts += 1;
+        s.counts.attempts += 1;
+        let work = request.work.clone();
+        let journaled = request.journaled.then(|| work.clone());
+        let Some(leg) = self.leg(s, id, attempt, backend) else { return };
+        let host = self.clone();
+        let task = tokio::task::spawn_local(async move {
+            let outcome = work.attempt(leg).await;
+            on_end(&host, id, attempt, outcome);
+        });
+        let open = OpenAttempt { backend, sent: now, began: now, task: task.abort_handle(), journaled };
+        s.attempts.insert((id, attempt), open);
+    }
+
+    /// Where and until when an attempt goes, and what has to hold before its first byte.
+    fn leg(self: &Rc<Self>, s: &State, id: RequestId, attempt: AttemptNo, backend: BackendId) -> Option<Leg> {
+        let request = s.requests.get(&id)?;
+        let known = s.registry.get(backend)?;
+        let address = known.address;
+        let deadline = self.clock.instant(request.deadline);
+        let send_by = s.send_by(id, request, attempt);
+        let host = self.clone();
+        let gate = Box::new(move || host.may_send(id, (backend, address), send_by));
+        // The journal writes while the connection comes up.
+        let journal = self.beside.journal.as_ref().filter(|_| request.journaled);
+        let clearance = journal.map(|journal| journal.intent(id, attempt, &known.name, address));
+        Some(Leg { attempt, backend, address, deadline, gate, clearance: clearance.into() })
+    }
+
+    /// At the moment of the first byte: the list still allows it and still has the backend at that address, where
+    /// another may be by now; the request still waits for it, and a repeat is still one that is dropped.
+    pub(super) fn may_send(
+        &self, request: RequestId, (backend, to): (BackendId, SocketAddr), send_by: Option<Time>,
+    ) -> bool {
+        let s = self.state.borrow();
+        let usable =
+            |b: &Known| b.state == BackendState::Ready && b.address == to && !self.cordon.holds(&b.name);
+        s.registry.get(backend).is_some_and(usable)
+            && s.requests.contains_key(&request)
+            && send_by.is_none_or(|at| self.clock.now() < at)
+    }
+
+    /// Closes an attempt, and its request where that is served; `None` where it is not out.
+    pub(super) fn close_attempt(
+        &self, s: &mut State, id: RequestId, attempt: AttemptNo, outcome: Outcome,
+    ) -> Option<AttemptEnd> {
+        let open = s.attempts.remove(&(id, attempt))?;
+        open.task.abort(); // closes its connection, if it is still on one
+        s.counts.ended(outcome);
+        self.journal_end(id, attempt, outcome, &open);
+        if outcome == Outcome::TimedOut {
+            self.unanswered(&open);
+        }
+        if !outcome.never_ran() {
+            s.note_run(id, open.sent);
+        }
+        if outcome == Outcome::Ok && s.requests.contains_key(&id) {
+            s.counts.served += 1;
+            self.finish(s, id, Answer::Served(attempt));
+        }
+        if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
+            let backend = open.backend.0;
+            debug!(target: LOG_TARGET, request = id.0, attempt = attempt.0, backend, ?outcome, "attempt ended");
+        }
+        Some(s.attempt_end(id, attempt, outcome, self.clock.now() - open.began))
+    }
+
+    /// Gives up an attempt that the module cancels; `None` where it is not out. Counts are of ends that came otherwise.
+    pub(super) fn cancel_attempt(
+        &self, s: &mut State, now: Time, id: RequestId, attempt: AttemptNo,
+    ) -> Option<AttemptEnd> {
+        let open = s.attempts.remove(&(id, attempt))?;
+        open.task.abort();
+        self.journal_end(id, attempt, Outcome::Cancelled, &open);
+        self.unanswered(&open);
+        Some(s.attempt_end(id, attempt, Outcome::Cancelled, now - open.began))
+    }
+
+    /// Tells the journal of the end of an attempt that it was told of.
+    fn journal_end(&self, id: RequestId, attempt: AttemptNo, outcome: Outcome, open: &OpenAttempt) {
+        if let Some((journal, work)) = self.beside.journal.as_ref().zip(open.journaled.as_ref()) {
+            journal.ended(id, attempt, outcome, work.status(attempt));
+        }
+    }
+
+    /// Tells the connections of an attempt that was given up unanswered.
+    fn unanswered(&self, open: &OpenAttempt) {
+        let sent = self.clock.instant(open.sent);
+        self.lines.iter().for_each(|lines| lines.unanswered(open.backend, sent));
+    }
+}
--- /dev/null
+++ b/crates/core/src/host/membership.rs
@@ -0,0 +1,59 @@
+//! Which backends there are and which of them operators have taken out: lists and cordons.
+
+use super::{Host, LOG_TARGET};
+use crate::cordon::{CordonError, LOOK};
+use crate::registry::News;
+use lotusdeck_policy::{BackendId, Event, ListUpdate};
+use std::collections::HashSet;
+use std::rc::Rc;
+use tracing::info;
+
+impl Host {
+    /// News of the list.
+    pub fn members(self: &Rc<Self>, update: ListUpdate, news: impl Into<News>) {
+        let backends = {
+            let mut s = self.state.borrow_mut();
+            let s = &mut *s;
+            let holds: HashSet<BackendId> = s.attempts.values().map(|open| open.backend).collect();
+            s.registry.take(update, news.into(), &mut s.names, &holds, |name| self.cordon.holds(name))
+        };
+        self.apply_cordons();
+        self.tell(Event::Members { update, backends });
+    }
+
+    /// Whether the list has or had a backend of that id.
+    pub fn knows(&self, id: &str) -> bool {
+        self.state.borrow().registry.knows(id) || self.cordon.holds(id)
+    }
+
+    /// An operator takes a backend out or gives it back; whether that changed anything.
+    pub async fn cordon(self: &Rc<Self>, id: &str, out: bool) -> Result<bool, CordonError> {
+        let changed = self.cordon.set(id, out).await;
+        self.apply_cordons();
+        changed
+    }
+
+    /// Follows what another process of this proxy is told, for as long as the program runs.
+    pub async fn heed_cordons(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            if self.cordon.refresh() {
+                info!(target: LOG_TARGET, cordoned = self.cordon.count(), "cordons changed by another process");
+                self.apply_cordons();
+            }
+        }
+    }
+
+    /// Keeps connections only to backends that may be sent requests, and tells the module of a change.
+    fn apply_cordons(self: &Rc<Self>) {
+        let banned = {
+            let mut s = self.state.borrow_mut();
+            let usable = s.registry.usable(|name| self.cordon.holds(name));
+            self.lines.iter().for_each(|lines| lines.serve(&usable));
+            s.registry.cordons(|name| self.cordon.holds(name))
+        };
+        if let Some(backends) = banned {
+            self.tell(Event::Cordoned { backends });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/host/mod.rs
@@ -0,0 +1,171 @@
+//! The host of the decision module: it alone owns the module and all open requests and attempts. Events go into the
+//! module one at a time, and the actions that come out of it are carried out at once.
+//!
+//! `state` is what is owned; `answers` gives the one final answer to a request; `attempts` sends attempts and closes
+//! them; `actions` passes events to the module and carries its actions out. `request` and `membership` turn what fronts,
+//! clients and lists bring into events, and `report` tells what is known. Each uses only those named before it.
+
+mod actions;
+mod answers;
+mod attempts;
+mod membership;
+mod report;
+mod request;
+mod state;
+#[cfg(test)]
+mod tests;
+
+pub use state::Answer;
+
+use crate::cordon::Cordon;
+use crate::gate::Gate;
+use crate::journal::Journal;
+use crate::memory;
+use crate::timers::Timers;
+use crate::work::Lines;
+use crate::Clock;
+use lotusdeck_policy::settings::Settings;
+use lotusdeck_policy::{Balancer, Event, Micros};
+use lotusdeck_recovery::Learned;
+use state::State;
+use std::cell::RefCell;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tracing::info;
+
+/// What log lines of the host bear as their target, whichever of its modules writes them: operators filter by it.
+const LOG_TARGET: &str = "lotusdeck_core::host";
+/// Kept of the client's time for the answer's way back, on top of how late timers were seen to fire.
+const MARGIN: Micros = Micros(3_000);
+/// Kept of the client's time at most, however late timers fire: a busy process must not take the shortest deadlines
+/// for itself.
+const MOST_MARGIN: Micros = Micros(20_000);
+
+/// What stands beside the module, where there is any of it.
+#[derive(Clone, Default)]
+pub struct Beside {
+    /// The journal of requests that must never run twice.
+    pub journal: Option<Rc<dyn Journal>>,
+    /// Limits that hold for more than this process.
+    pub gate: Option<Rc<dyn Gate>>,
+}
+
+/// Owns the module and all requests that are open. Fronts bring requests and wait for the one answer to each.
+pub struct Host {
+    state: RefCell<State>,
+    /// The module's time.
+    pub clock: Clock,
+    /// The connections of all protocols.
+    lines: Vec<Rc<dyn Lines>>,
+    cordon: Cordon,
+    beside: Beside,
+    timers: Timers,
+    /// Woken when the module asks discovery for changes.
+    follow: Notify,
+}
+
+impl Host {
+    /// A host that has taken no request yet; `lines` are those of all protocols.
+    pub fn new(
+        balancer: Balancer, settings: Settings, clock: Clock, lines: Vec<Rc<dyn Lines>>, cordon: Cordon,
+        beside: Beside,
+    ) -> Rc<Host> {
+        Rc::new(Host {
+            state: RefCell::new(State::new(balancer, settings)),
+            clock,
+            lines,
+            cordon,
+            beside,
+            timers: Timers::default(),
+            follow: Notify::new(),
+        })
+    }
+
+    /// The generation of settings under which a request that comes now is taken.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.state.borrow().settings.clone()
+    }
+
+    /// Takes new settings, all at once; what changed, in words.
+    pub fn adopt(self: &Rc<Self>, new: Settings) -> String {
+        let (config, changed) = {
+            let mut s = self.state.borrow_mut();
+            let new = s.settings.succeeded_by(new, &s.names);
+            self.lines.iter().for_each(|lines| lines.adopt(&new.network));
+            s.generation += 1;
+            s.names = new.names.clone();
+            let changed = s.settings.difference(&new);
+            s.settings = Rc::new(new);
+            (Box::new(s.settings.config.clone()), changed)
+        };
+        self.tell(Event::Settings { config });
+        changed
+    }
+
+    /// What is held back of a client's time.
+    pub fn margin(&self) -> Micros {
+        Micros((MARGIN.0 + self.timers.lag().0).min(MOST_MARGIN.0))
+    }
+
+    /// Another process serves beside this one, or does no more.
+    pub fn shared(self: &Rc<Self>, with_another: bool) {
+        info!(processes = 1 + u32::from(with_another), "processes of this proxy");
+        self.beside.gate.iter().for_each(|gate| gate.shared(with_another));
+        self.tell(Event::Processes { count: 1 + u32::from(with_another) });
+    }
+
+    /// What was learned so far, by names; `None` where no request came since the last call.
+    pub fn learned(&self) -> Option<Learned> {
+        let mut s = self.state.borrow_mut();
+        let s = &mut *s;
+        let any_request = std::mem::replace(&mut s.learned_at, s.last_request) != s.last_request;
+        any_request.then(|| memory::named(&s.balancer.memory(self.clock.now()), &s.names, &s.registry))
+    }
+
+    /// Takes back what was learned before the process began; after the first list, whose names it speaks of.
+    pub fn recall(self: &Rc<Self>, learned: &Learned) {
+        let memory = {
+            let mut s = self.state.borrow_mut();
+            let s = &mut *s;
+            memory::numbered(learned, &mut s.names, &s.registry)
+        };
+        self.tell(Event::Remembered(Box::new(memory)));
+    }
+
+    /// Attempts that are out.
+    pub fn held(&self) -> usize {
+        self.state.borrow().attempts.len()
+    }
+
+    /// What the other proxies told that they hold together.
+    pub fn others_hold(self: &Rc<Self>, held: f64) {
+        self.tell(Event::Others { held });
+    }
+
+    /// Until the module asks discovery for changes.
+    pub async fn followed(&self) {
+        self.follow.notified().await;
+    }
+
+    /// Fires the module's timers for as long as the program runs.
+    pub async fn timers(self: Rc<Self>) {
+        loop {
+            match self.timers.next() {
+                None => self.timers.sooner().await,
+                Some(at) => {
+                    let due = tokio::time::sleep_until(self.clock.instant(at));
+                    tokio::select! {
+                        _ = due => self.fire(),
+                        _ = self.timers.sooner() => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn fire(self: &Rc<Self>) {
+        while let Some(token) = self.timers.due(self.clock.now()) {
+            self.tell(Event::Timer { token });
+        }
+    }
+}
