Split the lab's driver in virtual time by duty

event.rs holds what happens and its queue; clients.rs, proxies.rs, backends.rs, discovery.rs, gossip.rs and acts.rs what is done about it, a function for each; mod.rs the simulation and its loop. `World` is `Simulation` (the model is `world`), `Happens` is `Event`, an attempt on its way is one `SentAttempt` in place of four loose fields, and a line of the list has named fields. No behaviour changes.

--- /dev/null
+++ b/crates/lab/src/virt/discovery.rs
@@ -0,0 +1,82 @@
+//! Discovery: proxies are told the list of backends, and changes to it.
+
+use super::event::Event;
+use super::proxies::module_time;
+use super::{Simulation, ONE_WAY};
+use crate::record::What;
+use crate::world::discovery::{Line, Status};
+use lotusdeck_policy::settings::Row;
+use lotusdeck_policy::{Backend, BackendId, BackendState, CellId, ListUpdate, Micros};
+
+/// A line of the list as a proxy reads it.
+struct ListedBackend {
+    row: Row,
+    id: BackendId,
+    status: Status,
+}
+
+impl Simulation<'_> {
+    /// Tells a proxy the whole list, or what has changed since it was told last.
+    pub(super) fn list(&mut self, proxy: usize, update: ListUpdate) {
+        let known = self.proxies[proxy].version();
+        let version = self.discovery.version();
+        let listed: Vec<ListedBackend> = match update {
+            ListUpdate::Changes => self.discovery.since(known).map(|line| self.listed(line)).collect(),
+            _ => self.discovery.whole().map(|line| self.listed(line)).collect(),
+        };
+        for ListedBackend { id, status, .. } in &listed {
+            self.record(What::Told { proxy, backend: id.0 as usize, status: *status });
+        }
+        let rows = listed.into_iter().map(|listed| (listed.row, listed.id));
+        self.proxies[proxy].members(update, rows, version);
+        self.pump(proxy);
+    }
+
+    fn listed(&self, line: &Line) -> ListedBackend {
+        let spec = &self.plan.fleet[line.backend];
+        let state = match line.status {
+            Status::Serving => BackendState::Ready,
+            Status::Draining => BackendState::Draining,
+            Status::Deleted => BackendState::Gone,
+        };
+        let booted = line.since.map(module_time);
+        let entry = Backend { cell: CellId(spec.cell), state, booted, ..Backend::default() };
+        ListedBackend {
+            row: Row::new(&spec.name, "127.0.0.1:1", &spec.zone, &spec.kind, entry),
+            id: BackendId(line.backend as u32),
+            status: line.status,
+        }
+    }
+
+    /// The list may have changed.
+    pub(super) fn news(&mut self) {
+        if self.discovery.due(self.now) {
+            self.spread();
+        }
+        self.follow_news();
+    }
+
+    /// Every proxy is told, in turn.
+    pub(super) fn spread(&mut self) {
+        for proxy in 0..self.proxies.len() {
+            let lines = self.discovery.since(self.proxies[proxy].version()).count();
+            self.call(proxy, lines);
+        }
+    }
+
+    /// Discovery tells a proxy so many lines once it is through with the calls before.
+    pub(super) fn call(&mut self, proxy: usize, lines: usize) {
+        let spec = &self.plan.experiment.discovery;
+        let took = Micros::from_secs(spec.call_ms / 1e3 + spec.line_us / 1e6 * lines as f64);
+        self.calls_end = self.calls_end.max(self.now) + took;
+        let life = self.proxies[proxy].life();
+        self.at(self.calls_end + ONE_WAY, Event::Tell { proxy, life });
+    }
+
+    /// Looks again when discovery next hears of a change.
+    pub(super) fn follow_news(&mut self) {
+        if let Some(at) = self.discovery.next() {
+            self.at(at, Event::News);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/virt/proxies.rs
@@ -0,0 +1,108 @@
+//! Proxies: their modules' events, and what they send.
+
+use super::event::{AttemptKey, Event, SentAttempt};
+use super::proxy::{Answer, Flight, Stage};
+use super::{Simulation, ONE_WAY};
+use crate::world::backend::Health;
+use lotusdeck_policy::{Micros, Outcome, RequestId, Time};
+
+/// A connection that does not come up is given up after this time.
+const CONNECT_TIMEOUT: Micros = Micros(300_000);
+/// A new connection is up after a way there and back.
+const ROUND_TRIP: Micros = Micros(2 * ONE_WAY.0);
+/// The module's clock at the run's beginning: far enough from zero for any ramp.
+const MODULE_START: Time = Time(1_000_000_000);
+
+/// The time of a run on the modules' clock.
+pub(super) fn module_time(at: Time) -> Time {
+    Time(MODULE_START.0 + at.0)
+}
+
+impl Simulation<'_> {
+    /// Passes events on to a proxy's policy until it is quiet, and carries out what it asks for.
+    pub(super) fn pump(&mut self, proxy: usize) {
+        if self.proxies[proxy].sees() {
+            self.look();
+        }
+        let mut wishes = Vec::new();
+        self.proxies[proxy].pump(module_time(self.now), &self.sight, &mut wishes);
+        for wish in wishes {
+            self.carry_out(proxy, wish);
+        }
+    }
+
+    /// Brings what policies may look at up to now.
+    fn look(&mut self) {
+        for (sight, backend) in self.sight.iter_mut().zip(&self.backends) {
+            let serves = backend.health == Health::Up;
+            let speed = backend.capacity(self.now);
+            *sight = if serves { (backend.held().0 as f64 + 1.0) / speed } else { f64::INFINITY };
+        }
+    }
+
+    fn carry_out(&mut self, proxy: usize, wish: Stage) {
+        let life = self.proxies[proxy].life();
+        match wish {
+            Stage::Answer { id, answer } => {
+                let (status, retry_after) = match answer {
+                    Answer::Served => (200, None),
+                    Answer::Refused(after) => (503, Some(after.secs())),
+                    Answer::Failed => (502, None),
+                };
+                self.after(ONE_WAY, Event::ToClient { id, status, retry_after });
+            }
+            Stage::Timer { token, after } => self.after(after, Event::Timer { proxy, life, token }),
+            Stage::Connect { key, backend, warm } => {
+                let (span, up) = match self.backends[backend].health {
+                    _ if warm => (Micros(0), true),
+                    Health::Down => (ROUND_TRIP, false),
+                    Health::Hung => (CONNECT_TIMEOUT, false),
+                    Health::Up | Health::Draining => (ROUND_TRIP, true),
+                };
+                self.after(span, Event::Connected { proxy, life, key, up });
+            }
+            Stage::Withdraw { backend, ticket } => self.after(ONE_WAY, Event::Withdraw { backend, ticket }),
+        }
+    }
+
+    /// A request's time is up: its attempts have timed out, and should the module stay silent it still has an answer.
+    pub(super) fn deadline(&mut self, proxy: usize, request: RequestId) {
+        for key in self.proxies[proxy].out_of(request) {
+            self.end_attempt(proxy, key, Outcome::TimedOut);
+        }
+        self.pump(proxy);
+        if let Some(id) = self.proxies[proxy].give_up(request) {
+            self.after(ONE_WAY, Event::ToClient { id, status: 504, retry_after: None });
+            self.pump(proxy);
+        }
+    }
+
+    /// An attempt's connection is up, or is not.
+    pub(super) fn connected(&mut self, proxy: usize, key: AttemptKey, up: bool) {
+        let Some((flight, id, may)) = self.proxies[proxy].ready(key) else { return };
+        let Flight { backend, warm, .. } = flight;
+        if !up || !may {
+            let outcome = if up { Outcome::NeverSent } else { Outcome::ConnectFailed };
+            self.end_attempt(proxy, key, outcome);
+            self.pump(proxy);
+            return;
+        }
+        let ticket = self.next_ticket();
+        if !warm {
+            self.handshake(backend);
+        }
+        self.proxies[proxy].sent(key, ticket);
+        let life = self.proxies[proxy].life();
+        let jitter = Micros(self.dice.exponential(ONE_WAY.0 as f64 / 2.0) as u64);
+        let attempt = SentAttempt { proxy, life, key, id };
+        self.after(Micros(ONE_WAY.0 + jitter.0), Event::Reach { attempt, backend, ticket });
+    }
+
+    /// Ends an attempt at its proxy; where it timed out its backend hears that it is given up.
+    pub(super) fn end_attempt(&mut self, proxy: usize, key: AttemptKey, outcome: Outcome) {
+        let gone = self.proxies[proxy].attempt_ended(module_time(self.now), key, outcome);
+        if let Some((backend, ticket)) = gone.filter(|_| outcome == Outcome::TimedOut) {
+            self.after(ONE_WAY, Event::Withdraw { backend, ticket });
+        }
+    }
+}
