Find names by an index, and read and succeed settings in linear time

Cause: every name was looked for along a list: reading n tenants or classes and giving them the numbers of the settings before was quadratic, and each request looked along the list of classes and tenants.

Change: a table of names with a hash index keyed at random (hashbrown, already among the dependencies) over one allocation of texts; succession looks old numbers up in one map. Nothing iterates a map, so no decision depends on its order. A line on a change of settings tells 24 changes of classes one by one and counts the rest.

--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -195,7 +195,7 @@
 }
 
 /// What running a request twice would do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Effect {
     /// Nothing: it may be repeated and refused at will.
     Free,
@@ -206,7 +206,7 @@
 }
 
 /// Which backends discard each other's repeats.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum KeyScope {
     /// All of them.
     All,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,11 +5,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod faults;
 mod interface;
 mod memory;
+mod names;
 mod rules;
 pub mod settings;
 mod state;
+mod succession;
 mod view;
 
 pub use interface::*;
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -2,135 +2,15 @@
 //! the proxy and the simulator's adapter.
 
 use crate::interface::*;
+use crate::names::Told;
+use crate::succession::Places;
 use serde_json::Value;
 use std::cell::RefCell;
+use std::collections::HashSet;
+use std::sync::Arc;
 
-/// Names in the order of their numbers. Places and kinds met first in a list are numbered then.
-#[derive(Clone, Debug, Default)]
-pub struct Names {
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    classes: Vec<Told>,
-    tenants: Vec<Told>,
-}
-
-/// A name that settings told: it keeps its number when later ones leave it out.
-#[derive(Clone, Debug)]
-struct Told {
-    name: String,
-    /// New requests may be of it.
-    current: bool,
-}
-
-impl Told {
-    fn new(name: &str) -> Told {
-        Told { name: name.into(), current: true }
-    }
-}
-
-/// An entry of a backend list under its plain names; each proxy has numbers of its own for these.
-#[derive(Clone, Debug)]
-pub struct Row {
-    /// Where it listens.
-    pub address: String,
-    zone: String,
-    kind: String,
-    entry: Backend,
-}
-
-impl Row {
-    /// `same` is what every proxy calls the backend: the order that they share is drawn from it.
-    pub fn new(same: &str, address: &str, zone: &str, kind: &str, entry: Backend) -> Row {
-        let fold = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3); // FNV-1a
-        let mark = same.bytes().fold(0xcbf2_9ce4_8422_2325, fold) >> 20;
-        let entry = Backend { mark, ..entry };
-        Row { address: address.into(), zone: zone.into(), kind: kind.into(), entry }
-    }
-}
-
-fn number(names: &mut Vec<String>, name: &str) -> u32 {
-    let at = names.iter().position(|n| n == name).unwrap_or_else(|| {
-        names.push(name.into());
-        names.len() - 1
-    });
-    at as u32
-}
-
-impl Names {
-    /// The class of that name.
-    pub fn class(&self, name: &str) -> Option<ClassId> {
-        self.classes.iter().position(|c| c.current && c.name == name).map(ClassId)
-    }
-
-    /// The tenant of that name.
-    pub fn tenant(&self, name: &str) -> Option<TenantId> {
-        self.tenants.iter().position(|t| t.current && t.name == name).map(TenantId)
-    }
-
-    /// The name of a kind.
-    pub fn kind(&self, id: KindId) -> &str {
-        self.kinds.get(id.0 as usize).map_or("", |name| name)
-    }
-
-    /// The number of the kind of that name, given here where it is new.
-    pub fn kind_id(&mut self, name: &str) -> KindId {
-        KindId(number(&mut self.kinds, name))
-    }
-
-    /// The name of a class, current or retired.
-    pub fn class_name(&self, id: ClassId) -> &str {
-        self.classes.get(id.0).map_or("", |c| &c.name)
-    }
-
-    /// The name of a tenant, current or left out since.
-    pub fn tenant_name(&self, id: TenantId) -> &str {
-        self.tenants.get(id.0).map_or("", |t| &t.name)
-    }
-
-    /// The row as this instance numbers it.
-    pub fn entry(&mut self, row: &Row, id: BackendId) -> Backend {
-        let zone = ZoneId(number(&mut self.zones, &row.zone));
-        let kind = self.kind_id(&row.kind);
-        Backend { id, zone, kind, ..row.entry.clone() }
-    }
-}
-
-/// What is wrong with one key of the settings.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Fault {
-    /// The key, as `rules.cold_from` or `profiles[2].name`.
-    pub key: String,
-    /// What was expected of it.
-    pub expected: String,
-    /// What stands there; `None` where nothing does.
-    pub got: Option<String>,
-}
-
-impl std::fmt::Display for Fault {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Fault { key, expected, got } = self;
-        match got {
-            Some(got) => write!(f, "{key}: expected {expected}, got {got}"),
-            None => write!(f, "{key}: missing, expected {expected}"),
-        }
-    }
-}
-
-/// All that is wrong with the settings, in the order in which it was met; never empty.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Faults(pub Vec<Fault>);
-
-impl std::fmt::Display for Faults {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self.0.split_first() {
-            None => Ok(()),
-            Some((first, [])) => write!(f, "{first}"),
-            Some((first, rest)) => write!(f, "{first} (and {} more faults)", rest.len()),
-        }
-    }
-}
-
-impl std::error::Error for Faults {}
+pub use crate::faults::{Fault, Faults};
+pub use crate::names::{Names, Row};
 
 /// A fault's text is no longer than this: a value may be large.
 const MOST_GOT: usize = 60;
@@ -204,16 +84,14 @@
 }
 
 /// The name of a class or tenant, which no other may have: rules are found by it.
-fn told(key: &Key, names: &mut Vec<Told>, sort: &'static str) {
+fn told(key: &Key, names: &mut Told, sort: &'static str) {
     let name = key.get("name");
-    let text = name.text();
-    if names.iter().any(|n| n.name == text) {
+    if !names.push(name.text()) {
         name.want::<()>(None, sort);
     }
-    names.push(Told::new(text));
 }
 
-fn class(key: &Key, names: &mut Vec<Told>) -> Class {
+fn class(key: &Key, names: &mut Told) -> Class {
     told(key, names, "a name that no other class has");
     let (effect, scope) = (key.get("effect"), key.get("key_scope"));
     let scope = || match scope.text() {
@@ -249,23 +127,30 @@
     }
 }
 
+fn tenant(key: &Key, names: &mut Told) -> Tenant {
+    told(key, names, "a name that no other customer has");
+    Tenant { quota_per_s: key.get("quota_rps").real() }
+}
+
 fn decisions(root: &Key) -> (Config, Names) {
     let mut names = Names::default();
     for zone in root.get("zones").list() {
-        number(&mut names.zones, zone.text());
+        names.zones.number(zone.text());
     }
     for kind in root.get("kinds").list() {
-        number(&mut names.kinds, kind.text());
+        names.kinds.number(kind.text());
     }
     let my_zone = root.get("my_zone");
-    let zone = names.zones.iter().position(|z| my_zone.value.and_then(Value::as_str) == Some(z));
+    let zone = my_zone.value.and_then(Value::as_str).and_then(|zone| names.zones.find(zone));
     let zone = ZoneId(my_zone.want(zone, "one of zones") as u32);
-    let classes = root.get("profiles").list().iter().map(|key| class(key, &mut names.classes)).collect();
-    let mut tenants = Vec::new();
-    for tenant in root.get("customers").list() {
-        told(&tenant, &mut names.tenants, "a name that no other customer has");
-        tenants.push(Tenant { quota_per_s: tenant.get("quota_rps").real() });
-    }
+    let profiles = root.get("profiles").list();
+    let mut told_classes = Told::with_capacity(profiles.len());
+    let classes = profiles.iter().map(|key| class(key, &mut told_classes)).collect();
+    names.classes = Arc::new(told_classes);
+    let customers = root.get("customers").list();
+    let mut told_tenants = Told::with_capacity(customers.len());
+    let tenants = customers.iter().map(|key| tenant(key, &mut told_tenants)).collect();
+    names.tenants = Arc::new(told_tenants);
     let (limits, rules, goal) = (root.get("limits"), root.get("rules"), root.get("blend"));
     let discovery = root.get("discovery");
     let discovery = match discovery.text() {
@@ -366,60 +251,78 @@
     /// `names` are these settings' own, with what lists have added.
     pub fn succeeded_by(&self, new: Settings, names: &Names) -> Settings {
         let mut out = Settings { config: new.config, names: names.clone(), network: new.network };
-        let zone = &new.names.zones[out.config.zone.0 as usize];
-        out.config.zone = ZoneId(number(&mut out.names.zones, zone));
-        let classes = std::mem::replace(&mut out.config.classes, self.config.classes.clone());
-        let deadlines = std::mem::replace(&mut out.network.deadlines, self.network.deadlines.clone());
-        out.config.classes.iter_mut().for_each(|c| c.retired = true);
-        // What is left out here holds for nobody who comes from now on.
-        out.names.classes.iter_mut().chain(&mut out.names.tenants).for_each(|told| told.current = false);
-        for ((class, deadline), named) in classes.into_iter().zip(deadlines).zip(new.names.classes) {
-            let same = |(c, n): (&Class, &Told)| n.name == named.name && c.effect == class.effect;
-            match out.config.classes.iter().zip(&out.names.classes).position(same) {
-                Some(at) => {
-                    (out.config.classes[at], out.network.deadlines[at]) = (class, deadline);
-                    out.names.classes[at] = named;
-                }
-                None => {
-                    out.config.classes.push(class);
-                    out.network.deadlines.push(deadline);
-                    out.names.classes.push(named);
-                }
-            }
-        }
-        let tenants = std::mem::replace(&mut out.config.tenants, self.config.tenants.clone());
-        for (tenant, named) in tenants.into_iter().zip(new.names.tenants) {
-            match out.names.tenants.iter().position(|t| t.name == named.name) {
-                Some(at) => (out.config.tenants[at], out.names.tenants[at]) = (tenant, named),
-                None => {
-                    out.config.tenants.push(tenant);
-                    out.names.tenants.push(named);
-                }
-            }
-        }
+        let zone = new.names.zones.text(out.config.zone.0 as usize).unwrap_or_default();
+        out.config.zone = ZoneId(out.names.zones.number(zone));
+        let places = Places::new(
+            identities(&names.classes, &self.config),
+            identities(&new.names.classes, &out.config),
+        );
+        let retired = |class: &Class| Class { retired: true, ..class.clone() };
+        let old = self.config.classes.iter().map(retired);
+        out.config.classes = places.merge(old, out.config.classes.into_iter());
+        let old = self.network.deadlines.iter().copied();
+        out.network.deadlines = places.merge(old, out.network.deadlines.into_iter());
+        out.names.classes = Arc::new(places.rename(&names.classes, &new.names.classes));
+        let places = Places::new(names.tenants.iter(), new.names.tenants.iter());
+        let old = self.config.tenants.iter().cloned();
+        out.config.tenants = places.merge(old, out.config.tenants.into_iter());
+        out.names.tenants = Arc::new(places.rename(&names.tenants, &new.names.tenants));
         out
     }
 
     /// What changes from these to `new`, in a few words for the operators.
     pub fn difference(&self, new: &Settings) -> String {
-        let current = |of: &Settings| -> Vec<String> {
-            let classes = of.names.classes.iter().zip(&of.config.classes).zip(&of.network.deadlines);
-            let current = classes.filter(|((n, _), _)| n.current);
-            let told = |((n, c), d): ((&Told, &Class), &Micros)| {
-                format!("{} ({:?}, aim {} us, deadline {} us)", n.name, c.effect, c.aim.0, d.0)
-            };
-            current.map(told).collect()
-        };
-        let (old, now) = (current(self), current(new));
-        let added = now.iter().filter(|c| !old.contains(c)).map(|c| format!("with class {c}"));
-        let dropped = old.iter().filter(|c| !now.contains(c)).map(|c| format!("without class {c}"));
+        let (old, now) = (self.current_classes(), new.current_classes());
+        let before: HashSet<&ToldClass> = old.iter().collect();
+        let after: HashSet<&ToldClass> = now.iter().collect();
+        let added = now.iter().filter(|c| !before.contains(c)).map(|c| format!("with class {c}"));
+        let dropped = old.iter().filter(|c| !after.contains(c)).map(|c| format!("without class {c}"));
         let (was, is) = (self.config.max_attempts, new.config.max_attempts);
         let attempts = (was != is).then(|| format!("attempts {is} instead of {was}"));
-        let words: Vec<String> = added.chain(dropped).chain(attempts).collect();
+        let mut changes = added.chain(dropped);
+        let mut words: Vec<String> = changes.by_ref().take(MOST_WORDS).collect();
+        let more = changes.count();
+        words.extend((more > 0).then(|| format!("{more} more changes of classes")));
+        words.extend(attempts);
         if words.is_empty() {
             "the same classes and attempts".into()
         } else {
             words.join(", ")
         }
     }
+
+    /// The classes that new requests may be of, in the order of their numbers.
+    fn current_classes(&self) -> Vec<ToldClass<'_>> {
+        let classes = self.names.classes.iter().zip(&self.config.classes).zip(&self.network.deadlines);
+        let current = classes.enumerate().filter(|(number, _)| self.names.classes.is_current(*number));
+        let told = |(_, ((name, class), deadline)): (usize, ((_, &Class), &Micros))| {
+            let (effect, aim, deadline) = (class.effect, class.aim, *deadline);
+            ToldClass { name, effect, aim, deadline }
+        };
+        current.map(told).collect()
+    }
+}
+
+/// By what a class is the same one under other settings.
+fn identities<'a>(names: &'a Told, config: &'a Config) -> impl Iterator<Item = (&'a str, Effect)> {
+    names.iter().zip(config.classes.iter().map(|class| class.effect))
+}
+
+/// Changes of classes that are told one by one: a line of the log stays readable, however many classes change.
+const MOST_WORDS: usize = 24;
+
+/// What operators are told of a class.
+#[derive(PartialEq, Eq, Hash)]
+struct ToldClass<'a> {
+    name: &'a str,
+    effect: Effect,
+    aim: Micros,
+    deadline: Micros,
+}
+
+impl std::fmt::Display for ToldClass<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let ToldClass { name, effect, aim, deadline } = self;
+        write!(f, "{name} ({effect:?}, aim {} us, deadline {} us)", aim.0, deadline.0)
+    }
 }
--- a/crates/policy/tests/settings.rs
+++ b/crates/policy/tests/settings.rs
@@ -53,3 +53,19 @@
     let told: Vec<String> = faults.0.iter().map(ToString::to_string).collect();
     assert_eq!(told, ["customers[1].name: expected a name that no other customer has, got \"north\""]);
 }
+
+/// A class of another effect is another class, whatever its name: the number of the one that left keeps its meaning.
+#[test]
+fn a_class_of_another_effect_gets_a_number_of_its_own() {
+    let mut changed = with(&[]);
+    changed["profiles"][0]["effect"] = "single_shot".into();
+    let first = read(&with(&[]));
+    let second = first.succeeded_by(read(&changed), &first.names);
+    let (was, is) = (first.names.class("read").unwrap(), second.names.class("read").unwrap());
+    assert_ne!(was, is);
+    assert!(second.config.classes[was.0].retired && !second.config.classes[is.0].retired);
+    assert_eq!([was, is].map(|class| second.names.class_name(class)), ["read"; 2]);
+    assert_eq!(second.config.classes[was.0].effect, first.config.classes[was.0].effect);
+    let third = second.succeeded_by(read(&with(&[])), &second.names);
+    assert_eq!(third.names.class("read"), Some(was), "it has come back");
+}
