Give retired numbers to new names once nothing open speaks of them, and merge settings apart from the loop

Names that settings left out kept their numbers for ever; reading, merging and comparing settings held the event loop; a parsed copy of the whole file was kept; each backend kept a row for every class up to the highest that it met, and each step of a solution walked over all classes.

Change: a retired number goes back to its name, or to a new one when no open request, attempt or request that is still read (Host::pin) speaks of it; the module then forgets what it learned under it. Spare numbers are bounded. Files are read, checked and merged on another thread; the loop takes what is ready in one step, and a merge with settings or names that are no longer in force is made anew. SIGHUPs are heeded one after the other. Of the file in force its keys are kept, no values. Backends keep rows for the classes that they met. The limits' memory of pairs of a class and a tenant is cleared when numbers change and holds 4,096 pairs at most.

--- a/crates/core/src/host/mod.rs
+++ b/crates/core/src/host/mod.rs
@@ -17,19 +17,22 @@
 
 pub use state::Answer;
 
+use crate::adoption::{InForce, Outdated, Successor};
 use crate::cordon::Cordon;
 use crate::gate::Gate;
 use crate::journal::Journal;
 use crate::memory;
+use crate::pins::{Pin, Pins};
 use crate::timers::Timers;
 use crate::work::Lines;
 use crate::Clock;
 use lotusdeck_policy::settings::Settings;
-use lotusdeck_policy::{Balancer, Event, Micros};
+use lotusdeck_policy::{Balancer, ClassId, Event, Micros, TenantId};
 use lotusdeck_recovery::Learned;
 use state::State;
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::sync::Notify;
 use tracing::info;
 
@@ -62,6 +65,8 @@
     timers: Timers,
     /// Woken when the module asks discovery for changes.
     follow: Notify,
+    /// Numbers of classes and tenants that requests being read speak of.
+    pins: Pins,
 }
 
 impl Host {
@@ -78,28 +83,47 @@
             beside,
             timers: Timers::default(),
             follow: Notify::new(),
+            pins: Pins::default(),
         })
     }
 
     /// The generation of settings under which a request that comes now is taken.
-    pub fn settings(&self) -> Rc<Settings> {
+    pub fn settings(&self) -> Arc<Settings> {
         self.state.borrow().settings.clone()
     }
 
-    /// Takes new settings, all at once; what changed, in words.
-    pub fn adopt(self: &Rc<Self>, new: Settings) -> String {
-        let (config, changed) = {
+    /// What new settings are merged with, on another thread.
+    pub fn in_force(&self) -> InForce {
+        let s = self.state.borrow();
+        let mut pinned = self.pins.all();
+        pinned.classes.extend(s.balancer.classes_in_use());
+        InForce { settings: s.settings.clone(), names: s.names.clone(), pinned }
+    }
+
+    /// Takes new settings, all at once and in a time that does not grow with their names but for what the module
+    /// keeps by number; what changed, in words.
+    ///
+    /// # Errors
+    /// They were merged with others than those in force.
+    pub fn adopt(self: &Rc<Self>, new: Successor) -> Result<String, Outdated> {
+        {
             let mut s = self.state.borrow_mut();
-            let new = s.settings.succeeded_by(new, &s.names);
-            self.lines.iter().for_each(|lines| lines.adopt(&new.network));
+            if !s.names.are_those_of(&new.merged_with) {
+                return Err(Outdated);
+            }
+            self.lines.iter().for_each(|lines| lines.adopt(&new.settings.network));
             s.generation += 1;
-            s.names = new.names.clone();
-            let changed = s.settings.difference(&new);
-            s.settings = Rc::new(new);
-            (Box::new(s.settings.config.clone()), changed)
-        };
-        self.tell(Event::Settings { config });
-        changed
+            s.names = new.settings.names.clone();
+            s.settings = new.settings;
+        }
+        self.tell(Event::Settings { config: new.config, renewed: new.renewed });
+        Ok(new.difference)
+    }
+
+    /// A request that is read speaks of these numbers, found in [`Host::settings`] at this moment: they keep their
+    /// meaning until the pin is dropped, whatever settings come meanwhile.
+    pub fn pin(&self, class: ClassId, tenant: Option<TenantId>) -> Pin {
+        self.pins.pin(class, tenant)
     }
 
     /// What is held back of a client's time.
--- a/crates/core/src/host/state.rs
+++ b/crates/core/src/host/state.rs
@@ -10,6 +10,7 @@
 };
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 
@@ -76,7 +77,7 @@
     /// Those of the generation, with what lists have added.
     pub names: Names,
     /// The settings in force.
-    pub settings: Rc<Settings>,
+    pub settings: Arc<Settings>,
     /// How many settings were in force so far.
     pub generation: u64,
     /// The backends.
@@ -105,7 +106,7 @@
         State {
             balancer,
             names: settings.names.clone(),
-            settings: Rc::new(settings),
+            settings: Arc::new(settings),
             generation: 1,
             registry: Registry::default(),
             requests: HashMap::new(),
--- /dev/null
+++ b/crates/core/src/pins.rs
@@ -0,0 +1,63 @@
+//! Numbers of classes and tenants that open requests speak of: no later settings give these to other names.
+
+use lotusdeck_policy::settings::Pinned;
+use lotusdeck_policy::{ClassId, TenantId};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::rc::Rc;
+
+/// How many requests speak of each number. There are no more entries than open requests.
+#[derive(Clone, Default)]
+pub(crate) struct Pins(Rc<RefCell<Counts>>);
+
+#[derive(Default)]
+struct Counts {
+    classes: HashMap<ClassId, usize>,
+    tenants: HashMap<TenantId, usize>,
+}
+
+/// Keeps what numbers mean for one request, until it is dropped.
+pub struct Pin {
+    pins: Pins,
+    class: ClassId,
+    tenant: Option<TenantId>,
+}
+
+impl Pins {
+    /// A request speaks of these from now on.
+    pub fn pin(&self, class: ClassId, tenant: Option<TenantId>) -> Pin {
+        let mut counts = self.0.borrow_mut();
+        *counts.classes.entry(class).or_default() += 1;
+        if let Some(tenant) = tenant {
+            *counts.tenants.entry(tenant).or_default() += 1;
+        }
+        Pin { pins: self.clone(), class, tenant }
+    }
+
+    /// All that any request speaks of.
+    pub fn all(&self) -> Pinned {
+        let counts = self.0.borrow();
+        Pinned {
+            classes: counts.classes.keys().copied().collect(),
+            tenants: counts.tenants.keys().copied().collect(),
+        }
+    }
+}
+
+impl Drop for Pin {
+    fn drop(&mut self) {
+        let mut counts = self.pins.0.borrow_mut();
+        release(&mut counts.classes, self.class);
+        self.tenant.into_iter().for_each(|tenant| release(&mut counts.tenants, tenant));
+    }
+}
+
+fn release<K: Eq + Hash>(counts: &mut HashMap<K, usize>, number: K) {
+    if let Some(count) = counts.get_mut(&number) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(&number);
+        }
+    }
+}
--- a/crates/lab/src/virt/rivals.rs
+++ b/crates/lab/src/virt/rivals.rs
@@ -167,7 +167,7 @@
                 self.cordoned = backends;
                 self.list();
             }
-            Event::Settings { config } => self.config = *config,
+            Event::Settings { config, .. } => self.config = *config,
             Event::Request(a) => {
                 self.open.insert(a.request, Open { class: a.class.0, tried: Vec::new(), ran: false });
                 self.send(now, a.request, sight, actions);
--- a/crates/lotusdeck/src/fleet.rs
+++ b/crates/lotusdeck/src/fleet.rs
@@ -26,6 +26,8 @@
 const AT_ONCE: usize = 64;
 /// How often the module is told what the others hold: as often as they tell it.
 const TELL_MODULE: Duration = Duration::from_millis(100);
+/// Pairs of a class and a tenant whose limits are remembered: requests name the pairs.
+const MOST_PASSES: usize = 4_096;
 /// A request may outlast its deadline by the time that its answer takes to be given up.
 const MARGIN: Duration = Duration::from_millis(500);
 
@@ -152,6 +154,8 @@
     /// Proxies of the fleet but this one.
     others: u32,
     passes: RefCell<HashMap<(ClassId, Option<TenantId>), Pass>>,
+    /// The generation of names that these are of.
+    passes_of: Cell<u64>,
     begun: Instant,
     unread: Cell<u64>,
 }
@@ -204,6 +208,7 @@
             limits: limits.to_vec(),
             others: size.get() - 1,
             passes: RefCell::new(HashMap::new()),
+            passes_of: Cell::new(0),
             begun: Instant::now(),
             unread: Cell::new(0),
         })))
@@ -304,8 +309,12 @@
 
 impl Gate for Fleet {
     fn enter(&self, class: ClassId, tenant: Option<TenantId>, names: &Names) -> Result<Pass, Micros> {
-        // As many as there are classes and tenants.
         let mut passes = self.passes.borrow_mut();
+        // A number may have been given to another name since, and pairs of names may be many.
+        let outdated = self.passes_of.replace(names.generation()) != names.generation();
+        if outdated || passes.len() >= MOST_PASSES {
+            passes.clear();
+        }
         let pass = passes.entry((class, tenant)).or_insert_with(|| {
             let of = |limit: &LimitSpec| {
                 let class = limit.class.as_deref().is_none_or(|c| c == names.class_name(class));
--- a/crates/lotusdeck/src/serve.rs
+++ b/crates/lotusdeck/src/serve.rs
@@ -8,10 +8,11 @@
 use crate::state::{self, Beginning, Keeper, Place};
 use lotusdeck_core::cordon::Cordon;
 use lotusdeck_core::{span, Beside, Clock, Gate, Host, Journal, Lines};
+use lotusdeck_policy::settings::Settings;
 use lotusdeck_policy::{Balancer, Discovery, ListUpdate};
 use lotusdeck_proxy::admin::{Admin, MAX_CALLERS};
 use lotusdeck_proxy::body::Budget;
-use lotusdeck_proxy::config::{InForce, Node, NodeError};
+use lotusdeck_proxy::config::{Change, FileInForce, Node, NodeError};
 use lotusdeck_proxy::pauses::Shared;
 use lotusdeck_proxy::peer::{self, Peer};
 use lotusdeck_proxy::pool::Pool;
@@ -21,11 +22,12 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// Descriptors that are kept for all but clients and upstreams, operators' callers among them.
 const RESERVE: usize = 52 + MAX_CALLERS;
@@ -68,6 +70,8 @@
     Inherited(String),
     #[error("no signals: {0}")]
     Signals(std::io::Error),
+    #[error("reading was interrupted: {0}")]
+    Interrupted(tokio::task::JoinError),
     #[error("no event loop: {0}")]
     Loop(std::io::Error),
     #[error("ledger: {0}")]
@@ -127,23 +131,18 @@
     server.bound(room - backends, OVER_BOUND / processes);
 }
 
-/// What SIGHUP may change.
-struct Adoption {
-    host: Rc<Host>,
-    file: InForce,
-    operator: Option<PathBuf>,
-    pauses: Shared,
+/// What may not change while the program runs.
+struct Fixed {
     ledger: LedgerSettings,
     postgres: Vec<Spec>,
     state: StateSettings,
-    fleet: (FleetSettings, Vec<LimitSpec>),
-    moved: watch::Sender<(SocketAddr, Discovery)>,
+    fleet: FleetSettings,
+    limits: Vec<LimitSpec>,
 }
 
-impl Adoption {
-    /// Takes both files whole or nothing of either.
-    fn take(&mut self) -> Result<(SocketAddr, String), ServeError> {
-        let operator = Operator::load(self.operator.as_deref())?;
+impl Fixed {
+    /// None of it is another in that operator file.
+    fn check(&self, operator: &Operator) -> Result<(), ServeError> {
         if operator.ledger != self.ledger {
             return Err(ServeError::LedgerChanged);
         }
@@ -153,21 +152,64 @@
         if operator.state != self.state {
             return Err(ServeError::StateChanged);
         }
-        if (&operator.fleet, &operator.limits) != (&self.fleet.0, &self.fleet.1) {
+        if (&operator.fleet, &operator.limits) != (&self.fleet, &self.limits) {
             return Err(ServeError::FleetChanged);
         }
-        let mut change = self.file.reread()?;
-        self.file.replace(&mut change);
-        self.pauses.set(operator.pauses);
+        Ok(())
+    }
+}
+
+/// What SIGHUP may change.
+struct Adoption {
+    host: Rc<Host>,
+    file: FileInForce,
+    operator: Option<PathBuf>,
+    fixed: Arc<Fixed>,
+    pauses: Shared,
+    moved: watch::Sender<(SocketAddr, Discovery)>,
+}
+
+/// Work that takes its time, on another thread: the event loop goes on.
+async fn apart<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static) -> Result<T, ServeError> {
+    tokio::task::spawn_blocking(work).await.map_err(ServeError::Interrupted)
+}
+
+impl Adoption {
+    /// Both files, read and checked.
+    async fn read(&self) -> Result<(Operator, Change), ServeError> {
+        let (file, operator, fixed) = (self.file.clone(), self.operator.clone(), self.fixed.clone());
+        let read = move || {
+            let operator = Operator::load(operator.as_deref())?;
+            fixed.check(&operator)?;
+            Ok((operator, file.reread()?))
+        };
+        apart(read).await?
+    }
+
+    /// Takes both files whole or nothing of either. The event loop is held for the last step only.
+    async fn take(&mut self) -> Result<(SocketAddr, String), ServeError> {
+        let (operator, change) = self.read().await?;
         let at = (change.discovery, change.settings.config.discovery);
-        let changed = self.host.adopt(change.settings);
+        let settings = Arc::new(change.settings);
+        let changed = loop {
+            let (in_force, new) = (self.host.in_force(), settings.clone());
+            let successor = apart(move || in_force.succeeded_by(Settings::clone(&new))).await?;
+            match self.host.adopt(successor) {
+                Ok(changed) => break changed,
+                Err(outdated) => debug!(%outdated, "settings are merged anew"),
+            }
+        };
+        self.pauses.set(operator.pauses);
+        self.file = change.file;
         self.moved.send_if_modified(|old| std::mem::replace(old, at) != at);
         Ok((at.0, changed))
     }
 
+    /// One change after the other, in the order of the signals: one that comes during a change is heeded after it, with
+    /// the files as they are then.
     async fn heed(mut self, mut hangup: Signal) {
         while hangup.recv().await.is_some() {
-            match self.take() {
+            match self.take().await {
                 Ok((discovery, changed)) => info!(%discovery, changed, "settings taken"),
                 Err(e) => warn!(reason = %e, "settings refused, nothing is taken"),
             }
@@ -261,17 +303,8 @@
     }
     let Operator { ledger: ledger_settings, postgres, state, fleet, limits, .. } = operator;
     let (file, operator) = (node.file, args.operator);
-    let adoption = Adoption {
-        host: host.clone(),
-        file,
-        operator,
-        pauses,
-        ledger: ledger_settings,
-        postgres,
-        state,
-        fleet: (fleet, limits),
-        moved,
-    };
+    let fixed = Arc::new(Fixed { ledger: ledger_settings, postgres, state, fleet, limits });
+    let adoption = Adoption { host: host.clone(), file, operator, fixed, pauses, moved };
     tokio::task::spawn_local(adoption.heed(hangup));
     let server = Server::new(host.clone(), pool.clone(), budget);
     let shared = peer.alive();
--- /dev/null
+++ b/crates/policy/benches/names.rs
@@ -0,0 +1,100 @@
+//! What tens of thousands of classes and tenants cost: reading settings, taking them after others, finding a name in a
+//! request, and the memory held for each. `cargo bench -p lotusdeck-policy --bench names`.
+
+use lotusdeck_policy::settings::{Pinned, Settings};
+use serde_json::{json, Value};
+use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
+use std::alloc::System;
+use std::hint::black_box;
+use std::time::Instant;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// From what is served today to what is expected in two years.
+const SIZES: [usize; 4] = [1_000, 4_000, 16_000, 34_000];
+/// Each figure is the median of so many runs: others use the machine.
+const RUNS: usize = 7;
+/// Lookups that are timed together: one is too short for the clock.
+const LOOKUPS: usize = 2_000;
+
+fn settings(classes: usize, tenants: usize) -> Value {
+    let class = |i| {
+        json!({"name": format!("class-{i:05}"), "aim_us": 900_000, "deadline_us": 3_000_000, "effect": "free",
+            "gain": 1.0, "late_worth": 0.5})
+    };
+    let tenant = |i| json!({"name": format!("tenant-{i:05}"), "quota_rps": 10.0});
+    json!({
+        "blend": {"whole": 0.6, "worst_class": 0.2}, "costs": {"cross_zone": 0.0},
+        "customers": (0..tenants).map(tenant).collect::<Vec<Value>>(),
+        "discovery": "automatic", "position": 0, "group_size": 1, "granularity_us": 5000, "kinds": ["big"],
+        "my_zone": "east", "zones": ["east"], "over_share_worth": 0.1,
+        "limits": {"cancel": true, "max_attempts": 4, "parallel_tries": true, "dial_timeout_us": 300_000,
+            "conn_idle_us": 60_000_000, "max_retry_after_us": 2_000_000},
+        "profiles": (0..classes).map(class).collect::<Vec<Value>>(),
+        "rules": {"cold_from": 0.3, "fall_multiple": 2.5, "must_ask_in_us": 9_000_000,
+            "ramp_time_us": 9_000_000, "tip_after_us": 2_000_000},
+    })
+}
+
+/// Median time of a call, us.
+fn median<T>(mut call: impl FnMut() -> T) -> f64 {
+    let mut times: Vec<f64> = (0..RUNS)
+        .map(|_| {
+            let began = Instant::now();
+            let made = black_box(call());
+            let took = began.elapsed().as_secs_f64() * 1e6;
+            drop(made);
+            took
+        })
+        .collect();
+    times.sort_unstable_by(f64::total_cmp);
+    times[RUNS / 2]
+}
+
+/// One line: `classes` and `tenants` in the settings, of which the last is looked up.
+fn row(classes: usize, tenants: usize) {
+    let value = settings(classes, tenants);
+    let read = || Settings::read(&value).expect("sound settings");
+    let region = Region::new(ALLOCATOR);
+    let old = read();
+    let held = region.change();
+    let bytes = held.bytes_allocated.saturating_sub(held.bytes_deallocated);
+    let read_us = median(read);
+    let mut fresh: Vec<Settings> = (0..RUNS).map(|_| read()).collect();
+    let succeed_us =
+        median(|| old.succeeded_by(fresh.pop().unwrap_or_else(read), &old.names, &Pinned::default()));
+    let (class, tenant) = (format!("class-{:05}", classes - 1), format!("tenant-{:05}", tenants - 1));
+    let region = Region::new(ALLOCATOR);
+    let find = |find: &dyn Fn() -> bool| {
+        let all = || (0..LOOKUPS).filter(|_| find()).count();
+        median(all) * 1e3 / LOOKUPS as f64
+    };
+    let class_ns = find(&|| old.names.class(black_box(&class)).is_some());
+    let tenant_ns = find(&|| old.names.tenant(black_box(&tenant)).is_some());
+    // The medians' own lists are two.
+    let allocations = region.change().allocations - 2;
+    println!(
+        "{classes:>8} {tenants:>8} {read_us:>10.0} {succeed_us:>10.0} {class_ns:>10.0} {tenant_ns:>10.0} \
+         {allocations:>12} {bytes:>10} {:>10.1}",
+        bytes as f64 / classes.max(tenants) as f64
+    );
+}
+
+fn main() {
+    println!(
+        "{:>8} {:>8} {:>10} {:>10} {:>10} {:>10} {:>12} {:>10} {:>10}",
+        "classes",
+        "tenants",
+        "read, us",
+        "after, us",
+        "class, ns",
+        "tenant, ns",
+        "allocations",
+        "bytes",
+        "each"
+    );
+    SIZES.into_iter().for_each(|tenants| row(1, tenants));
+    SIZES.into_iter().for_each(|classes| row(classes, 1));
+    row(16_000, 34_000);
+}
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -194,6 +194,22 @@
     pub retired: bool,
 }
 
+/// Numbers that mean something else than before: nothing that was learned under them counts any more.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Renewed {
+    /// Of classes, in ascending order.
+    pub classes: Vec<ClassId>,
+    /// Of tenants, in ascending order.
+    pub tenants: Vec<TenantId>,
+}
+
+impl Class {
+    /// A new request of it does no harm where it fails or runs twice.
+    pub(crate) fn is_harmless(&self) -> bool {
+        self.effect == Effect::Free && !self.retired
+    }
+}
+
 /// What running a request twice would do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Effect {
@@ -373,10 +389,12 @@
         /// All of them.
         backends: Vec<BackendId>,
     },
-    /// Other settings hold from now on. Classes and tenants keep their places; new ones come behind them.
+    /// Other settings hold from now on. Classes and tenants keep their places, but for the renewed ones.
     Settings {
         /// All of them.
         config: Box<Config>,
+        /// Numbers that nothing open speaks of and that now mean something else.
+        renewed: Renewed,
     },
     /// Where proxies talk: attempts that all the others together have out, as far as they told.
     Others {
--- a/crates/policy/src/memory.rs
+++ b/crates/policy/src/memory.rs
@@ -3,7 +3,7 @@
 
 use crate::interface::*;
 use crate::rules::Balancer;
-use crate::state::Mean;
+use crate::state::{Bucket, ClassState, Mean};
 
 /// What was spent on a backend inside the fall window is kept in so many slots at most, not by ticks: 200 backends at
 /// a tick of 5 ms would be 80,000 numbers a second.
@@ -109,6 +109,28 @@
         memory
     }
 
+    /// Makes room for so many classes, and forgets what was learned under numbers that mean something else now.
+    pub(crate) fn renew(&mut self, classes: usize, renewed: &Renewed) {
+        self.classes.resize_with(classes, ClassState::default);
+        for class in &renewed.classes {
+            self.classes.get_mut(class.0).into_iter().for_each(|c| *c = ClassState::default());
+        }
+        for tenant in &renewed.tenants {
+            let bucket = self.buckets.get_mut(tenant.0);
+            bucket.into_iter().for_each(|b| *b = Bucket::new(b.memory, b.least));
+        }
+        if !renewed.classes.is_empty() {
+            let same = |class: &usize| renewed.classes.binary_search(&ClassId(*class)).is_err();
+            self.peers.values_mut().for_each(|p| p.parts.retain(|class, _| same(class)));
+        }
+    }
+
+    /// The classes that open requests and attempts which have not ended are of.
+    pub fn classes_in_use(&self) -> impl Iterator<Item = ClassId> + '_ {
+        let requests = self.requests.values().map(|r| r.class);
+        requests.chain(self.attempts.values().map(|a| a.class)).map(ClassId)
+    }
+
     /// Takes back what was learned before the process began, where nothing was learned since. Backends that were out
     /// of use begin on trial; work sent before counts against the cold budget of those that were sent it.
     pub(crate) fn recall(&mut self, now: Time, memory: &Memory) {
--- a/crates/policy/src/names.rs
+++ b/crates/policy/src/names.rs
@@ -140,6 +140,8 @@
     pub(crate) kinds: NameTable,
     pub(crate) classes: Arc<Told>,
     pub(crate) tenants: Arc<Told>,
+    /// How often settings have followed upon others.
+    pub(crate) generation: u64,
 }
 
 impl Names {
@@ -173,6 +175,17 @@
         self.tenants.text(id.0).unwrap_or_default()
     }
 
+    /// Changes whenever a number may have come to mean something else.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Whether these are the very names of `other`: no settings were taken since, and no list has added any.
+    pub fn are_those_of(&self, other: &Names) -> bool {
+        let sizes = |names: &Names| (names.generation, names.zones.len(), names.kinds.len());
+        sizes(self) == sizes(other)
+    }
+
     /// The row as this instance numbers it.
     pub fn entry(&mut self, row: &Row, id: BackendId) -> Backend {
         let zone = ZoneId(self.zones.number(&row.zone));
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -112,13 +112,15 @@
     shared_until: Time,
     pub(crate) kinds: BTreeMap<KindId, Kind>,
     pub(crate) classes: Vec<ClassState>,
+    /// New requests may be of a class that may be run again at will.
+    any_harmless: bool,
     pub(crate) overall: Mean,
-    buckets: Vec<Bucket>,
-    requests: BTreeMap<RequestId, Request>,
+    pub(crate) buckets: Vec<Bucket>,
+    pub(crate) requests: BTreeMap<RequestId, Request>,
     held: Vec<RequestId>,
     /// First tries worth less than this have found no room since the last event that could make some.
     blocked: f64,
-    attempts: BTreeMap<(RequestId, AttemptNo), Out>,
+    pub(crate) attempts: BTreeMap<(RequestId, AttemptNo), Out>,
     rate: Rate,
     /// Seconds that this proxy's attempts were out, for each second: its own part of all that is held.
     crowd: Rate,
@@ -157,6 +159,7 @@
             shared_until: Time(0),
             kinds: BTreeMap::new(),
             classes: cfg.classes.iter().map(|_| ClassState::default()).collect(),
+            any_harmless: cfg.classes.iter().any(Class::is_harmless),
             overall: Mean::default(),
             buckets: cfg.tenants.iter().map(|_| Bucket::new(RATE_MEMORY, FEW)).collect(),
             requests: BTreeMap::new(),
@@ -196,7 +199,7 @@
         match event {
             Event::Members { update, backends } => self.members(now, update, backends),
             Event::Cordoned { backends } => self.cordon(now, backends),
-            Event::Settings { config } => self.settings(now, *config),
+            Event::Settings { config, renewed } => self.settings(now, *config, &renewed),
             // What the other sent weighs on a cold backend for a window more.
             Event::Processes { count: 0 | 1 } => self.shared_until = now + self.cfg.fall_window,
             Event::Processes { .. } => self.shared_until = Time(u64::MAX),
@@ -303,8 +306,9 @@
     }
 
     /// Other settings from now on; what was learned stays, and open requests keep what they were promised.
-    fn settings(&mut self, now: Time, cfg: Config) {
-        self.classes.resize_with(cfg.classes.len().max(self.classes.len()), ClassState::default);
+    fn settings(&mut self, now: Time, cfg: Config, renewed: &Renewed) {
+        self.renew(cfg.classes.len(), renewed);
+        self.any_harmless = cfg.classes.iter().any(Class::is_harmless);
         self.buckets.resize_with(cfg.tenants.len(), || Bucket::new(RATE_MEMORY, FEW));
         if cfg.discovery != self.cfg.discovery {
             self.ask = ((cfg.discovery != Discovery::Push).then_some(now), 0.0);
@@ -439,7 +443,7 @@
                 let good = |p: &Part| {
                     p.errors < ERROR_STEP / 2.0 && now < p.answered + Micros::from_secs(EJECT_TERM)
                 };
-                let all_ill = p.errors > limit && !p.parts.iter().any(good);
+                let all_ill = p.errors > limit && !p.parts.values().any(good);
                 if p.ejected.is_some() || all_ill {
                     self.eject(now, id, outcome);
                 } else if p.part(class).errors > limit {
@@ -485,7 +489,7 @@
         for id in std::mem::take(&mut self.doubted) {
             let Some(p) = self.peers.get_mut(&id) else { continue };
             (p.lost, p.unheard) = (0, 0);
-            p.parts.iter_mut().for_each(|part| part.unheard = 0);
+            p.parts.values_mut().for_each(|part| part.unheard = 0);
         }
         for &Out { to: backend, class, sent, .. } in self.attempts.values().filter(|a| !a.coming) {
             let (lost, silent) = (sent + self.quiet(class), sent + self.usual(class).times(SILENT_AFTER));
@@ -568,7 +572,7 @@
         if s.pass == Pass::Rest {
             let few = FEW / self.rate.per_s().unwrap_or(FEW / SOLVE_EVERY).max(1.0);
             self.solve_at = now + Micros::from_secs(SOLVE_EVERY.max(few));
-            s.begin(self.classes.len());
+            s.begin();
         }
         // A small fleet's is complete at once, and the first. Else, where events are few each takes more
         // steps, so that it is complete before the next one is due.
@@ -602,8 +606,8 @@
                     s.tables.retain(|_, table| !table.is_empty());
                     std::mem::swap(&mut self.tables, &mut s.tables);
                     let ready: usize = self.tables.values().map(Vec::len).sum();
-                    let most = |n: &f64| *n > ready as f64 * PANIC;
-                    self.classes.iter_mut().zip(&s.shunned).for_each(|(c, n)| c.shunned = most(n));
+                    let most = |class| s.shunned.get(&class).is_some_and(|n| *n > ready as f64 * PANIC);
+                    self.classes.iter_mut().enumerate().for_each(|(class, c)| c.shunned = most(class));
                     self.blocked = 0.0;
                     Pass::Rest
                 }
@@ -691,8 +695,8 @@
                         let table = s.tables.entry(p.entry.kind).or_default();
                         let sum = table.last().map_or(0.0, |last| last.0);
                         table.push((sum + p.weight(), key.1));
-                        let shunned = s.shunned.iter_mut().enumerate();
-                        shunned.for_each(|(class, n)| *n += f64::from(p.shuns(now, class)));
+                        let shunned = p.parts.iter().filter(|(_, part)| now < part.shunned);
+                        shunned.for_each(|(class, _)| *s.shunned.entry(*class).or_default() += 1.0);
                     }
                 }
                 None
@@ -767,8 +771,7 @@
             _ => true,
         };
         // On trial, one request at a time that may fail without harm.
-        let free = |c: &Class| c.effect == Effect::Free && !c.retired;
-        let harmless = || free(&self.cfg.classes[r.class]) || !self.cfg.classes.iter().any(free);
+        let harmless = || self.cfg.classes[r.class].is_harmless() || !self.any_harmless;
         let fit = !p.trial || p.out == 0 && r.sent.is_empty() && harmless();
         let fresh = r.sent.iter().all(|s| s.to.id != p.entry.id && known(s));
         let idle = p.silent(r.class) || p.full(now, r.class) || heed && p.shuns(now, r.class);
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -3,7 +3,6 @@
 
 use crate::interface::*;
 use crate::names::Told;
-use crate::succession::Places;
 use serde_json::Value;
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -11,6 +10,7 @@
 
 pub use crate::faults::{Fault, Faults};
 pub use crate::names::{Names, Row};
+pub use crate::succession::{Pinned, Succession};
 
 /// A fault's text is no longer than this: a value may be large.
 const MOST_GOT: usize = 60;
@@ -246,30 +246,6 @@
         Ok(Settings { config, names, network })
     }
 
-    /// `new` under the numbers of these: a class keeps its number while its name and effect stay, and one of
-    /// another effect gets a new one, so that no number ever means something else to an open request.
-    /// `names` are these settings' own, with what lists have added.
-    pub fn succeeded_by(&self, new: Settings, names: &Names) -> Settings {
-        let mut out = Settings { config: new.config, names: names.clone(), network: new.network };
-        let zone = new.names.zones.text(out.config.zone.0 as usize).unwrap_or_default();
-        out.config.zone = ZoneId(out.names.zones.number(zone));
-        let places = Places::new(
-            identities(&names.classes, &self.config),
-            identities(&new.names.classes, &out.config),
-        );
-        let retired = |class: &Class| Class { retired: true, ..class.clone() };
-        let old = self.config.classes.iter().map(retired);
-        out.config.classes = places.merge(old, out.config.classes.into_iter());
-        let old = self.network.deadlines.iter().copied();
-        out.network.deadlines = places.merge(old, out.network.deadlines.into_iter());
-        out.names.classes = Arc::new(places.rename(&names.classes, &new.names.classes));
-        let places = Places::new(names.tenants.iter(), new.names.tenants.iter());
-        let old = self.config.tenants.iter().cloned();
-        out.config.tenants = places.merge(old, out.config.tenants.into_iter());
-        out.names.tenants = Arc::new(places.rename(&names.tenants, &new.names.tenants));
-        out
-    }
-
     /// What changes from these to `new`, in a few words for the operators.
     pub fn difference(&self, new: &Settings) -> String {
         let (old, now) = (self.current_classes(), new.current_classes());
@@ -303,11 +279,6 @@
     }
 }
 
-/// By what a class is the same one under other settings.
-fn identities<'a>(names: &'a Told, config: &'a Config) -> impl Iterator<Item = (&'a str, Effect)> {
-    names.iter().zip(config.classes.iter().map(|class| class.effect))
-}
-
 /// Changes of classes that are told one by one: a line of the log stays readable, however many classes change.
 const MOST_WORDS: usize = 24;
 
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -85,8 +85,8 @@
 /// A tenant's quota: it holds what it is due over `memory` seconds, and starts with that; where that is
 /// less than `least` it may gather so much, as chance alone brings a few at once.
 pub(crate) struct Bucket {
-    memory: f64,
-    least: f64,
+    pub memory: f64,
+    pub least: f64,
     tokens: f64,
     at: Option<Time>,
 }
@@ -170,16 +170,16 @@
     /// Backends that have a part of this proxy's traffic.
     pub reached: f64,
     pub tables: BTreeMap<KindId, Vec<(f64, BackendId)>>,
-    /// By class: ready backends that get none of it.
-    pub shunned: Vec<f64>,
+    /// By class, where there are any: ready backends that get none of it.
+    pub shunned: BTreeMap<usize, f64>,
 }
 
 impl Sweep {
     /// A new one; the room of the last tables is used again.
-    pub fn begin(&mut self, classes: usize) {
+    pub fn begin(&mut self) {
         let mut tables = std::mem::take(&mut self.tables);
         tables.values_mut().for_each(Vec::clear);
-        *self = Sweep { pass: Pass::Count, tables, shunned: vec![0.0; classes], ..Sweep::default() };
+        *self = Sweep { pass: Pass::Count, tables, ..Sweep::default() };
     }
 
     /// The error share of the middle one of the listed backends.
@@ -243,7 +243,7 @@
     /// Work sent inside the fall window, by ticks: see `spend`.
     pub spent: VecDeque<(Time, f64)>,
     /// The same by class, as far as it has met them: see `part`.
-    pub parts: Vec<Part>,
+    pub parts: BTreeMap<usize, Part>,
 }
 
 impl Peer {
@@ -279,25 +279,22 @@
 
     /// What is known of it for one class.
     pub fn part(&mut self, class: usize) -> &mut Part {
-        if self.parts.len() <= class {
-            self.parts.resize_with(class + 1, Part::default);
-        }
-        &mut self.parts[class]
+        self.parts.entry(class).or_default()
     }
 
     /// It has gone silent, for the class at least.
     pub fn silent(&self, class: usize) -> bool {
-        self.unheard > 1 || self.parts.get(class).is_some_and(|p| p.unheard > 1)
+        self.unheard > 1 || self.parts.get(&class).is_some_and(|p| p.unheard > 1)
     }
 
     /// It was full for the class just now.
     pub fn full(&self, now: Time, class: usize) -> bool {
-        self.parts.get(class).is_some_and(|p| now < p.full_until)
+        self.parts.get(&class).is_some_and(|p| now < p.full_until)
     }
 
     /// It fails at the class, though not at others.
     pub fn shuns(&self, now: Time, class: usize) -> bool {
-        self.parts.get(class).is_some_and(|p| now < p.shunned)
+        self.parts.get(&class).is_some_and(|p| now < p.shunned)
     }
 }
 
--- a/crates/policy/tests/settings.rs
+++ b/crates/policy/tests/settings.rs
@@ -1,6 +1,6 @@
 //! What settings say holds by name, and for no longer than they say it.
 
-use lotusdeck_policy::settings::Settings;
+use lotusdeck_policy::settings::{Pinned, Settings};
 use serde_json::{json, Value};
 
 /// Settings whose customers have these names and quotas, in requests a second.
@@ -24,6 +24,11 @@
     Settings::read(settings).expect("sound settings")
 }
 
+/// `new` after `old`, of whose numbers nothing open speaks.
+fn after(old: &Settings, new: Settings) -> Settings {
+    old.succeeded_by(new, &old.names, &Pinned::default()).settings
+}
+
 /// The quota of whoever comes under that name.
 fn quota(settings: &Settings, name: &str) -> Option<f64> {
     settings.names.tenant(name).map(|tenant| settings.config.tenants[tenant.0].quota_per_s)
@@ -35,14 +40,14 @@
 fn a_customer_has_the_quota_that_the_settings_in_force_name() {
     let first = read(&with(&[("north", 500.0), ("south", 20.0)]));
     let south = first.names.tenant("south");
-    let second = first.succeeded_by(read(&with(&[("west", 5.0), ("south", 30.0)])), &first.names);
+    let second = after(&first, read(&with(&[("west", 5.0), ("south", 30.0)])));
     let asked = ["north", "south", "west"];
     assert_eq!(asked.map(|name| quota(&second, name)), [None, Some(30.0), Some(5.0)]);
     assert_eq!(second.names.tenant("south"), south);
-    let third = second.succeeded_by(read(&with(&[("north", 7.0)])), &second.names);
+    let third = after(&second, read(&with(&[("north", 7.0)])));
     assert_eq!(asked.map(|name| quota(&third, name)), [Some(7.0), None, None]);
     assert_eq!(third.names.tenant("north"), first.names.tenant("north"));
-    let none = third.succeeded_by(read(&with(&[])), &third.names);
+    let none = after(&third, read(&with(&[])));
     assert_eq!(asked.map(|name| quota(&none, name)), [None; 3]);
 }
 
@@ -60,12 +65,12 @@
     let mut changed = with(&[]);
     changed["profiles"][0]["effect"] = "single_shot".into();
     let first = read(&with(&[]));
-    let second = first.succeeded_by(read(&changed), &first.names);
+    let second = after(&first, read(&changed));
     let (was, is) = (first.names.class("read").unwrap(), second.names.class("read").unwrap());
     assert_ne!(was, is);
     assert!(second.config.classes[was.0].retired && !second.config.classes[is.0].retired);
     assert_eq!([was, is].map(|class| second.names.class_name(class)), ["read"; 2]);
     assert_eq!(second.config.classes[was.0].effect, first.config.classes[was.0].effect);
-    let third = second.succeeded_by(read(&with(&[])), &second.names);
+    let third = after(&second, read(&with(&[])));
     assert_eq!(third.names.class("read"), Some(was), "it has come back");
 }
--- /dev/null
+++ b/crates/policy/tests/succession.rs
@@ -0,0 +1,182 @@
+//! Settings that follow upon others, thousands of times: numbers are used again, and never under an open request.
+
+mod common;
+
+use common::{backend, Host};
+use lotusdeck_policy::settings::{Pinned, Settings, Succession};
+use lotusdeck_policy::*;
+use serde_json::{json, Value};
+use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
+use std::alloc::System;
+use std::collections::HashSet;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// One test at a time: memory is counted for the whole process.
+fn alone() -> MutexGuard<'static, ()> {
+    static ALONE: Mutex<()> = Mutex::new(());
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+const CHANGES: usize = 2_000;
+const CLASSES: usize = 50;
+const TENANTS: usize = 200;
+/// Names that each change replaces.
+const REPLACED: usize = 5;
+
+/// Settings of free classes and tenants with these names; `last` is one more class that must never run twice.
+fn settings(classes: &[String], tenants: &[String], last: Option<&str>) -> Settings {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "aim_us": 900_000, "deadline_us": 3_000_000, "effect": effect, "gain": 1.0,
+            "late_worth": 0.5})
+    };
+    let last = last.map(|name| class(name, "single_shot"));
+    let profiles: Vec<Value> = classes.iter().map(|name| class(name, "free")).chain(last).collect();
+    let customers: Vec<Value> = tenants.iter().map(|name| json!({"name": name, "quota_rps": 10.0})).collect();
+    let value = json!({
+        "blend": {"whole": 0.6, "worst_class": 0.2}, "costs": {"cross_zone": 0.0}, "customers": customers,
+        "discovery": "automatic", "position": 0, "group_size": 1, "granularity_us": 5000, "kinds": ["big"],
+        "my_zone": "east", "zones": ["east"], "over_share_worth": 0.1,
+        "limits": {"cancel": true, "max_attempts": 4, "parallel_tries": true, "dial_timeout_us": 300_000,
+            "conn_idle_us": 60_000_000, "max_retry_after_us": 2_000_000},
+        "profiles": profiles,
+        "rules": {"cold_from": 0.3, "fall_multiple": 2.5, "must_ask_in_us": 9_000_000,
+            "ramp_time_us": 9_000_000, "tip_after_us": 2_000_000},
+    });
+    Settings::read(&value).expect("sound settings")
+}
+
+/// The names after so many changes, each of which replaces the oldest ones.
+fn names(of: &str, count: usize, change: usize) -> Vec<String> {
+    (0..count).map(|i| format!("{of}-{:06}", change * REPLACED + i)).collect()
+}
+
+/// The settings after so many changes.
+fn at(change: usize, last: Option<&str>) -> Settings {
+    settings(&names("class", CLASSES, change), &names("tenant", TENANTS, change), last)
+}
+
+/// A module, and the settings that it goes by.
+struct Rig {
+    host: Host,
+    settings: Settings,
+}
+
+impl Rig {
+    fn new(settings: Settings) -> Rig {
+        let mut host = Host::new(settings.config.clone(), 7);
+        host.members(ListUpdate::Full, (0..4).map(|id| backend(id, 0, 0)).collect());
+        Rig { host, settings }
+    }
+
+    /// Other settings, while nothing but the module's requests is open.
+    fn adopt(&mut self, new: Settings) -> Renewed {
+        let classes: HashSet<ClassId> = self.host.balancer.classes_in_use().collect();
+        let pinned = Pinned { classes, ..Pinned::default() };
+        let Succession { settings, renewed } = self.settings.succeeded_by(new, &self.settings.names, &pinned);
+        self.settings = settings;
+        self.host.cfg = self.settings.config.clone();
+        let config = Box::new(self.settings.config.clone());
+        self.host.event(Event::Settings { config, renewed: renewed.clone() });
+        renewed
+    }
+}
+
+/// Each change replaces names, and requests of the newest ones are served in between.
+#[test]
+fn thousands_of_changes_leave_tables_and_memory_as_large_as_a_few() {
+    let _alone = alone();
+    let mut rig = Rig::new(at(0, None));
+    let region = Region::new(ALLOCATOR);
+    let held = || {
+        let held = region.change();
+        held.bytes_allocated as i64 - held.bytes_deallocated as i64
+    };
+    let mut after_a_few = 0;
+    for change in 1..=CHANGES {
+        rig.adopt(at(change, None));
+        let newest = ("class", CLASSES - 1 + change * REPLACED);
+        let class = rig.settings.names.class(&format!("{}-{:06}", newest.0, newest.1)).expect("in force");
+        let id = rig.host.arrive(class.0, 900_000);
+        rig.host.serve_all(2_000);
+        assert_eq!(rig.host.requests.remove(&id).and_then(|r| r.answer), Some("served"));
+        rig.host.timers.clear();
+        rig.host.logs.clear();
+        if change == CHANGES / 20 {
+            after_a_few = held();
+        }
+    }
+    let config = &rig.settings.config;
+    assert!(config.classes.len() <= CLASSES + 2 * REPLACED, "{} numbers of classes", config.classes.len());
+    assert!(config.tenants.len() <= TENANTS + 2 * REPLACED, "{} numbers of tenants", config.tenants.len());
+    assert_eq!(config.classes.iter().filter(|c| !c.retired).count(), CLASSES);
+    let growth = held() - after_a_few;
+    assert!(growth < 16_384, "{growth} bytes more than after {} changes", CHANGES / 20);
+}
+
+/// Its number outlasts its class's name for as long as it is open, whatever comes, and is then used again with nothing
+/// of what was learned under it.
+#[test]
+fn an_open_request_ends_under_its_own_rules_and_its_number_is_free_then() {
+    let _alone = alone();
+    let mut rig = Rig::new(at(0, Some("pay")));
+    let pay = rig.settings.names.class("pay").expect("in force");
+    rig.host.arrive(pay.0, 900_000);
+    rig.host.serve_all(20_000); // something is learned of it
+    let open = rig.host.arrive(pay.0, 60_000_000);
+    assert_eq!(rig.host.sent_to(open).len(), 1);
+    for change in 1..=CHANGES {
+        let renewed = rig.adopt(at(change, None));
+        assert!(!renewed.classes.contains(&pay), "change {change} gives its number away");
+        assert_eq!(rig.settings.names.class("pay"), None);
+        assert_eq!(rig.settings.names.class_name(pay), "pay");
+        assert_eq!(rig.settings.config.classes[pay.0].effect, Effect::Unsafe);
+    }
+    rig.host.end(open, 0, Outcome::Reset);
+    assert_eq!(rig.host.sent_to(open).len(), 1, "it may have run: it is not sent again");
+    assert_eq!(rig.host.requests[&open].answer, Some("failed"));
+    assert_eq!(rig.host.balancer.classes_in_use().count(), 0);
+    let samples = |rig: &Rig| rig.host.balancer.memory(rig.host.now).classes[pay.0].1.samples;
+    assert_eq!(samples(&rig), 1.0);
+    let renewed = (1..4).find(|n| rig.adopt(at(CHANGES + n, None)).classes.contains(&pay));
+    assert!(renewed.is_some(), "its number is used again");
+    assert_eq!(samples(&rig), 0.0, "what was learned of another class says nothing of this one");
+    assert_eq!(rig.settings.config.classes[pay.0].effect, Effect::Free);
+}
+
+/// A number that a request may still come to speak of is given to no other name: tenants, too.
+#[test]
+fn a_pinned_number_keeps_its_name() {
+    let _alone = alone();
+    let first = at(0, None);
+    let (class, tenant) = (first.names.class("class-000000"), first.names.tenant("tenant-000000"));
+    let (class, tenant) = (class.expect("in force"), tenant.expect("in force"));
+    let pinned = Pinned { classes: [class].into(), tenants: [tenant].into() };
+    let mut settings = first;
+    for change in 1..10 {
+        let next = settings.succeeded_by(at(change, None), &settings.names, &pinned);
+        assert!(!next.renewed.classes.contains(&class) && !next.renewed.tenants.contains(&tenant));
+        settings = next.settings;
+    }
+    assert_eq!(settings.names.class_name(class), "class-000000");
+    assert_eq!(settings.names.tenant_name(tenant), "tenant-000000");
+    let back = settings.succeeded_by(at(0, None), &settings.names, &pinned);
+    assert_eq!(back.settings.names.class("class-000000"), Some(class), "it has come back while it was held");
+    assert_eq!(back.settings.names.tenant("tenant-000000"), Some(tenant));
+}
+
+/// Far fewer names than before: what is spare beyond its bound goes.
+#[test]
+fn numbers_that_nothing_needs_go() {
+    let _alone = alone();
+    let many = settings(&names("class", 9_000, 0), &names("tenant", 20_000, 0), None);
+    let few = || at(0, None);
+    let shrunk = many.succeeded_by(few(), &many.names, &Pinned::default()).settings;
+    assert_eq!(shrunk.config.tenants.len(), 20_000, "requests that come meanwhile may still be theirs");
+    let next = shrunk.succeeded_by(few(), &shrunk.names, &Pinned::default()).settings;
+    let sizes = (next.config.classes.len(), next.config.tenants.len(), next.network.deadlines.len());
+    assert_eq!(sizes, (2 * CLASSES + 1_024, 2 * TENANTS + 1_024, 2 * CLASSES + 1_024));
+    assert_eq!(next.names.tenant("tenant-000100"), Some(TenantId(100)));
+}
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -55,6 +55,9 @@
         let rules = self.host.settings(); // this request's own to its end, whatever comes meanwhile
         let class = head.uri.path().split('/').nth(1).and_then(|name| rules.names.class(name));
         let class = class.ok_or(Fault::NoSuchClass)?;
+        let tenant = head.headers.get("x-account").and_then(|v| v.to_str().ok());
+        let tenant = tenant.and_then(|name| rules.names.tenant(name));
+        let _pin = self.host.pin(class, tenant);
         if !stays_in_class(head.uri.path()) {
             return Err(Fault::Path);
         }
@@ -68,11 +71,10 @@
         let left = self.until_end(most);
         let deadline = Cell::new(self.host.clock.now() + left);
         let mut headers = head.headers;
-        let tenant = headers.get("x-account").and_then(|v| v.to_str().ok());
         let arrival = Arrival {
             request: RequestId(0),
             class,
-            tenant: tenant.and_then(|name| rules.names.tenant(name)),
+            tenant,
             time_left: left,
             work_hint: headers.get("x-weight-hint").and_then(number).map(|us| Micros(us as u64)),
             repeat: headers.get("x-repeat").is_some_and(|v| v == "1"),
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -4,8 +4,10 @@
 use lotusdeck_policy::settings::{Faults, Settings};
 use serde::Deserialize;
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use thiserror::Error;
 
 /// Everything that the program starts with.
@@ -23,7 +25,7 @@
     /// The list as this proxy last had it.
     pub known: List,
     pub settings: Settings,
-    pub file: InForce,
+    pub file: FileInForce,
 }
 
 /// Why there is no usable configuration.
@@ -61,7 +63,6 @@
     limits: Limits,
     #[serde(default)]
     known: List,
-    settings: Value,
 }
 
 #[derive(Deserialize)]
@@ -77,10 +78,36 @@
     }
 }
 
-/// The file in force, and where it lies.
-pub struct InForce {
+/// The file in force: where it lies, and the keys that it has.
+#[derive(Clone)]
+pub struct FileInForce {
     path: PathBuf,
-    whole: Value,
+    keys: Arc<Keys>,
+}
+
+/// The keys of an object and of the objects in it, without any value: tens of thousands of entries in its arrays take
+/// no room here.
+#[derive(Default)]
+struct Keys(BTreeMap<String, Keys>);
+
+impl Keys {
+    fn of(value: &Value) -> Keys {
+        let object = value.as_object().into_iter().flatten();
+        Keys(object.map(|(key, value)| (key.clone(), Keys::of(value))).collect())
+    }
+
+    /// The first key that these have and `new` has not. A file that was cut or half edited may still parse and hold
+    /// all that this program reads; the others who read it would miss the rest.
+    fn missing(&self, new: &Value, path: &str) -> Option<String> {
+        let keys = self.0.iter().filter(|(key, _)| !OPTIONAL.contains(&key.as_str()));
+        keys.into_iter().find_map(|(key, inside)| {
+            let path = format!("{path}{}{key}", if path.is_empty() { "" } else { "." });
+            match new.get(key) {
+                Some(new) => inside.missing(new, &path),
+                None => Some(path),
+            }
+        })
+    }
 }
 
 /// What a new file may change while the program runs.
@@ -89,15 +116,11 @@
     pub discovery: SocketAddr,
     /// All else that may change.
     pub settings: Settings,
-    whole: Value,
+    /// What it was read from: the file in force once the change is taken.
+    pub file: FileInForce,
 }
 
-impl InForce {
-    /// The change is taken: what it was read from is the file in force now.
-    pub fn replace(&mut self, by: &mut Change) {
-        self.whole = by.whole.take();
-    }
-
+impl FileInForce {
     /// The file as it is now, whole: where anything is wrong with it nothing of it is taken.
     ///
     /// # Errors
@@ -105,29 +128,28 @@
     pub fn reread(&self) -> Result<Change, NodeError> {
         let (path, text) = text(&self.path)?;
         let new = serde_json::from_str(&text).map_err(|e| NodeError::Malformed(path.clone(), e))?;
-        if let Some(key) = missing(&self.whole, &new, "") {
+        if let Some(key) = self.keys.missing(&new, "") {
             return Err(NodeError::Missing(key));
         }
-        let file = File::deserialize(&new).map_err(|e| NodeError::Malformed(path, e))?;
-        let settings = Settings::read(&file.settings)?;
-        Ok(Change { discovery: file.discovery, settings, whole: new })
+        let (file, settings) = parts(&new).map_err(|e| NodeError::Malformed(path, e))?;
+        let settings = Settings::read(settings)?;
+        let keys = Arc::new(Keys::of(&new));
+        Ok(Change {
+            discovery: file.discovery,
+            settings,
+            file: FileInForce { path: self.path.clone(), keys },
+        })
     }
 }
 
 /// Keys that the settings may do without.
 const OPTIONAL: [&str; 2] = ["family_info", "fleet"];
 
-/// The first key that `old` has and `new` has not. A file that was cut or half edited may still parse and hold
-/// all that this program reads; the others who read it would miss the rest.
-fn missing(old: &Value, new: &Value, path: &str) -> Option<String> {
-    let keys = old.as_object()?.iter().filter(|(key, _)| !OPTIONAL.contains(&key.as_str()));
-    keys.into_iter().find_map(|(key, old)| {
-        let path = format!("{path}{}{key}", if path.is_empty() { "" } else { "." });
-        match new.get(key) {
-            Some(new) => missing(old, new, &path),
-            None => Some(path),
-        }
-    })
+/// What a file says, and its settings in it: no copy, as they may be large.
+fn parts(whole: &Value) -> Result<(File, &Value), serde_json::Error> {
+    let file = File::deserialize(whole)?;
+    let settings = whole.get("settings").ok_or_else(|| serde::de::Error::missing_field("settings"))?;
+    Ok((file, settings))
 }
 
 fn text(path: &Path) -> Result<(String, String), NodeError> {
@@ -152,8 +174,8 @@
         let at = path.to_path_buf();
         let (path, text) = text(path)?;
         let whole: Value = serde_json::from_str(&text).map_err(|e| NodeError::Malformed(path.clone(), e))?;
-        let file = File::deserialize(&whole).map_err(|e| NodeError::Malformed(path, e))?;
-        let settings = Settings::read(&file.settings)?;
+        let (file, settings) = parts(&whole).map_err(|e| NodeError::Malformed(path, e))?;
+        let settings = Settings::read(settings)?;
         let hex = file.seed.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
         let seed = hex.or(file.seed.as_u64());
         Ok(Node {
@@ -166,7 +188,7 @@
             memory: file.limits.memory_mb << 20,
             known: file.known,
             settings,
-            file: InForce { path: at, whole },
+            file: FileInForce { path: at, keys: Arc::new(Keys::of(&whole)) },
         })
     }
 }
