Test that the program serves while it reads settings, and that an open request keeps its number's rules

Need: the event loop must not wait for files, and numbers are used again. Change: two tests on real sockets, in an order that a pipe in place of the configuration and a gated backend force.

--- a/crates/lotusdeck/tests/operation.rs
+++ b/crates/lotusdeck/tests/operation.rs
@@ -3,9 +3,11 @@
 mod rig;
 
 use rig::*;
+use std::fs::File;
 use std::io::Write;
 use std::net::TcpListener;
-use std::sync::Arc;
+use std::process::Command;
+use std::sync::{mpsc, Arc};
 
 fn both(a: &BackendServer, b: &BackendServer) -> [String; 2] {
     [entry("b0", a.address, "SERVING"), entry("b1", b.address, "SERVING")]
@@ -185,6 +187,63 @@
     assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
 }
 
+/// The number of a class that settings left out is given to no other while a request of it is open.
+#[test]
+fn a_request_keeps_its_rules_across_changes_that_use_numbers_again() {
+    let gate = Arc::new(Gate::default());
+    let held = gate.clone();
+    let paid = BackendServer::start(move |n| if n == 0 { Reply::GateReset(held.clone()) } else { ok("x") });
+    let proxy = Proxy::start(&[entry("b0", paid.address, "SERVING")]);
+    let mut open = proxy.client();
+    open.send(&pay(3.0));
+    paid.request();
+    let without = proxy.config.1.replace(r#""name":"pay""#, r#""name":"cash""#);
+    proxy.reconfigure(&without);
+    assert!(proxy.logged("settings taken").contains("without class pay"));
+    let free = without.replace(r#""name":"cash""#, r#""name":"draw""#).replace("single_shot", "free");
+    let free = free.replace(r#""name":"vote""#, r#""name":"poll""#);
+    for (file, told) in
+        [(&free, "with class draw"), (&without, "with class cash"), (&free, "with class poll")]
+    {
+        proxy.reconfigure(file);
+        assert!(proxy.logged("settings taken").contains(told));
+    }
+    assert_eq!(proxy.ask(&get("draw", "n2")).status(), 200);
+    let before = paid.count();
+    gate.open();
+    assert_eq!(open.answer().unwrap().status(), 502, "it must never run twice");
+    assert_eq!(paid.count(), before, "it is not sent again");
+}
+
+/// Requests are served while a file is read; a change that is asked for meanwhile follows with the file as it is then.
+#[test]
+fn the_program_serves_while_it_reads_and_the_last_file_holds() {
+    let (a, b) = two();
+    let proxy = Proxy::start(&both(&a, &b));
+    let path = proxy.config.0.clone();
+    let slow = path.with_extension("slow");
+    assert!(Command::new("mkfifo").arg(&slow).status().unwrap().success());
+    std::fs::rename(&slow, &path).unwrap();
+    proxy.signal("HUP");
+    let (opened, writer) = mpsc::channel();
+    let pipe = path.clone();
+    std::thread::spawn(move || opened.send(File::options().write(true).open(pipe).unwrap()));
+    let mut writer = writer.recv_timeout(PATIENCE).expect("the file is read");
+    assert_eq!(proxy.ask(&read(3.0)).status(), 200, "while it is read");
+    let last = proxy.config.1.replace(r#""name":"read""#, r#""name":"view""#);
+    std::fs::write(&slow, last).unwrap();
+    std::fs::rename(&slow, &path).unwrap();
+    proxy.signal("HUP");
+    assert_eq!(proxy.ask(&read(3.0)).status(), 200, "the one before is not read yet");
+    writer.write_all(other_settings(&proxy.config.1).as_bytes()).unwrap();
+    drop(writer);
+    assert!(proxy.logged("settings taken").contains("with class draw"));
+    let line = proxy.logged("settings taken");
+    assert!(line.contains("with class view") && line.contains("without class draw"), "{line}");
+    assert_eq!(proxy.ask(&get("view", "1")).status(), 200);
+    assert_eq!(proxy.ask(&get("draw", "2")).status(), 404);
+}
+
 /// From a file with a fault nothing is taken, discovery included.
 #[test]
 fn a_file_with_a_fault_changes_nothing() {
