Remember 16,384 ids of backends that have left, looked up instead of compared

MOST_FORMER was 256, below any list of a larger deployment: after 1,500 backends left at once an operator could name only the last 256. With a higher bound the queue would be compared name by name for each that leaves (11,000 x 16,384 comparisons in the event loop when a list of that size is replaced), so that it is a map by name and by order now. The bound is above the 11,000 backends of the largest list that is planned for.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 mod clock;
 pub mod cordon;
 mod counts;
+mod former;
 mod gate;
 mod host;
 mod journal;
--- a/crates/core/src/registry.rs
+++ b/crates/core/src/registry.rs
@@ -1,14 +1,12 @@
 //! Who the backends are: their names, numbers and addresses, and which of them operators have taken out.
 
+use crate::former::Former;
 use lotusdeck_policy::settings::{Names, Row};
 use lotusdeck_policy::{Backend, BackendId, BackendState, ListUpdate};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use tracing::{debug, info};
 
-/// Ids that are remembered after their backends have left the list: operators may still name them.
-const MOST_FORMER: usize = 256;
-
 /// An entry of the list of backends.
 pub struct Endpoint {
     /// The same at every proxy.
@@ -58,8 +56,8 @@
     /// Those on the list, and those gone that still hold an attempt.
     backends: HashMap<BackendId, Known>,
     numbers: HashMap<String, BackendId>,
-    /// The ids that left last, the oldest first.
-    former: VecDeque<String>,
+    /// Operators may still name them.
+    former: Former,
     /// Those that the module knows to be cordoned.
     cordoned: Vec<BackendId>,
     /// How many have ever been met.
@@ -112,19 +110,16 @@
             let keep = b.state != BackendState::Gone || holds.contains(id) || banned(&b.name);
             if !keep {
                 self.numbers.remove(&b.name);
-                self.former.retain(|name| *name != b.name);
-                self.former.push_back(b.name.clone());
+                self.former.add(&b.name);
             }
             keep
         });
-        let surplus = self.former.len().saturating_sub(MOST_FORMER);
-        self.former.drain(..surplus);
         told
     }
 
     /// Whether the list has or had a backend of that name.
     pub fn knows(&self, name: &str) -> bool {
-        self.numbers.contains_key(name) || self.former.iter().any(|former| former == name)
+        self.numbers.contains_key(name) || self.former.holds(name)
     }
 
     /// The number of the backend of that name.
