Bound the time from a reachable discovery to the next answer: 5.9 s, whatever failed before

What discovery has counts as told 6 s after it could be reached. Nobody counted the pauses between failed calls (up to 1.7 s where must_ask_in_us is 9 s) against that, and a call that waited its turn at a crowded discovery was given up after 2 s and asked again from the end of the queue: with every call answered 2.5 s after it came the change was never held (crates/proxy/src/discovery.rs: PROMPT in follow; crates/policy/src/rules.rs: the longest wait in members).

A call without news gets another beside it after 1 to 1.5 s by the size of the fleet, and both are kept, three at most, up to 3.5 s of silence; the longest pause is 0.3 to 0.9 s. What a call tells that was overtaken is heeded. The formula stands in the documentation of discovery.rs. A socket for the next call is kept in hand. An answer lives as long as it moves, up to 20 s; it may have 16 MiB instead of 4 and is read on a thread of its own where it is longer than 256 KiB.

Shown by crates/lotusdeck/tests/discovery_faults.rs.

--- /dev/null
+++ b/crates/lotusdeck/tests/discovery_faults.rs
@@ -0,0 +1,238 @@
+//! A discovery that refuses, resets, stalls, crowds, sends too much or nothing that can be read: what it has to tell is
+//! held in the time that counts, and nothing sound is lost.
+
+mod rig;
+
+use rig::*;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+/// A change counts as told so long after discovery had it and could be reached, whatever failed before.
+const TOLD: Duration = Duration::from_secs(6);
+
+/// An answer to a call, as `DiscoveryServer` takes it.
+type Answer = mpsc::Sender<(u16, String)>;
+
+/// Lists are asked for.
+fn asked() -> String {
+    SETTINGS.replace("\"automatic\"", "\"subscribe\"")
+}
+
+/// A proxy that holds version 9, in which `b0` serves.
+fn holding(backend: SocketAddr, settings: &str) -> Proxy {
+    let serving = [entry("b0", backend, "SERVING")];
+    let proxy = Proxy::with(&serving, 1024, settings);
+    proxy.discovery.call().1.send((200, list(9, true, &serving))).unwrap();
+    proxy
+}
+
+/// Answers after a time, as a crowded discovery does that handles calls in turn.
+fn answer_after(time: Duration, answer: Answer, text: String) {
+    std::thread::spawn(move || {
+        std::thread::sleep(time);
+        let _ = answer.send((200, text));
+    });
+}
+
+/// 503 for three seconds, then a call that gets no answer, and from then on discovery can be reached: it refuses one more
+/// call, and answers each of the others 2.5 s after it came. The proxy holds the change within the time that counts, and
+/// has called neither seldom nor without measure before.
+#[test]
+fn a_change_is_held_in_time_after_refusals_silence_and_a_crowd() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = holding(backend.address, &asked());
+    drop(proxy.discovery.call()); // the watch ends with its connection
+    let down = Instant::now();
+    let mut refused = 0;
+    while down.elapsed() < Duration::from_secs(3) {
+        proxy.discovery.call().1.send((503, String::new())).unwrap();
+        refused += 1;
+    }
+    let (_, _silent) = proxy.discovery.call();
+    let reachable = Instant::now();
+    proxy.discovery.call().1.send((503, String::new())).unwrap();
+    let change = list(10, false, &[entry("b0", backend.address, "DRAINING")]);
+    let held = loop {
+        let (target, answer) = proxy.discovery.call();
+        if target.contains("after=10&") {
+            break reachable.elapsed();
+        }
+        assert!(reachable.elapsed() < 2 * TOLD, "it never comes to hold the change");
+        answer_after(Duration::from_millis(2_500), answer, change.clone());
+    };
+    println!("held {held:?} after discovery could be reached, {refused} calls refused before");
+    assert!(held < TOLD, "held {held:?} after discovery could be reached");
+    assert!((8..=40).contains(&refused), "{refused} calls in 3 s");
+    assert_eq!((proxy.ask(&pay(3.0)).status(), backend.count()), (503, 0));
+}
+
+/// A call waits its turn while another is opened beside it, and both are answered: the older one's newer change is
+/// heeded though the list was taken from the other, and its older word undoes nothing.
+#[test]
+fn a_call_that_waits_its_turn_is_kept_and_heard() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let [serving, draining] = ["SERVING", "DRAINING"].map(|s| vec![entry("b0", backend.address, s)]);
+    for (other, late) in [((10, &serving), (11, &draining)), ((11, &draining), (10, &serving))] {
+        let proxy = Proxy::with(&serving, 1024, &asked());
+        let begun = Instant::now();
+        let (_, first) = proxy.discovery.call();
+        let (_, second) = proxy.discovery.call();
+        let gap = begun.elapsed();
+        assert!(gap < Duration::from_millis(1_900), "a second call after {gap:?}");
+        second.send((200, list(other.0, false, other.1))).unwrap();
+        let (watch, waits) = proxy.discovery.call();
+        assert!(watch.contains(&format!("after={}&", other.0)), "{watch}");
+        first.send((200, list(late.0, false, late.1))).expect("the first call is out still");
+        let end = Instant::now() + TOLD;
+        while proxy.ask(&read(3.0)).status() != 503 {
+            assert!(Instant::now() < end, "what the first call told was lost: {late:?}");
+        }
+        waits.send((200, list(11, false, &[]))).unwrap();
+        let (watch, _waits) = proxy.discovery.call();
+        assert!(watch.contains("after=11&"), "{watch}");
+        assert_eq!(proxy.ask(&read(3.0)).status(), 503, "older news undid newer");
+    }
+}
+
+/// What a discovery may do to a call.
+#[derive(Debug)]
+enum Fault {
+    Refuses,
+    Resets,
+    /// These bytes, and silence.
+    Stalls(&'static str),
+    /// These bytes as a whole answer.
+    Babbles(String),
+}
+
+/// Whatever a call gets, the next comes in time, the log says what was wrong, and the list held stays in force.
+#[test]
+fn a_faulty_answer_costs_a_line_of_the_log_and_a_short_time() {
+    let long = "x".repeat(17 << 20);
+    let faults = [
+        (Fault::Refuses, "answered 503"),
+        (Fault::Resets, "call broken"),
+        (Fault::Stalls(""), "does not answer"),
+        (Fault::Stalls("HTTP/1.1 200 X\r\nContent-Length: 300\r\n\r\n{\"index\":10,"), "does not answer"),
+        (Fault::Stalls("HTTP/1.1 200 X\r\nContent-Length: 99999999\r\n\r\n"), "longer than 16777216 bytes"),
+        (Fault::Babbles("{\"index\":10,\"snapshot\":true}".into()), "answer not understood"),
+        (Fault::Babbles("[".into()), "answer not understood"),
+        (Fault::Babbles(long), "longer than 16777216 bytes"),
+    ];
+    for (fault, line) in faults {
+        for settings in [SETTINGS.to_string(), asked()] {
+            let backend = BackendServer::start(|_| ok("x"));
+            let proxy = Proxy::with(&[entry("b0", backend.address, "SERVING")], 1024, &settings);
+            let (first, answer) = proxy.discovery.call();
+            let begun = Instant::now();
+            let kept = match &fault {
+                Fault::Refuses => answer.send((503, String::new())).map(|()| None),
+                Fault::Resets => {
+                    drop(answer);
+                    Ok(None)
+                }
+                Fault::Stalls(text) => answer.send((0, text.to_string())).map(|()| Some(answer)),
+                Fault::Babbles(text) => answer.send((200, text.clone())).map(|()| None),
+            };
+            let _kept = kept.unwrap();
+            let (again, _silent) = proxy.discovery.call();
+            let took = begun.elapsed();
+            assert!(took < Duration::from_millis(1_900), "{took:?} after {first} until {again}: {fault:?}");
+            let told = proxy.logged(line);
+            assert_eq!(proxy.ask(&read(3.0)).status(), 200, "the list held is lost: {told}");
+        }
+    }
+}
+
+/// Lists of 10 MB, of as many lines as are planned for, indented, come whole; so do changes as long as the list, and an
+/// operator can still name each backend that has left.
+#[test]
+fn long_lists_and_changes_are_taken_whole() {
+    let backend = BackendServer::start(|_| ok("x"));
+    for count in [1_500, 11_000] {
+        let indent = " ".repeat(10_000_000 / count - 150);
+        let nowhere = "127.0.0.1:9".parse().unwrap();
+        let line = |n: usize, status| format!("\n{indent}{}", entry(&format!("s-{n}"), nowhere, status));
+        let mut lines: Vec<String> = (0..count).map(|n| line(n, "DRAINING")).collect();
+        lines.push(entry("b0", backend.address, "SERVING"));
+        let whole = list(9, true, &lines);
+        assert!(whole.len() > 9_000_000, "{}", whole.len());
+        let proxy = Proxy::with(&[], 1024, &asked());
+        let begun = Instant::now();
+        proxy.discovery.call().1.send((200, whole)).unwrap();
+        let (watch, changes) = proxy.discovery.call();
+        println!("{count} lines: next call after {:?}", begun.elapsed());
+        assert!(watch.contains("after=9&"), "{watch}");
+        assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+        let mut lines: Vec<String> = (0..count).map(|n| line(n, "DELETED")).collect();
+        lines.push(entry("b0", backend.address, "DRAINING"));
+        changes.send((200, list(10, false, &lines))).unwrap();
+        let (watch, _waits) = proxy.discovery.call();
+        assert!(watch.contains("after=10&"), "{watch}");
+        assert_eq!(proxy.ask(&read(3.0)).status(), 503);
+        assert_eq!(proxy.call("PUT", "/admin/cordon", "s-0"), 200, "one that has left is forgotten");
+    }
+}
+
+/// Draining backends that a whole list leaves out, or that the proxy was started with, get nothing; changes that name them
+/// again change nothing in that.
+#[test]
+fn draining_backends_that_a_list_leaves_out_get_nothing() {
+    let (leaving, other) = (BackendServer::start(|_| ok("leaving")), BackendServer::start(|_| ok("other")));
+    let stays = entry("b1", other.address, "SERVING");
+    let draining = entry("b0", leaving.address, "DRAINING");
+    for settings in [SETTINGS.to_string(), asked()] {
+        let serving = entry("b0", leaving.address, "SERVING");
+        for known in [serving, draining.clone()] {
+            let proxy = Proxy::with(&[known.clone(), stays.clone()], 1024, &settings);
+            if known == draining {
+                assert_eq!(proxy.ask(&pay(3.0)).body, b"other", "drained by the list it began with");
+            }
+            proxy.discovery.call().1.send((200, list(9, true, std::slice::from_ref(&stays)))).unwrap();
+            let (_, changes) = proxy.discovery.call();
+            assert_eq!(proxy.ask(&pay(3.0)).body, b"other", "left out of the whole list");
+            changes.send((200, list(10, false, std::slice::from_ref(&draining)))).unwrap();
+            let (_, gone) = proxy.discovery.call();
+            assert_eq!(proxy.ask(&pay(3.0)).body, b"other", "draining by the changes after it");
+            gone.send((200, list(11, false, &[draining.replace("DRAINING", "DELETED")]))).unwrap();
+            let (watch, _waits) = proxy.discovery.call();
+            assert!(watch.contains("after=11&"), "{watch}");
+            assert_eq!((proxy.ask(&pay(3.0)).body, leaving.count()), (b"other".to_vec(), 0));
+        }
+    }
+}
+
+/// Calls that are refused while clients take every descriptor that comes free.
+const REFUSED: usize = 8;
+
+/// Clients fill the descriptors, more than the proxy is told of, and stand in the queue for each that comes free: the
+/// call after a broken watch is made all the same, at once.
+#[test]
+fn a_descriptor_for_discovery_is_left_where_clients_fill_them() {
+    for settings in [SETTINGS.to_string(), asked()] {
+        let backend = BackendServer::start(|_| ok("x"));
+        let serving = [entry("b0", backend.address, "SERVING")];
+        let proxy = Proxy::launched(&serving, 1024, &settings, 64);
+        proxy.discovery.call().1.send((200, list(9, true, &serving))).unwrap();
+        let (_, watch) = proxy.discovery.call();
+        let clients: Vec<TcpStream> = (0..300).map(|_| TcpStream::connect(proxy.address).unwrap()).collect();
+        let descriptors = format!("/proc/{}/fd", proxy.child.id());
+        let end = Instant::now() + PATIENCE;
+        while std::fs::read_dir(&descriptors).unwrap().count() < 64 {
+            assert!(Instant::now() < end, "the descriptors are never used up");
+        }
+        drop(watch);
+        for _ in 0..REFUSED {
+            let begun = Instant::now();
+            proxy.discovery.call().1.send((503, String::new())).unwrap();
+            let took = begun.elapsed();
+            assert!(took < Duration::from_secs(1), "{took:?} until the next call");
+        }
+        let (_, answer) = proxy.discovery.call();
+        answer.send((200, list(10, false, &[entry("b0", backend.address, "DRAINING")]))).unwrap();
+        let (watch, _waits) = proxy.discovery.call();
+        assert!(watch.contains("after=10&"), "{watch}");
+        drop(clients);
+    }
+}
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -59,6 +59,9 @@
 const STEPS: usize = 128;
 /// Passes of a solution at most.
 const PASSES: f64 = 5.0;
+/// Calls of all proxies to a discovery that fails, 1/s; each pauses for so long at most all the same, s.
+const ASK_RATE: f64 = 400.0;
+const ASK_PAUSE: f64 = 0.6;
 /// A request worth less than this part of a first try within quota finds half of the room: the rest is kept.
 const LOW: f64 = 0.5;
 
@@ -238,9 +241,10 @@
         match (update, self.cfg.discovery) {
             // A lost subscription is asked for again, later each time and not in step with others.
             (ListUpdate::Lost, Discovery::Subscribe(within)) => {
-                let wait = (self.ask.1 * 2.0).clamp(0.1, (within.secs() / 8.0).max(0.1));
+                let most = (f64::from(self.cfg.proxies) / ASK_RATE).clamp(0.2, ASK_PAUSE);
+                let wait = (self.ask.1 * 2.0).clamp(0.1, (within.secs() / 8.0).clamp(0.1, most));
                 self.ask = (Some(now + Micros::from_secs(wait * (0.5 + self.dice.unit()))), wait);
-                self.log(now, "discovery lost, asking again".into());
+                self.look_at = now;
             }
             (ListUpdate::Changes | ListUpdate::Full, _) => self.ask = (None, 0.0),
             _ => {}
@@ -281,9 +285,6 @@
             }
         }
         self.solve_at = now;
-        if update == ListUpdate::Lost {
-            self.look_at = now;
-        }
     }
 
     /// What operators take out is out at once. What they give back is taken for just started: it may have
@@ -479,11 +480,10 @@
     /// What time alone brings about, and when to look again.
     fn look_after(&mut self, now: Time) {
         let mut next = now + Micros::from_secs(CROWD_MEMORY); // nothing else may be due
-        if let (Some(at), Discovery::Subscribe(within)) = (self.ask.0, self.cfg.discovery) {
-            if now >= at {
-                self.ask.0 = Some(now + within.times(0.5)); // unanswered so long, the call itself was lost
-                self.actions.push(Action::Follow);
-            }
+        let due = self.ask.0.filter(|at| now >= *at);
+        if let (Some(_), Discovery::Subscribe(within)) = (due, self.cfg.discovery) {
+            self.ask.0 = Some(now + within.times(0.5)); // unanswered so long, the call itself was lost
+            self.actions.push(Action::Follow);
         }
         next = self.ask.0.map_or(next, |at| next.min(at));
         for id in std::mem::take(&mut self.doubted) {
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,78 +1,46 @@
 //! Discovery: the watch that keeps the backend list up to date.
+//!
+//! What discovery has counts as told 6 s after it could be reached, whatever became of the calls before, so the time from
+//! any moment at which it can be reached to the next answer is bounded at every proxy:
+//!
+//! ```text
+//! told <= gap + pause + answer <= 1.5 s + 0.9 s + 3.5 s = 5.9 s
+//! ```
+//!
+//! - `gap`: while calls are out and bring no list, another is opened after 10 ms for each proxy of the fleet, 1 s at
+//!   least and 1.5 s at most. A call that waits its turn is kept beside it: at a crowded discovery, one that is given up
+//!   is asked again from the end of the queue.
+//! - `pause`: a call that failed (a refused or broken connection, an answer other than 200, an answer that makes no sense)
+//!   is followed by the next after at most one and a half times the module's longest pause, 0.2 s to 0.6 s by the size of
+//!   the fleet. Only where no other call is out is there a pause.
+//! - `answer`: a call that is reached is answered within 3.5 s of silence, or counts as lost. An answer that comes slowly
+//!   lives as long as it moves, up to 20 s; what is newer than the list held is asked for beside it all the same.
+//!
+//! Each further call that fails once discovery can be reached costs the time until its failure and one `pause`.
+//!
+//! Discovery's work is bounded as well: each proxy has three calls out at most, opened one a gap, and calls again no sooner
+//! than after a pause. While discovery is silent 300 proxies open 200 calls a second; while it refuses, 500 at most.
 
-use crate::exchange::driven;
-use crate::list::List;
-use crate::stream::Stream;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1;
-use hyper::Request;
+mod call;
+mod pacing;
+
+use crate::list::{List, Told};
+use call::{Call, Dialer, Ended, Link, Question};
 use lotusdeck_core::{span, Host};
 use lotusdeck_policy::{Discovery, ListUpdate};
+use pacing::{backoff, spread, Gaps, MOST_CALLS};
 use std::cell::Cell;
-use std::future::Future;
+use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::watch::Receiver;
 use tokio::time::Instant;
 use tracing::{info, warn};
 
 /// One call waits so long for news.
 const WAIT: Duration = Duration::from_secs(10);
-/// What a call that does not wait may take before discovery counts as silent. What a silent one missed counts as
-/// told 6 s after it fell silent, so that another call, and one more, are answered before.
-const PROMPT: Duration = Duration::from_secs(2);
-/// What a call may take beyond its wait. What it missed counts as told 2 s after the wait is over, at which the next
-/// call has to be answered, be it at the second try: with 2 s here it was 0.2 to 1 s late at each proxy.
-const OVERDUE: Duration = Duration::from_millis(500);
-/// A connection that is not up by then will hardly come: a lost segment is sent again after 1 s.
-const CONNECT: Duration = Duration::from_secs(1);
-/// Pause after a failed call where lists are pushed; it doubles with each in a row, up to the longest. What the agent
-/// gets when discovery is back counts as told at once, so that the longest is well inside the shortest grace that the
-/// settings have named (400 ms).
-const BACKOFF: Duration = Duration::from_millis(25);
-const MOST_BACKOFF: Duration = Duration::from_millis(200);
-/// Multiples of it, whole parts left out, lie evenly spread however many there are (Kronecker's sequence).
-const GOLDEN: f64 = 0.618_033_988_749_895;
-/// A list may be longer than a request's body, but not without bound.
-const MAX_LIST: usize = 4 * 1024 * 1024;
-
-#[derive(Debug)]
-enum WatchError {
-    Connect(std::io::Error),
-    Http(Box<dyn std::error::Error + Send + Sync>),
-    Status(u16),
-    Json(serde_json::Error),
-    Ended,
-    Silent,
-}
-
-impl std::fmt::Display for WatchError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            WatchError::Connect(e) => write!(f, "no connection: {e}"),
-            WatchError::Http(e) => write!(f, "call broken: {e}"),
-            WatchError::Status(code) => write!(f, "answered {code}"),
-            WatchError::Json(e) => write!(f, "answer not understood: {e}"),
-            WatchError::Ended => write!(f, "connection ended"),
-            WatchError::Silent => write!(f, "silent"),
-        }
-    }
-}
-
-impl std::error::Error for WatchError {}
-
-struct Link {
-    sender: http1::SendRequest<Empty<Bytes>>,
-    conn: http1::Connection<Stream, Empty<Bytes>>,
-}
-
-/// A call that is out, and the connection that it leaves. It is not dropped before it has ended: what discovery has
-/// written counts as told, read or not.
-type Call = Pin<Box<dyn Future<Output = (Option<Link>, Result<List, WatchError>)>>>;
 
 /// Takes every list that the module was told of, after it was told.
 pub type Kept = Box<dyn Fn(List)>;
@@ -84,14 +52,15 @@
     index: Cell<Option<u64>>,
     /// When the list held is compared with a whole one: versions may be counted otherwise where discovery is now.
     check: Cell<Option<Instant>>,
-    /// Discovery has told something where it is now.
+    /// How often discovery has moved, and whether it has told something where it is now.
+    moves: Cell<u32>,
     answered: Cell<bool>,
     /// Where every list taken goes on to, where it is kept across restarts.
     kept: Option<Kept>,
 }
 
 /// Keeps the list up to date for as long as the program runs. When discovery moves the new place is asked at once;
-/// the call that is out at the old one goes on beside that to its end, as it may have been answered already.
+/// calls that are out at the old one go on beside that to their end, as they may have been answered already.
 ///
 /// Where lists are asked for, the new place is asked for what is newer than the list held, and for all of it some
 /// time later. Hundreds of proxies move together: with a whole list each, they waited for theirs for up to 9 s,
@@ -102,32 +71,93 @@
 ) {
     // An agent's answers cost nothing: begin with the truth.
     let index = (moved.borrow().1 != Discovery::Push).then_some(known);
-    let (index, check, answered) = (Cell::new(index), Cell::default(), Cell::default());
-    let watch = Rc::new(Watch { host, index, check, answered, kept });
-    let mut told = false;
+    let (check, moves, answered) = (Cell::default(), Cell::default(), Cell::default());
+    let watch = Rc::new(Watch { host, index: Cell::new(index), check, moves, answered, kept });
+    let dialer = Rc::new(Dialer::default());
+    dialer.refill();
+    let mut begun = false;
     loop {
         let (at, mode) = *moved.borrow_and_update();
         if let Discovery::Subscribe(_) = mode {
-            if !std::mem::replace(&mut told, true) {
+            if !std::mem::replace(&mut begun, true) {
                 watch.host.followed().await;
             }
         }
-        let mut out = None;
+        let mut calls = Calls::new(at, dialer.clone());
         tokio::select! {
-            _ = watch.follow(at, mode, &mut out) => {}
+            () = watch.follow(mode, &mut calls) => {}
             Ok(()) = moved.changed() => {
-                watch.answered.set(false);
-                match moved.borrow().1 {
-                    Discovery::Push => watch.index.set(None),
-                    Discovery::Subscribe(within) => {
-                        // Spread evenly over the proxies, as their first calls could not be.
-                        let position = watch.host.settings().config.position;
-                        let spread = (f64::from(position) * GOLDEN).fract();
-                        watch.check.set(Some(Instant::now() + span(within.times(1.0 + 2.0 * spread))));
-                    }
+                calls.out.into_iter().for_each(|call| watch.leave_out(call));
+                watch.follow_elsewhere(moved.borrow().1);
+            }
+        }
+    }
+}
+
+/// The calls that are out at one place, the oldest first.
+struct Calls {
+    at: SocketAddr,
+    dialer: Rc<Dialer>,
+    out: Vec<Call>,
+    /// When the newest was opened.
+    opened: Instant,
+}
+
+impl Calls {
+    fn new(at: SocketAddr, dialer: Rc<Dialer>) -> Calls {
+        Calls { at, dialer, out: Vec::new(), opened: Instant::now() }
+    }
+
+    fn open(&mut self, link: Option<Link>, question: Question) {
+        self.opened = Instant::now();
+        self.out.push(Call::open(link, self.dialer.clone(), self.at, question));
+    }
+
+    /// The first of them to end, and what it asked for.
+    async fn first(&mut self) -> (Question, Ended) {
+        poll_fn(|cx| {
+            let ready = |(at, call): (usize, &mut Call)| match call.ended.as_mut().poll(cx) {
+                Poll::Ready(ended) => Some((at, ended)),
+                Poll::Pending => None,
+            };
+            match self.out.iter_mut().enumerate().find_map(ready) {
+                Some((at, ended)) => Poll::Ready((self.out.remove(at).question, ended)),
+                None => Poll::Pending,
+            }
+        })
+        .await
+    }
+
+    /// When another call is due beside them, a gap after the newest, which may have failed, at the soonest; never while
+    /// as many are out as may be.
+    fn another_at(&self, gaps: Gaps, held: Option<u64>) -> Option<Instant> {
+        let due = self.out.iter().map(|call| call.another_at(gaps, held)).max();
+        let room = self.out.len() < MOST_CALLS;
+        due.filter(|_| room).map(|due| due.max(self.opened + gaps.usual()))
+    }
+
+    /// The first of them to end. While they bring nothing, another is opened beside them at each gap, for what is newer
+    /// than the version held then.
+    async fn ended(&mut self, gaps: Gaps, held: &Cell<Option<u64>>) -> (Question, Ended) {
+        loop {
+            let another = self.another_at(gaps, held.get());
+            let due = async {
+                match another {
+                    Some(at) => tokio::time::sleep_until(at).await,
+                    None => std::future::pending().await,
                 }
-                if let Some(call) = out {
-                    tokio::task::spawn_local(watch.clone().last_word(call));
+            };
+            tokio::select! {
+                biased;
+                ended = self.first() => return ended,
+                () = due => {
+                    // Something may have come meanwhile.
+                    if self.another_at(gaps, held.get()).is_some_and(|at| at <= Instant::now()) {
+                        if self.out.len() == 1 {
+                            info!("discovery does not answer, another call is opened");
+                        }
+                        self.open(None, Question { held: held.get(), whole: false, wait: Duration::ZERO });
+                    }
                 }
             }
         }
@@ -135,48 +165,44 @@
 }
 
 impl Watch {
-    /// Follows one discovery for ever, from what is held on. The call that is out lies in `out`.
-    async fn follow(&self, at: SocketAddr, mode: Discovery, out: &mut Option<Call>) {
-        let asked = mode != Discovery::Push;
+    /// Discovery is elsewhere, or tells in another way.
+    fn follow_elsewhere(&self, mode: Discovery) {
+        self.moves.set(self.moves.get() + 1);
+        self.answered.set(false);
+        match mode {
+            Discovery::Push => self.index.set(None),
+            Discovery::Subscribe(within) => {
+                // Spread evenly over the proxies, as their first calls could not be.
+                let share = spread(self.host.settings().config.position);
+                self.check.set(Some(Instant::now() + span(within.times(1.0 + 2.0 * share))));
+            }
+        }
+    }
+
+    /// Follows one discovery for ever, from what is held on.
+    async fn follow(self: &Rc<Self>, mode: Discovery, calls: &mut Calls) {
         let (mut link, mut failures) = (None, 0u32);
         // A call of the module's, or after a failure, is answered once, by what it missed; only what follows waits.
-        let mut wait = if asked { Duration::ZERO } else { WAIT };
+        let mut wait = if mode == Discovery::Push { WAIT } else { Duration::ZERO };
         loop {
-            let check = self.check.get().map(|at| at.saturating_duration_since(Instant::now()));
-            let checks = check.is_some_and(|left| left.is_zero());
-            let index = self.index.get().filter(|_| !checks);
-            let (uri, patience) = match index {
-                None => ("/api/targets".to_string(), PROMPT),
-                Some(index) => {
-                    let wait = check.map_or(wait, |left| wait.min(left));
-                    let patience = (wait + OVERDUE).max(PROMPT);
-                    (format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()), patience)
-                }
-            };
-            let (kept, call) = out.insert(fetch(link.take(), at, uri, patience)).await;
-            (link, *out) = (kept, None);
-            match call {
-                Ok(list) => {
+            if calls.out.is_empty() {
+                calls.open(link.take(), self.question(wait));
+            }
+            let gaps = Gaps::new(self.host.settings().config.proxies);
+            let (question, (kept, answer)) = calls.ended(gaps, &self.index).await;
+            match answer {
+                Ok(told) => {
                     if failures > 0 {
-                        info!(index = list.index, "discovery is back");
+                        info!(index = told.list.index, "discovery is back");
                     }
-                    (failures, wait) = (0, WAIT);
+                    (failures, wait, link) = (0, WAIT, kept);
                     self.answered.set(true);
-                    if list.snapshot {
-                        self.check.set(None);
-                    }
-                    // Changes against a newer list than the answer's: discovery began anew, so take it whole.
-                    let gap = !list.snapshot && index.is_none_or(|index| list.index < index);
-                    self.index.set((!gap).then_some(list.index));
-                    if !gap {
-                        self.take(list);
-                        continue;
-                    }
-                    // Who leaves by its word gets nothing until then: that it was told is certain.
-                    self.host.members(ListUpdate::Changes, list.leaving());
-                    if index.is_none() {
+                    let compared = question.whole || calls.out.iter().any(|call| call.question.whole);
+                    self.checked(compared, told.list.snapshot, mode);
+                    calls.out.drain(..).for_each(|call| self.leave_out(call));
+                    if !self.heed(question, told) {
                         warn!("discovery answered with changes to a call for the whole list");
-                        tokio::time::sleep(BACKOFF * 2).await;
+                        tokio::time::sleep(backoff(1)).await;
                     }
                 }
                 Err(e) => {
@@ -184,86 +210,110 @@
                     if failures == 1 {
                         warn!(error = %e, "discovery failed");
                     }
-                    if let (true, Discovery::Subscribe(within)) = (checks, mode) {
-                        self.check.set(Some(Instant::now() + span(within))); // what is newer comes first
-                    }
+                    self.checked(question.whole, false, mode);
                     wait = Duration::ZERO;
-                    if asked {
-                        self.host.members(ListUpdate::Lost, Vec::new());
-                        self.host.followed().await; // when to ask again is the module's to say
-                    } else {
-                        tokio::time::sleep((BACKOFF * (1 << failures.min(4))).min(MOST_BACKOFF)).await;
+                    if calls.out.is_empty() {
+                        self.pause(mode, failures).await;
                     }
                 }
             }
         }
     }
 
-    fn take(&self, list: List) {
+    /// What to ask for next, where that may wait so long.
+    fn question(&self, wait: Duration) -> Question {
+        let check = self.check.get().map(|at| at.saturating_duration_since(Instant::now()));
+        let whole = check.is_some_and(|left| left.is_zero());
+        Question { held: self.index.get(), whole, wait: check.map_or(wait, |left| wait.min(left)) }
+    }
+
+    /// A list was taken, whole or not, or a call failed. Where the whole list was asked for to compare with it and did
+    /// not come, what is newer comes first, and the comparison some time later.
+    fn checked(&self, asked: bool, whole: bool, mode: Discovery) {
+        match mode {
+            _ if whole => self.check.set(None),
+            Discovery::Subscribe(within) if asked => self.check.set(Some(Instant::now() + span(within))),
+            _ => {}
+        }
+    }
+
+    /// The pause after a failed call, with no other out.
+    async fn pause(&self, mode: Discovery, failures: u32) {
+        match mode {
+            Discovery::Push => tokio::time::sleep(backoff(failures)).await,
+            Discovery::Subscribe(_) => {
+                self.host.members(ListUpdate::Lost, Vec::new());
+                self.host.followed().await; // when to ask again is the module's to say
+            }
+        }
+    }
+
+    /// Takes an answer. False: it makes no sense, as changes to no list at all.
+    fn heed(&self, question: Question, told: Told) -> bool {
+        let (held, index) = (self.index.get(), told.list.index);
+        // Another call was answered since this one was opened: a list that is no newer says nothing.
+        if held != question.held && held.is_some_and(|held| index <= held) {
+            return true;
+        }
+        // Changes against a newer list than the answer's: discovery began anew, so take it whole.
+        let gap = !told.list.snapshot && question.after().is_none_or(|after| index < after);
+        self.index.set((!gap).then_some(index));
+        if gap {
+            // Who leaves by its word gets nothing until then: that it was told is certain.
+            self.host.members(ListUpdate::Changes, told.leaving());
+            return question.after().is_some();
+        }
+        self.take(told);
+        true
+    }
+
+    fn take(&self, Told { list, news }: Told) {
         let update = if list.snapshot { ListUpdate::Full } else { ListUpdate::Changes };
-        self.host.members(update, list.news());
+        self.host.members(update, news);
         if let Some(kept) = &self.kept {
             kept(list);
         }
     }
 
-    /// What the place that discovery has left had written by then, or writes until it ends the call. Where the new
-    /// one has answered since, with an older version, no more is believed than who leaves.
-    async fn last_word(self: Rc<Self>, call: Call) {
-        let (_link, Ok(list)) = call.await else { return };
-        let held = self.index.get();
-        let follows = list.snapshot || held.is_none_or(|held| list.index >= held);
-        match held {
-            Some(held) if self.answered.get() && list.index <= held => {}
-            _ if self.answered.get() || !follows => self.host.members(ListUpdate::Changes, list.leaving()),
-            _ => {
-                self.index.set(held.map(|_| list.index));
-                self.take(list);
+    /// Lets a call go on beside what follows, to its end.
+    fn leave_out(self: &Rc<Self>, call: Call) {
+        let (watch, moves) = (self.clone(), self.moves.get());
+        tokio::task::spawn_local(async move {
+            let (_link, Ok(told)) = call.ended.await else { return };
+            if moves == watch.moves.get() {
+                watch.late_word(call.question, told);
+            } else {
+                watch.last_word(told);
             }
-        }
+        });
     }
-}
 
-/// A call and the connection that is left behind it; each step of it is bounded.
-fn fetch(link: Option<Link>, at: SocketAddr, uri: String, patience: Duration) -> Call {
-    Box::pin(async move {
-        let mut link = link;
-        let call = tokio::time::timeout(patience, ask(&mut link, at, &uri)).await;
-        match call.unwrap_or(Err(WatchError::Silent)) {
-            Ok(list) => (link, Ok(list)),
-            Err(e) => (None, Err(e)),
+    /// What a call tells that was out beside an answered one. Where it is newer than what is held and follows on that,
+    /// it is taken; else no more is believed than who leaves.
+    fn late_word(&self, question: Question, told: Told) {
+        let (held, index) = (self.index.get(), told.list.index);
+        let follows_on = |held| question.after().is_some_and(|after| after <= held && after <= index);
+        match held {
+            Some(held) if index <= held => {}
+            _ if told.list.snapshot || held.is_some_and(follows_on) => drop(self.heed(question, told)),
+            _ => self.host.members(ListUpdate::Changes, told.leaving()),
         }
-    })
-}
+    }
 
-async fn ask(link: &mut Option<Link>, at: SocketAddr, uri: &str) -> Result<List, WatchError> {
-    let mut live = match link.take() {
-        Some(live) if !live.sender.is_closed() => live,
-        _ => {
-            let dial = tokio::time::timeout(CONNECT, TcpStream::connect(at)).await;
-            let tcp = dial.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()));
-            let tcp = tcp.map_err(WatchError::Connect)?;
-            let (sender, conn) = http1::handshake(Stream::new(tcp)).await.map_err(boxed)?;
-            Link { sender, conn }
+    /// What the place that discovery has left had written by then, or writes until it ends the call. Where the new
+    /// one has answered since, with an older version, no more is believed than who leaves.
+    fn last_word(&self, told: Told) {
+        let (held, index) = (self.index.get(), told.list.index);
+        let follows = told.list.snapshot || held.is_none_or(|held| index >= held);
+        match held {
+            Some(held) if self.answered.get() && index <= held => {}
+            _ if self.answered.get() || !follows => {
+                self.host.members(ListUpdate::Changes, told.leaving());
+            }
+            _ => {
+                self.index.set(held.map(|_| index));
+                self.take(told);
+            }
         }
-    };
-    let request = Request::get(uri).header("host", at.to_string()).body(Empty::new()).map_err(boxed)?;
-    let Link { sender, conn } = &mut live;
-    let answer = async {
-        sender.ready().await.map_err(boxed)?;
-        let answer = sender.send_request(request).await.map_err(boxed)?;
-        let status = answer.status().as_u16();
-        let body = Limited::new(answer.into_body(), MAX_LIST).collect().await.map_err(WatchError::Http)?;
-        Ok((status, body.to_bytes()))
-    };
-    let (status, body) = driven(conn, answer).await.unwrap_or(Err(WatchError::Ended))?;
-    *link = Some(live);
-    if status != 200 {
-        return Err(WatchError::Status(status));
     }
-    serde_json::from_slice(&body).map_err(WatchError::Json)
-}
-
-fn boxed(e: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> WatchError {
-    WatchError::Http(e.into())
 }
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -93,12 +93,27 @@
         news
     }
 
-    /// Of what it says only who leaves: all that can be believed of changes to a list that is not held.
-    pub fn leaving(&self) -> News {
+    /// The list together with what it says.
+    pub fn read(self) -> Told {
         let news = self.news();
-        let left = |e: &Endpoint| Partial { name: e.name.clone(), state: Some(e.state) };
-        let entries = news.entries.iter().filter(|e| leaves(e.state)).map(left);
-        let partial = entries.chain(news.partial.into_iter().filter(|p| p.state.is_some())).collect();
+        Told { list: self, news }
+    }
+}
+
+/// A list, and what it says.
+pub struct Told {
+    /// As discovery sent it.
+    pub list: List,
+    /// What was understood of it.
+    pub news: News,
+}
+
+impl Told {
+    /// Of what it says only who leaves: all that can be believed of changes to a list that is not held.
+    pub fn leaving(self) -> News {
+        let left = |e: Endpoint| leaves(e.state).then_some(Partial { name: e.name, state: Some(e.state) });
+        let entries = self.news.entries.into_iter().filter_map(left);
+        let partial = entries.chain(self.news.partial.into_iter().filter(|p| p.state.is_some())).collect();
         News { entries: Vec::new(), partial }
     }
 }
--- a/crates/proxy/src/mirror.rs
+++ b/crates/proxy/src/mirror.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 use tracing::warn;
 
-/// Names held at most: a whole list is 4 MiB at most, some 60 bytes an entry, and changes may only name more by
-/// as many as they remove; past this bound a stranger's discovery would make it grow without end.
+/// Names held at most, six times the 11,000 backends of the largest list that is planned for: changes name as many more
+/// as a stranger's discovery likes, and past this bound it would make the list grow without end.
 const MOST: usize = 65_536;
 
 /// The list, by name.
--- a/crates/recovery/src/frame.rs
+++ b/crates/recovery/src/frame.rs
@@ -26,8 +26,8 @@
 /// Raised whenever the body changes its form; a file of another number is not read.
 pub const VERSION: u16 = 1;
 const HEADER: usize = 8 + 2 + 4 + 4;
-/// A list is at most 4 MiB as discovery sends it (the proxy's own bound); the rest is small.
-pub const MAX_BODY: usize = 5 * 1024 * 1024;
+/// A list is at most 16 MiB as discovery sends it (the proxy's own bound, `MAX_LIST`); the rest is small.
+pub const MAX_BODY: usize = 17 * 1024 * 1024;
 
 /// What a proxy saves of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
