Force the order in which clients take the descriptor that a broken watch gives back

The test filled the descriptors with silent clients, which the server closes to make room, so that it passed without the socket that is kept in hand. Clients whose requests are half there are not closed. Without the socket (Dialer::refill taking none) it prints "9.208148664s until the next call": the accept loop takes the descriptor within 5 ms, and each call fails with EMFILE until clients leave. With it all nine calls come within 1 s of one another.

--- a/crates/lotusdeck/tests/discovery_faults.rs
+++ b/crates/lotusdeck/tests/discovery_faults.rs
@@ -4,7 +4,7 @@
 mod rig;
 
 use rig::*;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
@@ -206,8 +206,8 @@
 /// Calls that are refused while clients take every descriptor that comes free.
 const REFUSED: usize = 8;
 
-/// Clients fill the descriptors, more than the proxy is told of, and stand in the queue for each that comes free: the
-/// call after a broken watch is made all the same, at once.
+/// Clients whose requests are half there fill the descriptors, of which there are fewer than the proxy is told of, and
+/// stand in the queue for each that comes free: calls after a broken watch are made all the same, in time.
 #[test]
 fn a_descriptor_for_discovery_is_left_where_clients_fill_them() {
     for settings in [SETTINGS.to_string(), asked()] {
@@ -216,7 +216,14 @@
         let proxy = Proxy::launched(&serving, 1024, &settings, 64);
         proxy.discovery.call().1.send((200, list(9, true, &serving))).unwrap();
         let (_, watch) = proxy.discovery.call();
-        let clients: Vec<TcpStream> = (0..300).map(|_| TcpStream::connect(proxy.address).unwrap()).collect();
+        let half = pay(9.0);
+        let half = &half[..half.len() - 2];
+        let clients: Vec<Client> = (0..300).map(|_| proxy.client()).collect();
+        let clients = clients.into_iter().map(|mut client| {
+            client.send(half);
+            client
+        });
+        let clients: Vec<Client> = clients.collect();
         let descriptors = format!("/proc/{}/fd", proxy.child.id());
         let end = Instant::now() + PATIENCE;
         while std::fs::read_dir(&descriptors).unwrap().count() < 64 {
