Bound what all proxies together send a cold backend, where each bears less than a request

Cause: each proxy's part of the cold budget was one request at least (the max(1.0) of Balancer::budget), so N proxies could send N in a window, and a proxy that had learned no speed took its own rate for the backend's (a burst raised the budget).

Change: where the budget is less than one request of each, only its whole part of the proxies may send, the first in an order that all share (mark and position), one request at least each; their weights replace the slice there. Before anything was learned a backend counts as serving one within the longest aim. Nothing changes where the budget holds a request of each.

--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -20,10 +20,9 @@
 const RATE_MEMORY: f64 = 2.0;
 /// Samples in a kind's or class's mean: its error is then about a tenth of the spread.
 const KIND_SAMPLES: f64 = 100.0;
-/// Proxies that share a backend, where there are more: each keeps connections to a slice of the fleet
-/// only, as a backend takes few and each costs it. Each may have one request there whatever the others do: so
-/// many may be held there at once, twice the hold. Twenty held a slow one for good (docs/scale.md). The load
-/// of so many evens out, to a third of one's.
+/// Proxies that share a backend, where there are more: each keeps connections to a slice of the fleet, as a
+/// backend takes few. Each may have one request there whatever the others do: twice the hold at once. Twenty
+/// held a slow one for good (docs/scale.md). The load of so many evens out, to a third of one's.
 const SHARED_BY: f64 = 8.0;
 /// Requests that all proxies together hold on one backend: a shared processor at four fifths of its
 /// capacity holds four on average; more only makes every one of them later.
@@ -48,8 +47,7 @@
 const PANIC: f64 = 0.5;
 /// Part of this proxy's fall budget that it uses: the rest is for skew between proxies and heavy work.
 const FALL_MARGIN: f64 = 0.8;
-/// Extra attempts for each request: the usual tenth, doubled for the time until a failure is seen, and once
-/// more while answers are lost.
+/// Extra attempts for each request: twice the usual tenth, as failures are seen late; doubled while losing.
 const RETRY_RATIO: f64 = 0.2;
 /// Draws inside a kind before others are looked at: where most are open it takes one or two.
 const GLANCES: u32 = 8;
@@ -95,6 +93,12 @@
     cfg.cold_from + (1.0 - cfg.cold_from) * age.min(1.0)
 }
 
+/// This proxy's place in an order of all, spread evenly from 0 up to their number; each mark has its own.
+fn place(cfg: &Config, mark: u64) -> f64 {
+    let (proxies, begin) = (f64::from(cfg.proxies), (mark % u64::from(cfg.proxies)) as f64);
+    (f64::from(cfg.position) * 0.618_033_988_749_895 + begin / proxies).fract() * proxies
+}
+
 /// The decisions of one proxy. Give it every event in order; it answers with actions.
 pub struct Balancer {
     pub(crate) cfg: Config,
@@ -265,9 +269,7 @@
                 p.begin_anew();
             }
             p.cordoned = self.cordoned.contains(&id);
-            if p.entry.mark != entry.mark {
-                self.order.remove(&(p.entry.mark, id));
-            }
+            self.order.remove(&(p.entry.mark, id));
             self.order.insert((entry.mark, id));
             if entry.state == BackendState::Gone {
                 self.leaving.insert(id);
@@ -275,13 +277,14 @@
             p.entry = entry;
         }
         for id in std::mem::take(&mut self.leaving) {
-            match self.peers.get(&id) {
-                Some(p) if p.entry.state == BackendState::Gone && p.out == 0 => {
-                    self.order.remove(&(p.entry.mark, id));
-                    self.peers.remove(&id);
-                }
-                Some(p) if p.entry.state == BackendState::Gone => drop(self.leaving.insert(id)),
-                _ => {}
+            let Some(p) = self.peers.get(&id).filter(|p| p.entry.state == BackendState::Gone) else {
+                continue;
+            };
+            if p.out > 0 {
+                self.leaving.insert(id);
+            } else {
+                self.order.remove(&(p.entry.mark, id));
+                self.peers.remove(&id);
             }
         }
         self.solve_at = now;
@@ -527,8 +530,7 @@
                 && (now + usual < r.aim || late_pays && now + usual < r.deadline)
                 && self.extra >= 1.0
             {
-                // Age alone is a reason only where answers are lost: copies of merely heavy requests crowd
-                // every backend.
+                // Age alone is a reason only where answers are lost: copies of heavy requests crowd backends.
                 if r.copies {
                     if self.may_send(now, r) && !self.held.contains(&id) {
                         self.held.push(id);
@@ -644,9 +646,8 @@
                 s.kinds.entry(p.entry.kind).or_default().0 += p.ready;
             }),
             // Each backend's part of this proxy's traffic: its kind's share by readiness. Where crossing
-            // zones costs traffic stays near so far as all proxies together still give every backend the same
-            // part: a zone whose backends are due less than its proxies bring sends its surplus to the zones
-            // due more.
+            // zones costs, it stays near so far as each backend still gets the same part of all: a zone
+            // whose backends are due less than its proxies bring sends its surplus to the zones due more.
             Pass::Due => walk(peers, at, left, |_, p| {
                 if p.ready > 0.0 {
                     *s.due.entry(p.entry.zone).or_default() += part(p);
@@ -678,23 +679,28 @@
             // all slices together cover every backend by its pull.
             Pass::Slice => {
                 let width = (SHARED_BY / proxies * peers.len() as f64 / s.reached.max(1.0)).min(1.0);
-                let start = (f64::from(cfg.position) * 0.618_033_988_749_895).fract();
+                let start = place(cfg, 0) / proxies;
                 for key in self.order.range(s.next..) {
                     if *left == 0 {
                         return Some(*key);
                     }
                     *left -= 1;
-                    let Some(p) = peers.get_mut(&key.1) else { continue };
+                    let senders = self.peers.get(&key.1).map_or(proxies, |p| self.senders(now, p));
+                    let Some(p) = self.peers.get_mut(&key.1) else { continue };
                     let (_, pull, walked) = s.kinds.entry(p.entry.kind).or_default();
                     let from = *walked / pull.max(1e-9);
                     *walked += p.pull;
                     let to = *walked / pull.max(1e-9);
                     let inside = |start: f64| (to.min(start + width) - from.max(start)).max(0.0);
-                    p.slice = inside(start) + inside(start - 1.0);
+                    let evenly = inside(start) + inside(start - 1.0);
+                    // Where few may send to a cold one they share it, whatever their slices.
+                    let few = f64::from(place(&self.cfg, p.entry.mark) < senders) * (to - from) / senders;
+                    let slice = if senders < proxies { few * width * proxies } else { evenly };
+                    p.weight = slice + p.pull * 1e-6;
                     if p.ready > 0.0 {
                         let table = s.tables.entry(p.entry.kind).or_default();
                         let sum = table.last().map_or(0.0, |last| last.0);
-                        table.push((sum + p.weight(), key.1));
+                        table.push((sum + p.weight, key.1));
                         let shunned = p.parts.iter().filter(|(_, part)| now < part.shunned);
                         shunned.for_each(|(class, _)| *s.shunned.entry(*class).or_default() += 1.0);
                     }
@@ -712,7 +718,7 @@
         }
         self.kinds.iter_mut().for_each(|(id, k)| k.ready = s.kinds.get(id).map_or(0.0, |k| k.0));
         self.rate.add(now, 0.0);
-        let rate = self.rate.per_s().map(|r| r * self.actors(now));
+        let rate = self.rate.per_s().map(|r| r * f64::from(self.cfg.proxies) * self.processes(now));
         for k in self.kinds.values_mut() {
             k.speed = k.latency.get().map_or(0.0, |t| 1.0 / t + k.flows.value);
         }
@@ -731,25 +737,38 @@
         }
     }
 
-    /// How many act on the same backends: each counts on the others doing as it does.
-    fn actors(&self, now: Time) -> f64 {
-        f64::from(self.cfg.proxies) * if now < self.shared_until { 2.0 } else { 1.0 }
+    /// How many processes act for each proxy: each counts on all others doing as it does.
+    fn processes(&self, now: Time) -> f64 {
+        1.0 + f64::from(now < self.shared_until)
     }
 
-    /// Work that this proxy may still send to a cold backend inside the present fall window.
-    fn budget(&self, now: Time, p: &Peer) -> f64 {
+    /// Work that all proxies together may send to a backend inside the present fall window.
+    fn allowed(&self, now: Time, p: &Peer) -> f64 {
         let warmth = warmth(&self.cfg, now - self.cfg.fall_window, &p.entry); // as the window began
         if warmth >= 1.0 {
             return f64::MAX;
         }
-        let proxies = self.actors(now);
-        let fair = self.rate.per_s().unwrap_or(1.0) * proxies / self.peers.len() as f64;
         // Against few ready backends the speed formula overshoots; twice the bare 1/T is sure.
         let sure = |k: &Kind| k.latency.get().map(|t| k.speed.min(2.0 / t));
-        let speed = self.kinds.get(&p.entry.kind).and_then(sure).unwrap_or(fair);
+        // Before any was served: what does not serve one within the longest aim is of no use.
+        let aim = || self.cfg.classes.iter().map(|c| c.aim.secs()).fold(0.0, f64::max);
+        let speed = self.kinds.get(&p.entry.kind).and_then(sure).unwrap_or_else(|| 1.0 / aim());
+        let all = self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs();
+        all * FALL_MARGIN / self.processes(now)
+    }
+
+    /// How many proxies may send to it: where it bears less than one request of each, the first in its order.
+    fn senders(&self, now: Time, p: &Peer) -> f64 {
+        self.allowed(now, p).floor().clamp(1.0, f64::from(self.cfg.proxies))
+    }
+
+    /// Work that this proxy may still send to a cold backend inside the present fall window.
+    fn budget(&self, now: Time, p: &Peer) -> f64 {
+        let senders = self.senders(now, p);
+        let each = (self.allowed(now, p) / senders).max(1.0);
+        let own = if place(&self.cfg, p.entry.mark) < senders { each } else { 0.0 };
         let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
-        let all = self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs() / proxies;
-        (all * FALL_MARGIN).max(1.0) - spent
+        own - spent
     }
 
     fn may_send(&self, now: Time, r: &Request) -> bool {
@@ -774,8 +793,9 @@
         let harmless = || self.cfg.classes[r.class].is_harmless() || !self.any_harmless;
         let fit = !p.trial || p.out == 0 && r.sent.is_empty() && harmless();
         let fresh = r.sent.iter().all(|s| s.to.id != p.entry.id && known(s));
-        let idle = p.silent(r.class) || p.full(now, r.class) || heed && p.shuns(now, r.class);
-        p.listed() && fit && !idle && fresh && self.budget(now, p) >= work
+        let barred = |part: &Part| part.unheard > 1 || now < part.full_until || heed && now < part.shunned;
+        let barred = p.unheard > 1 || p.parts.get(&r.class).is_some_and(barred);
+        p.listed() && fit && !barred && fresh && self.budget(now, p) >= work
     }
 
     /// Never overfill: a crowded backend slows for long, so a full one is drawn again.
@@ -805,7 +825,7 @@
         let near = if self.peers.len() > SCAN { near } else { BackendId(0) };
         let scan = self.peers.range(near..).chain(self.peers.range(..near)).take(SCAN);
         let may = |p: &Peer| Self::roomy(r, p) && self.open(now, r, p, work, heed);
-        let open = scan.filter(|(_, p)| may(p)).map(|(b, p)| (*b, p.entry.kind, p.weight()));
+        let open = scan.filter(|(_, p)| may(p)).map(|(b, p)| (*b, p.entry.kind, p.weight));
         let open: Vec<(BackendId, KindId, f64)> = open.collect();
         let some = |k: &KindId| open.iter().any(|o| o.1 == *k);
         let kinds: Vec<_> = self.kinds.iter().filter(|k| some(k.0)).map(|(k, v)| (*k, v.pull)).collect();
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -116,8 +116,7 @@
     pub latency: Mean,
     /// The part of its attempts that were answered at all, of those that had long enough.
     pub answered: Mean,
-    /// Requests a second that one backend got, over the same requests: a flow of now beside a latency of then
-    /// would have many proxies swing together.
+    /// Requests a second that one backend got, over the same requests: by a flow of now proxies would swing.
     pub flows: Mean,
     /// ... and gets now.
     pub flow: f64,
@@ -217,8 +216,8 @@
     pub ready: f64,
     /// Its part of this proxy's traffic.
     pub pull: f64,
-    /// Its part of this proxy's slice of its kind.
-    pub slice: f64,
+    /// Its chance within its kind: its part of this proxy's slice, and a trace outside, as a last resort.
+    pub weight: f64,
     /// How many attempts of this proxy it may hold.
     pub room: f64,
     /// How many it holds, and of how many of these a part is still to come: they are no work yet.
@@ -252,11 +251,6 @@
         self.entry.state == BackendState::Ready && !self.cordoned
     }
 
-    /// Its chance within its kind; those outside the slice are a last resort.
-    pub fn weight(&self) -> f64 {
-        self.slice + self.pull * 1e-6
-    }
-
     /// Forgets all but what the process at that address still holds or was sent just now.
     pub fn begin_anew(&mut self) {
         let (entry, spent) = (self.entry.clone(), std::mem::take(&mut self.spent));
@@ -281,21 +275,6 @@
     pub fn part(&mut self, class: usize) -> &mut Part {
         self.parts.entry(class).or_default()
     }
-
-    /// It has gone silent, for the class at least.
-    pub fn silent(&self, class: usize) -> bool {
-        self.unheard > 1 || self.parts.get(&class).is_some_and(|p| p.unheard > 1)
-    }
-
-    /// It was full for the class just now.
-    pub fn full(&self, now: Time, class: usize) -> bool {
-        self.parts.get(&class).is_some_and(|p| now < p.full_until)
-    }
-
-    /// It fails at the class, though not at others.
-    pub fn shuns(&self, now: Time, class: usize) -> bool {
-        self.parts.get(&class).is_some_and(|p| now < p.shunned)
-    }
 }
 
 /// What is known of a backend for one class: it may fail at one and serve the others.
