--- a/crates/lotusdeck/tests/rig/mod.rs
+++ b/crates/lotusdeck/tests/rig/mod.rs
@@ -2,6 +2,8 @@
 //! blocking sockets and ports that the kernel picks.
 #![allow(dead_code)]
 
+pub mod sockets;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
