Wait for the moments that hide a leaving client's end, and show that repeats go out otherwise

The first form of two tests passed also without the kernel's word at the gate: the further bytes came before the request was taken in, and a lone request has no extra attempt. They now wait until the module has the request and the further bytes are read, and answer twelve requests before. Without client.left() in HttpWork::gate all three fail: "Closes, GET : sent for nobody: GET /read/k1", "Resets, reset: true: sent for nobody", and in a body the first request that comes is no whole one.

--- a/crates/lotusdeck/tests/client_leaves.rs
+++ b/crates/lotusdeck/tests/client_leaves.rs
@@ -5,6 +5,7 @@
 
 use rig::sockets::*;
 use rig::*;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
 /// More than is kept whole, so that the body flows to the backend.
@@ -25,12 +26,33 @@
     format!("{head}Content-Length: {BODY}\r\n\r\n{}", "x".repeat(PART))
 }
 
-/// Another client's request is served by that backend, and is the first that it gets.
+/// Waits until that many requests are with the module.
+fn until_open(proxy: &Proxy, count: u32) {
+    let told = format!("\"open_requests\":{count},");
+    let status = || Client::connect(proxy.admin).ask("GET /admin/status HTTP/1.1\r\nHost: o\r\n\r\n").body;
+    until("the request is taken in", || {
+        String::from_utf8(status()).unwrap().replace(' ', "").contains(&told)
+    });
+}
+
+/// Sends more behind a request that is with the module, and waits until the program has read it: from then on a reader
+/// that stops behind a request sees no end.
+fn say_more(client: &mut Client) {
+    client.send(FURTHER);
+    let tcp = client.0.get_ref();
+    let port = format!(":{:04X}", tcp.local_addr().unwrap().port());
+    let proxy = tcp.peer_addr().unwrap();
+    let unread = |fields: &Vec<String>| fields[2].ends_with(&port) && !fields[4].ends_with(":00000000");
+    until("what came is read", || !kernel_sockets(1, proxy).iter().any(unread));
+}
+
+/// Another client's request is the first that this backend gets.
 fn only_the_next_is_sent(proxy: &Proxy, backend: &BackendServer, what: &str) {
     let marker = read(3.0);
     assert_eq!(proxy.ask(&marker).status(), 200, "{what}");
-    let id = backend.request().header("x-correlation-id").expect("an id").to_string();
-    assert!(marker.contains(&id), "{what}: sent for nobody");
+    let first = backend.request();
+    let id = first.header("x-correlation-id").expect("an id");
+    assert!(marker.contains(id), "{what}: sent for nobody: {}", first.first);
     assert_eq!(backend.count(), 1, "{what}");
 }
 
@@ -61,57 +83,67 @@
 #[test]
 fn a_client_that_left_while_its_request_was_held_has_no_attempt_begun() {
     for how in WAYS {
-        for request in [read(3.0), pay(3.0), upload()] {
+        for (request, whole) in [(read(3.0), true), (pay(3.0), true), (upload(), false)] {
             let backend = BackendServer::start(|_| ok("x"));
             let proxy = Proxy::start(&[]);
             let (_, answer) = proxy.discovery.call();
             let mut client = proxy.client();
             client.send(&request);
-            client.send(FURTHER);
+            until_open(&proxy, 1);
+            if whole {
+                say_more(&mut client);
+            }
             let _held = leave(client, how);
             answer.send((200, list(9, true, &[entry("b0", backend.address, "SERVING")]))).unwrap();
             let (_, _waits) = proxy.discovery.call(); // by now the list is taken in
-            only_the_next_is_sent(&proxy, &backend, &format!("{how:?}"));
+            only_the_next_is_sent(&proxy, &backend, &format!("{how:?}, {}", &request[..4]));
         }
     }
 }
 
-/// An attempt is out and its client leaves; then it ends in a way that allows another one.
+/// Requests that are answered first: extra attempts are a part of what was asked.
+const BEFORE: u32 = 12;
+
+/// An attempt is out and its client leaves; then it ends in a way that allows another one. A client that stays gets it.
 #[test]
 fn a_client_that_left_has_no_attempt_repeated() {
-    let refused = "HTTP/1.1 503 X\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
-    for how in WAYS {
-        for (request, resets) in [(read(3.0), false), (pay(3.0), false), (read(3.0), true)] {
-            let gate = Arc::new(Gate::default());
-            let wait = gate.clone();
-            let first = BackendServer::start(move |_| match resets {
-                true => Reply::GateReset(wait.clone()),
-                false => Reply::Paused(String::new(), wait.clone(), refused.into()),
-            });
-            let second = BackendServer::start(|_| ok("x"));
-            let proxy = Proxy::start(&[entry("b0", first.address, "SERVING")]);
-            proxy
-                .discovery
-                .call()
-                .1
-                .send((200, list(9, true, &[entry("b0", first.address, "SERVING")])))
-                .unwrap();
-            let (_, answer) = proxy.discovery.call();
-            let mut client = proxy.client();
-            client.send(&request);
-            first.request();
-            let both = [entry("b0", first.address, "DRAINING"), entry("b1", second.address, "SERVING")];
-            answer.send((200, list(10, false, &both))).unwrap();
-            let (_, _waits) = proxy.discovery.call(); // by now the list is taken in
-            hold(&proxy);
-            client.send(FURTHER);
-            let _held = leave(client, how);
-            gate.open();
-            until("the first attempt's end is written", || {
-                first.answered.load(std::sync::atomic::Ordering::SeqCst) == 1
-            });
-            proxy.signal("CONT");
-            only_the_next_is_sent(&proxy, &second, &format!("{how:?}, reset: {resets}"));
+    std::thread::scope(|scope| {
+        for how in [None, Some(Leaves::Closes), Some(Leaves::EndsSending), Some(Leaves::Resets)] {
+            for (request, resets) in [(read(3.0), false), (pay(3.0), false), (read(3.0), true)] {
+                scope.spawn(move || repeated(how, &request, resets));
+            }
         }
-    }
+    });
+}
+
+fn repeated(how: Option<Leaves>, request: &str, resets: bool) {
+    let refused = "HTTP/1.1 503 X\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+    let gate = Arc::new(Gate::default());
+    let wait = gate.clone();
+    let first = BackendServer::start(move |number| match resets {
+        _ if number < BEFORE => ok("x"),
+        true => Reply::GateReset(wait.clone()),
+        false => Reply::Paused(String::new(), wait.clone(), refused.into()),
+    });
+    let second = BackendServer::start(|_| ok("y"));
+    let proxy = Proxy::start(&[entry("b0", first.address, "SERVING")]);
+    proxy.discovery.call().1.send((200, list(9, true, &[entry("b0", first.address, "SERVING")]))).unwrap();
+    let (_, answer) = proxy.discovery.call();
+    (0..BEFORE).for_each(|_| assert_eq!(proxy.ask(&read(3.0)).status(), 200));
+    let mut client = proxy.client();
+    client.send(request);
+    until("the first attempt is out", || first.count() == BEFORE + 1);
+    let both = [entry("b0", first.address, "DRAINING"), entry("b1", second.address, "SERVING")];
+    answer.send((200, list(10, false, &both))).unwrap();
+    let (_, _waits) = proxy.discovery.call(); // by now the list is taken in
+    let Some(how) = how else {
+        gate.open();
+        assert_eq!(client.answer().expect("an answer").body, b"y", "{request}, reset: {resets}");
+        return;
+    };
+    say_more(&mut client);
+    let _held = leave(client, how);
+    gate.open();
+    until("the first attempt ends", || first.answered.load(Ordering::SeqCst) == BEFORE + 1);
+    only_the_next_is_sent(&proxy, &second, &format!("{how:?}, reset: {resets}"));
 }
