Add a scale rig: walk tenants, routes and members, fit a power law to each cost

Need: the size of two years from now decides the design, and one machine can show it only by slopes. New: crates/lab/src/scale, lotusdeck-lab scale; trials only so far, no figure is claimed.

--- a/crates/lab/src/drive/proxies.rs
+++ b/crates/lab/src/drive/proxies.rs
@@ -180,7 +180,7 @@
     }
 }
 
-async fn call(to: SocketAddr, method: &str, path: &str, body: &str) -> Option<u16> {
+pub(crate) async fn call(to: SocketAddr, method: &str, path: &str, body: &str) -> Option<u16> {
     let ask = async {
         let mut link = Link::new(TcpStream::connect(to).await.ok()?);
         let head = format!("{method} {path} HTTP/1.1\r\nHost: lab\r\nContent-Length: {}\r\n\r\n", body.len());
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod record;
 pub mod relay;
 pub mod report;
+pub mod scale;
 pub mod session;
 pub mod swings;
 pub mod virt;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,9 @@
 use lotusdeck_lab::report::compare;
 use lotusdeck_lab::report::figures::Figures;
 use lotusdeck_lab::session::{self, Options, SessionError};
-use lotusdeck_lab::{campaign, crowd_cost, duel, fleet, ledger, overhead, paper, postgres, relay, swings};
+use lotusdeck_lab::{
+    campaign, crowd_cost, duel, fleet, ledger, overhead, paper, postgres, relay, scale, swings,
+};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -77,6 +79,8 @@
         #[arg(long, required = true)]
         to: Vec<SocketAddr>,
     },
+    /// Walk axes of size, real processes beside hollow ones, and print slopes (docs/CAPACITY.md).
+    Scale(scale::Args),
     /// Set two folders of results side by side.
     Compare {
         /// The folder of the first.
@@ -92,11 +96,16 @@
         Ok(false) => ExitCode::FAILURE,
         Err(e) => {
             eprintln!("lotusdeck-lab: {e}");
-            ExitCode::from(if matches!(e, SessionError::Experiment(_) | SessionError::Script(_)) {
-                2
-            } else {
-                1
-            })
+            ExitCode::from(
+                if matches!(
+                    e,
+                    SessionError::Experiment(_) | SessionError::Script(_) | SessionError::ScaleExperiment(_)
+                ) {
+                    2
+                } else {
+                    1
+                },
+            )
         }
     }
 }
@@ -121,6 +130,7 @@
         Command::LedgerBench(args) => ledger::bench(&args).map(|()| true),
         Command::Campaign(args) => campaign::main(&args),
         Command::Fleet(args) => fleet::main(&args),
+        Command::Scale(args) => scale::main(&args).map(|()| true).map_err(SessionError::from),
         Command::Relay(args) => relay::main(&args).map(|()| true),
         Command::RelayCost(args) => relay::cost::main(&args).map(|()| true),
         Command::PlainRelay { listen, to } => {
--- a/crates/lab/src/overhead.rs
+++ b/crates/lab/src/overhead.rs
@@ -79,7 +79,7 @@
 }
 
 /// Backends that answer at once, each on a port of its own.
-async fn backends(count: usize, bytes: usize) -> std::io::Result<Vec<SocketAddr>> {
+pub(crate) async fn answering_backends(count: usize, bytes: usize) -> std::io::Result<Vec<SocketAddr>> {
     let mut answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {bytes}\r\n\r\n").into_bytes();
     answer.resize(answer.len() + bytes, b'x');
     let answer: Rc<[u8]> = answer.into();
@@ -311,7 +311,7 @@
     let (ready, standing) = oneshot::channel();
     let (stop, stopped) = oneshot::channel::<()>();
     let served = thread("backends", move || async move {
-        let started = backends(count, bytes).await;
+        let started = answering_backends(count, bytes).await;
         let clock = Clock::default();
         clock.start_in(Duration::ZERO);
         let log = Log::new(clock.clone());
--- /dev/null
+++ b/crates/lab/src/scale/hollow.rs
@@ -0,0 +1,127 @@
+//! Hollow proxies: they follow discovery as a real one does, read every line and hold what each says, and serve no
+//! requests. Hundreds to thousands share a process.
+
+use crate::world::discovery::Status;
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// One call waits so long for news, as a real proxy's does.
+const WAIT: Duration = Duration::from_secs(10);
+/// Pause after a failed call.
+const BACKOFF: Duration = Duration::from_millis(200);
+/// The longest list that is read, as by a real proxy.
+const MAX_LIST: usize = 4 * 1024 * 1024;
+/// Headers of an answer.
+const MAX_HEADERS: usize = 16;
+
+/// Why a call failed.
+#[derive(Debug, Error)]
+enum CallError {
+    #[error("connection: {0}")]
+    Io(#[from] std::io::Error),
+    #[error("no answer of discovery: {0}")]
+    Unreadable(String),
+}
+
+#[derive(Deserialize)]
+struct List {
+    index: u64,
+    snapshot: bool,
+    endpoints: Vec<Entry>,
+}
+
+#[derive(Deserialize)]
+struct Entry {
+    name: String,
+    status: String,
+}
+
+/// What a hollow proxy holds of the list: the state of each backend by the hash of its name.
+#[derive(Default)]
+struct Held(HashMap<u64, Status>);
+
+impl Held {
+    fn take(&mut self, list: &List) {
+        if list.snapshot {
+            self.0.clear();
+        }
+        for entry in &list.endpoints {
+            let name = xxhash_rust::xxh3::xxh3_64(entry.name.as_bytes());
+            match entry.status.as_str() {
+                "SERVING" => self.0.insert(name, Status::Serving),
+                "DRAINING" => self.0.insert(name, Status::Draining),
+                _ => self.0.remove(&name),
+            };
+        }
+    }
+}
+
+/// Follows discovery until it is dropped.
+pub async fn follow(discovery: SocketAddr) {
+    let mut held = Held::default();
+    loop {
+        // What ends a connection is told by the next call, after a pause.
+        let _ = follow_connection(discovery, &mut held).await;
+        tokio::time::sleep(BACKOFF).await;
+    }
+}
+
+async fn follow_connection(discovery: SocketAddr, held: &mut Held) -> Result<(), CallError> {
+    let mut tcp = TcpStream::connect(discovery).await?;
+    tcp.set_nodelay(true)?;
+    let mut target = String::from("/api/targets");
+    loop {
+        let request = format!("GET {target} HTTP/1.1\r\nhost: {discovery}\r\n\r\n");
+        tcp.write_all(request.as_bytes()).await?;
+        let body = read_answer(&mut tcp).await?;
+        let list: List =
+            serde_json::from_slice(&body).map_err(|error| CallError::Unreadable(error.to_string()))?;
+        held.take(&list);
+        target = format!("/api/targets?after={}&wait_ms={}", list.index, WAIT.as_millis());
+    }
+}
+
+async fn read_answer(tcp: &mut TcpStream) -> Result<Vec<u8>, CallError> {
+    let mut text = Vec::with_capacity(1024);
+    let (head, length) = loop {
+        if let Some(read) = parse_head(&text)? {
+            break read;
+        }
+        read_more(tcp, &mut text).await?;
+    };
+    if length > MAX_LIST {
+        return Err(CallError::Unreadable(format!("a list of {length} bytes")));
+    }
+    text.reserve((head + length).saturating_sub(text.len()));
+    while text.len() < head + length {
+        read_more(tcp, &mut text).await?;
+    }
+    Ok(text.split_off(head))
+}
+
+async fn read_more(tcp: &mut TcpStream, text: &mut Vec<u8>) -> Result<(), CallError> {
+    match tcp.read_buf(text).await? {
+        0 => Err(CallError::Unreadable("the connection ended".into())),
+        _ => Ok(()),
+    }
+}
+
+/// Lengths of head and body, once the head is whole.
+fn parse_head(text: &[u8]) -> Result<Option<(usize, usize)>, CallError> {
+    let unreadable = |what: &str| CallError::Unreadable(what.into());
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut answer = httparse::Response::new(&mut headers);
+    let parsed = answer.parse(text).map_err(|error| unreadable(&error.to_string()))?;
+    let httparse::Status::Complete(head) = parsed else { return Ok(None) };
+    if answer.code != Some(200) {
+        return Err(unreadable("not 200"));
+    }
+    let length = answer.headers.iter().find(|header| header.name.eq_ignore_ascii_case("content-length"));
+    let length = length.and_then(|header| std::str::from_utf8(header.value).ok()?.parse().ok());
+    Ok(Some((head, length.ok_or_else(|| unreadable("no length"))?)))
+}
--- /dev/null
+++ b/crates/lab/src/scale/load.rs
@@ -0,0 +1,127 @@
+//! A bounded open-loop load on one proxy: each request is due at its time, and its latency counts from then on, so
+//! that a pause of the proxy shows in every request that fell into it.
+
+use super::document;
+use crate::drive::wire::Link;
+use hdrhistogram::Histogram;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// Connections that the requests are dealt out over: more than are ever busy without a pause.
+const CONNECTIONS: usize = 8;
+/// Requests that are due in a pause are sent after it; so long after the window's end the rest counts as failed.
+const GRACE: Duration = Duration::from_secs(45);
+/// The longest latency that is told apart, us.
+const LONGEST_US: u64 = 200_000_000;
+
+/// Which requests are sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Requests {
+    /// To whom.
+    pub to: SocketAddr,
+    /// A second.
+    pub rate_per_s: f64,
+    /// For so long.
+    pub window: Duration,
+    /// Of this route.
+    pub route: usize,
+    /// Of this tenant.
+    pub tenant: usize,
+}
+
+/// What became of them.
+#[derive(Clone, Copy, Debug)]
+pub struct Seen {
+    /// Median latency, us.
+    pub p50_us: f64,
+    /// Its 99th percentile, us.
+    pub p99_us: f64,
+    /// The longest, us.
+    pub longest_us: f64,
+    /// Requests without a served answer.
+    pub failed: u64,
+}
+
+struct Window {
+    requests: Requests,
+    began: Instant,
+    total: u64,
+    next: Cell<u64>,
+    latency: RefCell<Histogram<u64>>,
+    failed: Cell<u64>,
+}
+
+/// Sends them all.
+pub async fn send(requests: Requests) -> Seen {
+    let total = (requests.rate_per_s * requests.window.as_secs_f64()).ceil() as u64;
+    let latency = Histogram::new_with_bounds(1, LONGEST_US, 3).expect("bounds in order");
+    let window = Rc::new(Window {
+        requests,
+        began: Instant::now(),
+        total,
+        next: Cell::new(0),
+        latency: latency.into(),
+        failed: Cell::new(0),
+    });
+    let senders: Vec<_> =
+        (0..CONNECTIONS).map(|_| tokio::task::spawn_local(window.clone().send_in_turn())).collect();
+    for sender in senders {
+        let _ = sender.await;
+    }
+    let latency = window.latency.borrow();
+    Seen {
+        p50_us: latency.value_at_quantile(0.5) as f64,
+        p99_us: latency.value_at_quantile(0.99) as f64,
+        longest_us: latency.max() as f64,
+        failed: window.failed.get(),
+    }
+}
+
+impl Window {
+    async fn send_in_turn(self: Rc<Self>) {
+        let mut link = None;
+        while self.next.get() < self.total {
+            let number = self.next.replace(self.next.get() + 1);
+            let due = self.began + Duration::from_secs_f64(number as f64 / self.requests.rate_per_s);
+            tokio::time::sleep_until(due).await;
+            let end = self.began + self.requests.window + GRACE;
+            let served = tokio::time::timeout_at(end, self.ask(&mut link, number)).await;
+            if served.unwrap_or(false) {
+                self.latency.borrow_mut().saturating_record(due.elapsed().as_micros() as u64);
+            } else {
+                self.failed.set(self.failed.get() + 1);
+                link = None;
+            }
+        }
+    }
+
+    /// One request; whether it was served.
+    async fn ask(&self, kept: &mut Option<Link>, number: u64) -> bool {
+        let Requests { to, route, tenant, .. } = self.requests;
+        let mut link = match kept.take() {
+            Some(link) => link,
+            None => match TcpStream::connect(to).await {
+                Ok(tcp) => Link::new(tcp),
+                Err(_) => return false,
+            },
+        };
+        let request = format!(
+            "GET /{}/key-{number} HTTP/1.1\r\nHost: scale\r\nX-Correlation-Id: {number:016x}\r\n\
+             X-Time-Left: 60.000\r\nX-Account: {}\r\n\r\n",
+            document::route(route),
+            document::tenant(tenant),
+        );
+        if link.write(request.as_bytes()).await.is_err() {
+            return false;
+        }
+        let Ok(answer) = link.answer().await else { return false };
+        if !answer.close {
+            *kept = Some(link);
+        }
+        answer.status == 200
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/settings.rs
@@ -0,0 +1,149 @@
+//! The axes of tenants and routes: what the size of the settings costs a proxy in memory, at its start, at a reload,
+//! and at each request.
+
+use super::document::{self, Size};
+use super::experiment::{AxisKind, AxisPlan};
+use super::load::{self, Requests, Seen};
+use super::process::Process;
+use super::record::{Gathered, Metric};
+use super::stand_ins::StandIns;
+use super::{Rig, ScaleRunError};
+use crate::drive::run::thread;
+use lotusdeck_policy::settings::{Names, Settings};
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+/// Look-ups that are timed together: one alone is close to the clock's own cost.
+const LOOKUPS: u32 = 1_000;
+/// Time to settle after the start, before memory is read.
+const SETTLE: Duration = Duration::from_millis(300);
+/// A short load before the first window, so that its connections are up.
+const WARM_UP: Duration = Duration::from_millis(500);
+/// The reload comes after this part of its window.
+const RELOAD_AFTER: f64 = 0.25;
+
+/// Walks one axis, tenants or routes, in interleaved repetitions.
+///
+/// # Errors
+/// A process or socket that cannot be had.
+pub async fn walk(rig: &Rig<'_>, axis: &AxisPlan, gathered: &mut Gathered) -> Result<(), ScaleRunError> {
+    let base = &rig.experiment.base;
+    let stand_ins = StandIns::start(base.backends, base.zones, rig.experiment.discovery.clone()).await?;
+    let mut floors = Vec::new();
+    for repeat in 0..rig.experiment.repeats {
+        floors.push(floor(rig, &stand_ins).await?);
+        for step in &axis.steps {
+            rig.say(&format!("{} {step}, repetition {}\n", axis.of.name(), repeat + 1));
+            let size = size(rig, axis.of, *step);
+            let mut note = |metric, value| gathered.add(axis.of, metric, *step, value);
+            in_process(size, &mut note)?;
+            with_process(rig, &stand_ins, size, &mut note).await?;
+        }
+    }
+    floors.sort_by(f64::total_cmp);
+    let floor = floors[floors.len() / 2];
+    gathered.floor(axis.of, Metric::MemoryBytes, floor);
+    gathered.floor(axis.of, Metric::ReloadedMemoryBytes, floor);
+    Ok(())
+}
+
+fn size(rig: &Rig<'_>, kind: AxisKind, step: usize) -> Size {
+    let base = &rig.experiment.base;
+    let size =
+        Size { tenants: base.tenants, routes: base.routes, zones: base.zones, proxies: base.proxies.max(1) };
+    match kind {
+        AxisKind::Routes => Size { routes: step, ..size },
+        _ => Size { tenants: step, ..size },
+    }
+}
+
+/// Memory of a process with neither tenants nor more than one route.
+async fn floor(rig: &Rig<'_>, stand_ins: &StandIns) -> Result<f64, ScaleRunError> {
+    let size = Size { tenants: 0, routes: 1, ..size(rig, AxisKind::Tenants, 0) };
+    let process = Process::start(rig.program, &rig.folder, size, stand_ins.discovery).await?;
+    tokio::time::sleep(SETTLE).await;
+    let memory = process.memory() as f64;
+    process.end().await;
+    Ok(memory)
+}
+
+/// What reading, succeeding and looking up cost by themselves.
+fn in_process(size: Size, note: &mut impl FnMut(Metric, f64)) -> Result<(), ScaleRunError> {
+    let (old, new) = (document::settings(size, 0), document::settings(size, 1));
+    let read = |value| Settings::read(value).map_err(|faults| ScaleRunError::Settings(faults.to_string()));
+    let first = read(&old)?;
+    let began = Instant::now();
+    let second = read(&new)?;
+    note(Metric::ReadSeconds, began.elapsed().as_secs_f64());
+    let began = Instant::now();
+    let merged = first.succeeded_by(second, &first.names);
+    note(Metric::SucceedSeconds, began.elapsed().as_secs_f64());
+    note(Metric::LookupSeconds, lookup(size, &merged.names));
+    Ok(())
+}
+
+/// The look-ups of a request for the last tenant and the last route.
+fn lookup(size: Size, names: &Names) -> f64 {
+    let tenant = document::tenant(size.tenants.saturating_sub(1));
+    let route = document::route(size.routes - 1);
+    let began = Instant::now();
+    for _ in 0..LOOKUPS {
+        black_box(names.tenant(black_box(&tenant)));
+        black_box(names.class(black_box(&route)));
+    }
+    began.elapsed().as_secs_f64() / f64::from(LOOKUPS)
+}
+
+async fn with_process(
+    rig: &Rig<'_>, stand_ins: &StandIns, size: Size, note: &mut impl FnMut(Metric, f64),
+) -> Result<(), ScaleRunError> {
+    let mut process = Process::start(rig.program, &rig.folder, size, stand_ins.discovery).await?;
+    note(Metric::ReadySeconds, process.ready.as_secs_f64());
+    tokio::time::sleep(SETTLE).await;
+    note(Metric::MemoryBytes, process.memory() as f64);
+    note(Metric::DocumentBytes, process.document_bytes()? as f64);
+    let load = &rig.experiment.load;
+    let requests = Requests {
+        to: process.address(),
+        rate_per_s: load.rate_per_s,
+        window: Duration::from_secs_f64(load.window_s),
+        route: size.routes - 1,
+        tenant: size.tenants.saturating_sub(1),
+    };
+    window(Requests { window: WARM_UP, ..requests }, async { Ok(()) }).await?;
+    let before = process.processor_time();
+    let (quiet, ()) = window(requests, async { Ok(()) }).await?;
+    let between = process.processor_time();
+    process.write_next_settings()?;
+    let (busy, reload) = window(requests, async {
+        tokio::time::sleep(requests.window.mul_f64(RELOAD_AFTER)).await;
+        Ok(process.reload().await?)
+    })
+    .await?;
+    let after = process.processor_time();
+    note(Metric::ReloadSeconds, reload.as_secs_f64());
+    let (quiet_used, busy_used) = (between - before, after - between);
+    note(Metric::ReloadProcessorSeconds, busy_used.saturating_sub(quiet_used).as_secs_f64());
+    note(Metric::ReloadedMemoryBytes, process.memory() as f64);
+    let quiet_metrics = [Metric::QuietP50Seconds, Metric::QuietP99Seconds, Metric::QuietLongestSeconds];
+    note_latency(&quiet, quiet_metrics, note);
+    let busy_metrics = [Metric::ReloadP50Seconds, Metric::ReloadP99Seconds, Metric::ReloadLongestSeconds];
+    note_latency(&busy, busy_metrics, note);
+    note(Metric::Failed, (quiet.failed + busy.failed) as f64);
+    process.end().await;
+    Ok(())
+}
+
+fn note_latency(seen: &Seen, metrics: [Metric; 3], note: &mut impl FnMut(Metric, f64)) {
+    let values = [seen.p50_us, seen.p99_us, seen.longest_us];
+    metrics.into_iter().zip(values).for_each(|(metric, us)| note(metric, us / 1e6));
+}
+
+/// A window of load on a thread of its own, and what goes on meanwhile.
+async fn window<T>(
+    requests: Requests, meanwhile: impl std::future::Future<Output = Result<T, ScaleRunError>>,
+) -> Result<(Seen, T), ScaleRunError> {
+    let sent = thread("load", move || load::send(requests))?;
+    let (seen, meanwhile) = tokio::join!(sent, meanwhile);
+    Ok((seen.map_err(|_| ScaleRunError::Thread)?, meanwhile?))
+}
--- /dev/null
+++ b/crates/lab/src/scale/talk.rs
@@ -0,0 +1,155 @@
+//! The axis of members: the proxies' own membership and what each tells of what it holds, in virtual time.
+
+use super::experiment::AxisPlan;
+use super::record::{Gathered, Metric};
+use super::Rig;
+use crate::world::dice::Dice;
+use lotusdeck_fleet::{Identity, Node, NodeConfig};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::num::NonZeroU32;
+use std::time::{Duration, Instant};
+
+/// Virtual time moves on by this.
+const STEP: Duration = Duration::from_millis(5);
+/// A datagram takes so long at most.
+const DELAY_S: f64 = 0.002;
+/// Virtual time until the members know each other.
+const SETTLE: Duration = Duration::from_secs(15);
+/// Virtual time that is measured.
+const MEASURED: Duration = Duration::from_secs(5);
+/// How long shares are lent; there are no limits here, so that it only sets the pace of rounds.
+const TERM: Duration = Duration::from_secs(1);
+/// Members that a new one calls at.
+const SEEDS: usize = 3;
+/// The first port; ports stand for positions and no socket is opened.
+const FIRST_PORT: u16 = 7_000;
+/// What members hold changes with the time, so that there is news to tell.
+const HELD_PER_SECOND: f64 = 100.0;
+
+/// Walks the axis in interleaved repetitions.
+pub fn walk(rig: &Rig<'_>, axis: &AxisPlan, gathered: &mut Gathered) {
+    for repeat in 0..rig.experiment.repeats {
+        for step in &axis.steps {
+            rig.say(&format!("{} {step}, repetition {}\n", axis.of.name(), repeat + 1));
+            let seed = rig.experiment.seed + repeat as u64;
+            let silent = Talk::new(*step, seed, false).measure();
+            let telling = Talk::new(*step, seed, true).measure();
+            let mut note = |metric, value| gathered.add(axis.of, metric, *step, value);
+            note(Metric::MembershipBytesPerSecond, silent.bytes_per_second);
+            note(Metric::TalkBytesPerSecond, telling.bytes_per_second);
+            note(Metric::TalkProcessorShare, telling.processor_share);
+        }
+    }
+}
+
+/// What the talk costs one member.
+struct Cost {
+    bytes_per_second: f64,
+    processor_share: f64,
+}
+
+/// A datagram on its way: when it arrives, us, a number that keeps the order, to whom, and what.
+type Datagram = Reverse<(u64, u64, usize, Vec<u8>)>;
+
+struct Talk {
+    nodes: Vec<Node>,
+    now: Duration,
+    wire: BinaryHeap<Datagram>,
+    dice: Dice,
+    sent: u64,
+    bytes: u64,
+    spent: Duration,
+    tells: bool,
+}
+
+impl Talk {
+    fn new(members: usize, seed: u64, tells: bool) -> Talk {
+        let now = Duration::from_secs(1);
+        let seeds: Vec<(u32, SocketAddr)> =
+            (0..members.min(SEEDS)).map(|position| (position as u32, address(position))).collect();
+        let node = |position: usize| {
+            let config = NodeConfig {
+                site: "scale".into(),
+                own: Identity { position: position as u32, generation: 1, address: address(position) },
+                size: NonZeroU32::new(members as u32).unwrap_or(NonZeroU32::MIN),
+                seeds: seeds.clone(),
+                limits: Vec::new(),
+                term: TERM,
+                longest: TERM,
+                seed: seed ^ (position as u64) << 32,
+            };
+            Node::new(config, now)
+        };
+        Talk {
+            nodes: (0..members).map(node).collect(),
+            now,
+            wire: BinaryHeap::new(),
+            dice: Dice::new(seed, "scale talk"),
+            sent: 0,
+            bytes: 0,
+            spent: Duration::ZERO,
+            tells,
+        }
+    }
+
+    fn measure(mut self) -> Cost {
+        self.run(SETTLE);
+        let (bytes, spent) = (self.bytes, self.spent);
+        self.run(MEASURED);
+        let member_seconds = MEASURED.as_secs_f64() * self.nodes.len() as f64;
+        Cost {
+            bytes_per_second: (self.bytes - bytes) as f64 / member_seconds,
+            processor_share: (self.spent - spent).as_secs_f64() / member_seconds,
+        }
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver();
+            (0..self.nodes.len()).for_each(|at| self.turn(at));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now.as_micros() as u64;
+        while self.wire.peek().is_some_and(|Reverse(datagram)| datagram.0 <= now) {
+            let Some(Reverse((_, _, to, bytes))) = self.wire.pop() else { break };
+            let began = Instant::now();
+            let _ = self.nodes[to].receive(self.now, &bytes); // all speak the same
+            self.spent += began.elapsed();
+            self.post(to);
+        }
+    }
+
+    fn turn(&mut self, at: usize) {
+        let held = (self.now.as_secs_f64() * HELD_PER_SECOND) as u32;
+        let node = &mut self.nodes[at];
+        if self.tells {
+            node.hold(held);
+        }
+        if node.next() <= self.now {
+            let began = Instant::now();
+            node.tick(self.now);
+            self.spent += began.elapsed();
+            self.post(at);
+        }
+    }
+
+    fn post(&mut self, from: usize) {
+        while let Some((to, bytes)) = self.nodes[from].to_send() {
+            let to = usize::from(to.port() - FIRST_PORT);
+            self.bytes += bytes.len() as u64;
+            self.sent += 1;
+            let at = self.now.as_micros() as u64 + (self.dice.unit() * DELAY_S * 1e6) as u64;
+            self.wire.push(Reverse((at, self.sent, to, bytes)));
+        }
+    }
+}
+
+fn address(position: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + position as u16))
+}
--- a/crates/lab/src/session.rs
+++ b/crates/lab/src/session.rs
@@ -36,6 +36,12 @@
     /// The relay's script is at fault.
     #[error(transparent)]
     Script(#[from] ScriptError),
+    /// A scale experiment is at fault.
+    #[error(transparent)]
+    ScaleExperiment(crate::scale::experiment::ScaleError),
+    /// A run of a scale experiment is.
+    #[error("{0}")]
+    Scale(Box<crate::scale::ScaleRunError>),
     /// There is no proxy to play.
     #[error("no proxy: {0}")]
     Program(String),
