--- a/crates/lab/src/scale/directory.rs
+++ b/crates/lab/src/scale/directory.rs
@@ -136,6 +136,16 @@
     last: RefCell<Option<Rc<Answer>>>,
     counters: Cell<Counters>,
     in_force: RefCell<Vec<(Follower, Duration)>>,
+    listed: Cell<Listed>,
+}
+
+/// Followers that have asked for what is newer than a whole list, and so have taken one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Listed {
+    /// Real ones.
+    pub real: usize,
+    /// Hollow ones.
+    pub hollow: usize,
 }
 
 impl Directory {
@@ -156,6 +166,7 @@
             last: RefCell::default(),
             counters: Cell::default(),
             in_force: RefCell::default(),
+            listed: Cell::default(),
         })
     }
 
@@ -207,6 +218,11 @@
         self.in_force.take()
     }
 
+    /// Who has a list.
+    pub fn listed(&self) -> Listed {
+        self.listed.get()
+    }
+
     async fn serve(self: Rc<Self>, follower: Follower, mut link: Link) {
         // Followers have everything of a version in force before they ask for what is newer.
         let mut held = None;
@@ -237,7 +253,16 @@
     }
 
     fn note_in_force(&self, follower: Follower, held: Option<u64>, after: Option<u64>) {
-        let (Some(held), Some(after)) = (held, after) else { return };
+        let Some(after) = after else { return };
+        let Some(held) = held else {
+            let mut listed = self.listed.get();
+            match follower {
+                Follower::Real => listed.real += 1,
+                Follower::Hollow => listed.hollow += 1,
+            }
+            self.listed.set(listed);
+            return;
+        };
         let versions = self.versions.borrow();
         let newer = versions.get(held as usize..after as usize).unwrap_or_default();
         let ages = newer.iter().map(|version| (follower, version.made.elapsed()));
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -29,16 +29,17 @@
 }
 
 #[derive(Deserialize)]
-struct List {
+struct List<'a> {
     index: u64,
     snapshot: bool,
-    endpoints: Vec<Entry>,
+    #[serde(borrow)]
+    endpoints: Vec<Entry<'a>>,
 }
 
 #[derive(Deserialize)]
-struct Entry {
-    name: String,
-    status: String,
+struct Entry<'a> {
+    name: &'a str,
+    status: &'a str,
 }
 
 /// What a hollow proxy holds of the list: the state of each backend by the hash of its name.
@@ -46,13 +47,13 @@
 struct Held(HashMap<u64, Status>);
 
 impl Held {
-    fn take(&mut self, list: &List) {
+    fn take(&mut self, list: &List<'_>) {
         if list.snapshot {
             self.0.clear();
         }
         for entry in &list.endpoints {
             let name = xxhash_rust::xxh3::xxh3_64(entry.name.as_bytes());
-            match entry.status.as_str() {
+            match entry.status {
                 "SERVING" => self.0.insert(name, Status::Serving),
                 "DRAINING" => self.0.insert(name, Status::Draining),
                 _ => self.0.remove(&name),
@@ -79,7 +80,7 @@
         let request = format!("GET {target} HTTP/1.1\r\nhost: {discovery}\r\n\r\n");
         tcp.write_all(request.as_bytes()).await?;
         let body = read_answer(&mut tcp).await?;
-        let list: List =
+        let list: List<'_> =
             serde_json::from_slice(&body).map_err(|error| CallError::Unreadable(error.to_string()))?;
         held.take(&list);
         target = format!("/api/targets?after={}&wait_ms={}", list.index, WAIT.as_millis());
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -1,6 +1,7 @@
 //! The scale rig: real processes of the program beside hollow proxies and backends, walked along one axis at a time
 //! up to the size of a target, so that costs at the target are worked out from measured slopes.
 
+pub mod backends;
 pub mod directory;
 pub mod document;
 pub mod events;
@@ -9,6 +10,7 @@
 pub mod hollow;
 pub mod load;
 pub mod process;
+pub mod proxies;
 pub mod record;
 pub mod settings;
 pub mod stand_ins;
@@ -56,6 +58,9 @@
     /// A thread of the rig has ended.
     #[error("a thread of the rig has ended")]
     Thread,
+    /// Followers did not get what they wait for.
+    #[error("too late: {0}")]
+    Late(String),
     /// Descriptors cannot be had.
     #[error(transparent)]
     Descriptors(#[from] crate::drive::run::RunError),
@@ -143,8 +148,8 @@
     for axis in &rig.experiment.axis {
         match axis.of {
             AxisKind::Tenants | AxisKind::Routes => settings::walk(rig, axis, &mut gathered).await?,
-            AxisKind::Backends => {}
-            AxisKind::Proxies => {}
+            AxisKind::Backends => backends::walk(rig, axis, &mut gathered).await?,
+            AxisKind::Proxies => proxies::walk(rig, axis, &mut gathered).await?,
             AxisKind::Members => talk::walk(rig, axis, &mut gathered),
         }
     }
--- /dev/null
+++ b/crates/lab/src/scale/proxies.rs
@@ -0,0 +1,118 @@
+//! The axis of proxies: what hollow followers cost discovery at rest, at restarts of single backends, and where a
+//! rack or a zone goes and comes back.
+
+use super::directory::{Counters, Follower};
+use super::events;
+use super::experiment::AxisPlan;
+use super::record::{quantile, Gathered, Metric};
+use super::stand_ins::{Hollow, StandIns};
+use super::{Rig, ScaleRunError};
+use crate::drive::run::allow;
+use crate::world::discovery::Status;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Hollow proxies of one thread: more threads than processors would only add noise.
+const THREAD_PROXIES: usize = 400;
+/// Descriptors beside the two of each follower's connection.
+const OTHER_DESCRIPTORS: usize = 256;
+/// Time for the last answers of a stage to be counted.
+const SETTLE: Duration = Duration::from_millis(500);
+
+/// Walks the axis in interleaved repetitions.
+///
+/// # Errors
+/// Sockets or threads that cannot be had, or followers that are too late.
+pub async fn walk(rig: &Rig<'_>, axis: &AxisPlan, gathered: &mut Gathered) -> Result<(), ScaleRunError> {
+    let most = axis.steps.iter().copied().max().unwrap_or(0);
+    allow(2 * most + OTHER_DESCRIPTORS)?;
+    for repeat in 0..rig.experiment.repeats {
+        for step in &axis.steps {
+            rig.say(&format!("{} {step}, repetition {}\n", axis.of.name(), repeat + 1));
+            let mut note = |metric, value| gathered.add(axis.of, metric, *step, value);
+            measure(rig, *step, &mut note).await?;
+        }
+    }
+    Ok(())
+}
+
+async fn measure(
+    rig: &Rig<'_>, step: usize, note: &mut impl FnMut(Metric, f64),
+) -> Result<(), ScaleRunError> {
+    let (base, churn) = (&rig.experiment.base, &rig.experiment.churn);
+    let stand_ins = StandIns::start(base.backends, base.zones, rig.experiment.discovery.clone()).await?;
+    let began = Instant::now();
+    let mut threads = Vec::new();
+    for first in (0..step).step_by(THREAD_PROXIES) {
+        threads.push(Hollow::start(THREAD_PROXIES.min(step - first), stand_ins.hollow)?);
+    }
+    stand_ins.wait_listed(Follower::Hollow, step).await?;
+    note(Metric::AllHaveListSeconds, began.elapsed().as_secs_f64());
+
+    let resting = told_during(&stand_ins, async {
+        tokio::time::sleep(Duration::from_secs_f64(churn.rest_s)).await;
+        Ok(())
+    })
+    .await?;
+    note(Metric::RestBytesPerSecond, resting.bytes() as f64 / churn.rest_s);
+    note(Metric::RestCallsPerSecond, resting.calls() as f64 / churn.rest_s);
+
+    stand_ins.in_force().await?;
+    let events = events::restarts(churn, base.backends, rig.experiment.seed);
+    let restarting = told_during(&stand_ins, async {
+        stand_ins.play(&events).await;
+        Ok(())
+    })
+    .await?;
+    let each = |told: u64| told as f64 / churn.restarts as f64;
+    note(Metric::RestartBytes, each(restarting.changes.bytes));
+    note(Metric::RestartCalls, each(restarting.changes.calls));
+    note(Metric::RestartLines, each(restarting.changes.lines));
+    let mut ages: Vec<f64> = stand_ins.in_force().await?.iter().map(|(_, age)| age.as_secs_f64()).collect();
+    note(Metric::HollowInForceP50Seconds, quantile(&mut ages, 0.5));
+    note(Metric::HollowInForceP99Seconds, quantile(&mut ages, 0.99));
+
+    if let Some(count) = churn.groups.first() {
+        note(Metric::GroupBytes, group(rig, &stand_ins, *count, step).await?.bytes);
+    }
+    if let Some(count) = churn.groups.last() {
+        let largest = group(rig, &stand_ins, *count, step).await?;
+        note(Metric::LargestGroupBytes, largest.bytes);
+        note(Metric::GroupInForceSeconds, largest.in_force_s);
+    }
+    Ok(())
+}
+
+/// A group of backends that went and came back.
+struct Group {
+    bytes: f64,
+    in_force_s: f64,
+}
+
+async fn group(
+    rig: &Rig<'_>, stand_ins: &StandIns, count: usize, followers: usize,
+) -> Result<Group, ScaleRunError> {
+    let backends = events::group(count, rig.experiment.base.backends, rig.experiment.seed);
+    let mut slowest = 0.0;
+    let told = told_during(stand_ins, async {
+        for status in [Status::Deleted, Status::Serving] {
+            stand_ins.in_force().await?;
+            stand_ins.change(events::all(&backends, status));
+            let ages = stand_ins.wait_in_force(followers).await?;
+            slowest = ages.iter().map(Duration::as_secs_f64).fold(slowest, f64::max);
+        }
+        Ok(())
+    })
+    .await?;
+    Ok(Group { bytes: told.changes.bytes as f64, in_force_s: slowest })
+}
+
+/// What discovery told while something happened.
+async fn told_during(
+    stand_ins: &StandIns, meanwhile: impl std::future::Future<Output = Result<(), ScaleRunError>>,
+) -> Result<Counters, ScaleRunError> {
+    let before = stand_ins.counters().await?;
+    meanwhile.await?;
+    tokio::time::sleep(SETTLE).await;
+    Ok(stand_ins.counters().await?.since(before))
+}
--- a/crates/lab/src/scale/record.rs
+++ b/crates/lab/src/scale/record.rs
@@ -105,9 +105,7 @@
 impl Point {
     /// The middle value; of an even number the upper one of the two.
     pub fn median(&self) -> f64 {
-        let mut sorted = self.values.clone();
-        sorted.sort_by(f64::total_cmp);
-        sorted.get(sorted.len() / 2).copied().unwrap_or(0.0)
+        quantile(&mut self.values.clone(), 0.5)
     }
 }
 
@@ -225,6 +223,13 @@
     }
 }
 
+/// The value that this part of all lies below or at; sorts them.
+pub fn quantile(values: &mut [f64], part: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    let last = values.len().saturating_sub(1);
+    values.get((last as f64 * part).round() as usize).copied().unwrap_or(0.0)
+}
+
 /// Gathers values by axis, quantity and step.
 #[derive(Default)]
 pub struct Gathered(Vec<Series>);
--- a/crates/lab/src/scale/settings.rs
+++ b/crates/lab/src/scale/settings.rs
@@ -5,7 +5,7 @@
 use super::experiment::{AxisKind, AxisPlan};
 use super::load::{self, Requests, Seen};
 use super::process::Process;
-use super::record::{Gathered, Metric};
+use super::record::{quantile, Gathered, Metric};
 use super::stand_ins::StandIns;
 use super::{Rig, ScaleRunError};
 use crate::drive::run::thread;
@@ -40,8 +40,7 @@
             with_process(rig, &stand_ins, size, &mut note).await?;
         }
     }
-    floors.sort_by(f64::total_cmp);
-    let floor = floors[floors.len() / 2];
+    let floor = quantile(&mut floors, 0.5);
     gathered.floor(axis.of, Metric::MemoryBytes, floor);
     gathered.floor(axis.of, Metric::ReloadedMemoryBytes, floor);
     Ok(())
--- a/crates/lab/src/scale/stand_ins.rs
+++ b/crates/lab/src/scale/stand_ins.rs
@@ -1,7 +1,8 @@
 //! The stand-ins around measured proxies, on a thread of their own: discovery, one backend that answers at once, and
 //! hollow proxies.
 
-use super::directory::{Change, Counters, Directory, Follower};
+use super::directory::{Change, Counters, Directory, Follower, Listed};
+use super::events::Event;
 use super::experiment::Capacity;
 use super::{hollow, ScaleRunError};
 use crate::drive::run::thread;
@@ -9,14 +10,21 @@
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 /// Bytes of a backend's answer.
 const ANSWER_BYTES: usize = 512;
 
+/// Followers that need longer for a list or change show a fault and no slope.
+const LATEST: Duration = Duration::from_secs(180);
+/// Between two looks at who is there.
+const LOOK: Duration = Duration::from_millis(5);
+
 /// What the stand-ins are told.
 enum Order {
     Change(Vec<Change>),
     Counters(oneshot::Sender<Counters>),
+    Listed(oneshot::Sender<Listed>),
     InForce(oneshot::Sender<Vec<(Follower, Duration)>>),
 }
 
@@ -77,6 +85,48 @@
         self.ask(Order::InForce).await
     }
 
+    /// Changes the list as the events say, each at its time.
+    pub async fn play(&self, events: &[Event]) {
+        let began = Instant::now();
+        for event in events {
+            tokio::time::sleep_until(began + event.at).await;
+            self.change(event.changes.clone());
+        }
+    }
+
+    /// Waits until so many followers of one sort have a list.
+    ///
+    /// # Errors
+    /// They are too late.
+    pub async fn wait_listed(&self, sort: Follower, count: usize) -> Result<(), ScaleRunError> {
+        let end = Instant::now() + LATEST;
+        while Instant::now() < end {
+            let listed = self.ask(Order::Listed).await?;
+            let have = if sort == Follower::Real { listed.real } else { listed.hollow };
+            if have >= count {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        Err(ScaleRunError::Late(format!("{count} followers with a list")))
+    }
+
+    /// Waits until so many followers have the last change in force; how long after it each had.
+    ///
+    /// # Errors
+    /// They are too late.
+    pub async fn wait_in_force(&self, count: usize) -> Result<Vec<Duration>, ScaleRunError> {
+        let (end, mut ages) = (Instant::now() + LATEST, Vec::new());
+        while Instant::now() < end {
+            ages.extend(self.in_force().await?.into_iter().map(|(_, age)| age));
+            if ages.len() >= count {
+                return Ok(ages);
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        Err(ScaleRunError::Late(format!("{count} followers with a change in force")))
+    }
+
     async fn ask<T>(&self, order: impl FnOnce(oneshot::Sender<T>) -> Order) -> Result<T, ScaleRunError> {
         let (answer, answered) = oneshot::channel();
         let _ = self.orders.send(order(answer));
@@ -99,6 +149,7 @@
         match order {
             Order::Change(changes) => directory.change(&changes, unix_ms()),
             Order::Counters(answer) => drop(answer.send(directory.counters())),
+            Order::Listed(answer) => drop(answer.send(directory.listed())),
             Order::InForce(answer) => drop(answer.send(directory.take_in_force())),
         }
     }
