--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -81,6 +81,8 @@
     },
     /// Walk axes of size, real processes beside hollow ones, and print slopes (docs/CAPACITY.md).
     Scale(scale::Args),
+    /// Write the tables of docs/CAPACITY.md from the records of `scale`, or check that they agree.
+    Capacity(scale::capacity::Args),
     /// Set two folders of results side by side.
     Compare {
         /// The folder of the first.
@@ -131,6 +133,7 @@
         Command::Campaign(args) => campaign::main(&args),
         Command::Fleet(args) => fleet::main(&args),
         Command::Scale(args) => scale::main(&args).map(|()| true).map_err(SessionError::from),
+        Command::Capacity(args) => scale::capacity::main(&args).map_err(SessionError::from),
         Command::Relay(args) => relay::main(&args).map(|()| true),
         Command::RelayCost(args) => relay::cost::main(&args).map(|()| true),
         Command::PlainRelay { listen, to } => {
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -2,6 +2,7 @@
 //! up to the size of a target, so that costs at the target are worked out from measured slopes.
 
 pub mod backends;
+pub mod capacity;
 pub mod directory;
 pub mod document;
 pub mod events;
@@ -12,9 +13,11 @@
 pub mod process;
 pub mod proxies;
 pub mod record;
+pub mod rows;
 pub mod settings;
 pub mod stand_ins;
 pub mod talk;
+pub mod target;
 
 use crate::report::plot;
 use crate::session::{program, say, SessionError};
--- /dev/null
+++ b/crates/lab/src/scale/rows.rs
@@ -0,0 +1,495 @@
+//! The rows of the capacity page: each role's costs at the target, worked out from measured laws.
+
+use super::experiment::AxisKind::{self, Backends, Members, Proxies, Routes, Tenants};
+use super::record::{Metric, Record};
+use super::target::{Target, DAY_S};
+
+/// Who pays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Each proxy.
+    Proxy,
+    /// Whoever tells the list of backends, to all proxies.
+    Discovery,
+    /// Whoever tells the settings, to all proxies.
+    Configuration,
+    /// Each proxy that joins the proxies' own talk.
+    Member,
+}
+
+impl Role {
+    /// Its name on the page.
+    pub fn name(self) -> &'static str {
+        match self {
+            Role::Proxy => "proxy",
+            Role::Discovery => "discovery",
+            Role::Configuration => "configuration source",
+            Role::Member => "member of the talk",
+        }
+    }
+}
+
+/// What a value counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unit {
+    /// Bytes.
+    Bytes,
+    /// Bytes a second.
+    BytesPerSecond,
+    /// Calls a second.
+    CallsPerSecond,
+    /// Seconds.
+    Seconds,
+    /// A part of one core, or of a day.
+    Share,
+}
+
+impl Unit {
+    /// A value in words.
+    pub fn show(self, value: f64) -> String {
+        match self {
+            Unit::Bytes => scaled(value, &[(1e9, "GB"), (1e6, "MB"), (1e3, "KB"), (1.0, "B")]),
+            Unit::BytesPerSecond => scaled(value, &[(1e6, "MB/s"), (1e3, "KB/s"), (1.0, "B/s")]),
+            Unit::CallsPerSecond => format!("{value:.0}/s"),
+            Unit::Seconds => scaled(value, &[(1.0, "s"), (1e-3, "ms"), (1e-6, "us")]),
+            Unit::Share => format!("{:.2} %", value * 100.0),
+        }
+    }
+}
+
+fn scaled(value: f64, units: &[(f64, &str)]) -> String {
+    let fits = units.iter().find(|(size, _)| value.abs() >= *size).or(units.last());
+    fits.map_or_else(String::new, |(size, name)| {
+        let digits = if value / size >= 100.0 { 0 } else { 2 };
+        format!("{:.digits$} {name}", value / size)
+    })
+}
+
+/// One cost at the target.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Who pays.
+    pub role: Role,
+    /// What it is.
+    pub what: &'static str,
+    /// How much at the target.
+    pub value: f64,
+    /// What that counts.
+    pub unit: Unit,
+    /// What it may be, where a budget names it.
+    pub budget: Option<f64>,
+    /// How far beyond what was measured the target lies: the greatest factor of all laws used.
+    pub extrapolated: f64,
+    /// The mechanism that carries it, or the one that is missing.
+    pub carried_by: &'static str,
+}
+
+impl Row {
+    /// Value over budget.
+    pub fn ratio(&self) -> Option<f64> {
+        Some(self.value / self.budget?)
+    }
+}
+
+/// A value worked out from laws, and how far they were stretched.
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    value: f64,
+    extrapolated: f64,
+}
+
+impl Estimate {
+    fn scale(self, by: f64) -> Estimate {
+        Estimate { value: self.value * by, ..self }
+    }
+
+    fn plus(self, other: Estimate) -> Estimate {
+        let extrapolated = self.extrapolated.max(other.extrapolated);
+        Estimate { value: self.value + other.value, extrapolated }
+    }
+}
+
+/// Records to work from; of two that measured one quantity the later one counts.
+pub struct Laws<'a> {
+    records: &'a [Record],
+    target: &'a Target,
+}
+
+impl<'a> Laws<'a> {
+    /// Of these records, at that target.
+    pub fn new(records: &'a [Record], target: &'a Target) -> Laws<'a> {
+        Laws { records, target }
+    }
+
+    fn count(&self, axis: AxisKind) -> f64 {
+        match axis {
+            Tenants => self.target.tenants,
+            Routes => self.target.routes,
+            Backends => self.target.backends,
+            Proxies | Members => self.target.proxies,
+        }
+    }
+
+    /// What the axis adds at the target, without what is there anyway.
+    fn above_floor(&self, axis: AxisKind, metric: Metric) -> Option<Estimate> {
+        let series = self.records.iter().rev().find_map(|record| record.series(axis, metric))?;
+        let (fit, x) = (series.fit?, self.count(axis));
+        Some(Estimate { value: fit.at(x), extrapolated: fit.extrapolated(x) })
+    }
+
+    fn floor(&self, axis: AxisKind, metric: Metric) -> Option<Estimate> {
+        let series = self.records.iter().rev().find_map(|record| record.series(axis, metric))?;
+        Some(Estimate { value: series.floor, extrapolated: 1.0 })
+    }
+
+    /// Tenants and routes together.
+    fn settings(&self, metric: Metric) -> Option<Estimate> {
+        Some(self.above_floor(Tenants, metric)?.plus(self.above_floor(Routes, metric)?))
+    }
+
+    /// All rows whose laws were measured, in the order of the roles.
+    pub fn rows(&self) -> Vec<Row> {
+        let all = [self.proxy(), self.proxy_sums(), self.discovery(), self.configuration(), self.members()];
+        all.into_iter().flatten().flatten().collect()
+    }
+
+    fn control_core(&self) -> Option<f64> {
+        Some(self.target.control_core_share)
+    }
+
+    fn control_memory(&self) -> Option<f64> {
+        Some(self.target.control_memory_mb * 1e6)
+    }
+
+    fn control_bytes(&self) -> Option<f64> {
+        Some(self.target.control_bytes_per_s)
+    }
+
+    fn reload_share(&self) -> Option<Estimate> {
+        let reload = self.settings(Metric::ReloadProcessorSeconds)?;
+        Some(reload.scale(self.target.settings_changes_per_day / DAY_S))
+    }
+
+    fn line_share(&self) -> Option<Estimate> {
+        let lines_per_day = self.target.churn_per_day() * LINES_PER_RESTART;
+        let line = self.above_floor(Backends, Metric::LineProcessorSeconds)?;
+        Some(line.scale(lines_per_day / DAY_S))
+    }
+
+    /// Bytes a second that one proxy gets of the list on an ordinary day.
+    fn list_bytes(&self) -> Option<Estimate> {
+        let rest = self.above_floor(Proxies, Metric::RestBytesPerSecond)?;
+        let restart = self.above_floor(Proxies, Metric::RestartBytes)?;
+        let churn = restart.scale(self.target.churn_per_day() / DAY_S);
+        Some(rest.plus(churn).scale(1.0 / self.target.proxies))
+    }
+
+    fn settings_bytes(&self) -> Option<Estimate> {
+        let document = self.settings(Metric::DocumentBytes)?;
+        Some(document.scale(self.target.settings_changes_per_day / DAY_S))
+    }
+
+    fn proxy(&self) -> Vec<Option<Row>> {
+        let pause = self.settings(Metric::ReloadLongestSeconds);
+        let pauses = self.settings(Metric::ReloadSeconds);
+        let day = pauses.map(|pause| pause.scale(self.target.settings_changes_per_day / DAY_S));
+        let added = Some(self.target.added_p99_ms / 1e3);
+        let row = Maker(Role::Proxy);
+        vec![
+            row.make(
+                "memory of settings, after the start",
+                Unit::Bytes,
+                self.settings(Metric::MemoryBytes),
+                self.control_memory(),
+                "missing: one copy, without the parsed document; interned names",
+            ),
+            row.make(
+                "memory of settings, after a reload",
+                Unit::Bytes,
+                self.settings(Metric::ReloadedMemoryBytes),
+                self.control_memory(),
+                "missing: deltas of settings; interned names",
+            ),
+            row.make(
+                "memory of the list",
+                Unit::Bytes,
+                self.above_floor(Backends, Metric::MemoryBytes),
+                self.control_memory(),
+                "missing: subsetting, where 320 services share one list",
+            ),
+            row.make(
+                "processor time of reloads",
+                Unit::Share,
+                self.reload_share(),
+                self.control_core(),
+                "missing: an index of names, then deltas of settings",
+            ),
+            row.make(
+                "pause of all requests at a reload",
+                Unit::Seconds,
+                pause,
+                added,
+                "missing: an index of names; reading off the event loop",
+            ),
+            row.make(
+                "part of the day in such pauses (over 1 % the day's p99 is a pause)",
+                Unit::Share,
+                day,
+                Some(0.01),
+                "missing: as above",
+            ),
+            row.make(
+                "look-up of tenant and route, a request",
+                Unit::Seconds,
+                self.settings(Metric::LookupSeconds),
+                added,
+                "missing: an index of names",
+            ),
+            row.make(
+                "settings in force after SIGHUP",
+                Unit::Seconds,
+                pauses,
+                Some(self.target.in_force_s),
+                "reload, without the way to the proxy",
+            ),
+            row.make(
+                "bytes of settings, each change whole",
+                Unit::BytesPerSecond,
+                self.settings_bytes(),
+                self.control_bytes(),
+                "missing: deltas of settings",
+            ),
+            row.make(
+                "bytes of the list, ordinary day",
+                Unit::BytesPerSecond,
+                self.list_bytes(),
+                self.control_bytes(),
+                "deltas (watch by version)",
+            ),
+            row.make(
+                "processor time of changed lines, ordinary day",
+                Unit::Share,
+                self.line_share(),
+                self.control_core(),
+                "deltas (watch by version)",
+            ),
+            row.make(
+                "processor time at rest",
+                Unit::Share,
+                self.above_floor(Backends, Metric::RestProcessorShare),
+                self.control_core(),
+                "timers",
+            ),
+            row.make(
+                "processor time of a whole list, once",
+                Unit::Seconds,
+                self.above_floor(Backends, Metric::WholeListProcessorSeconds),
+                None,
+                "only at a start; it is a pause",
+            ),
+            row.make(
+                "bytes of a whole list, once",
+                Unit::Bytes,
+                self.above_floor(Backends, Metric::WholeListBytes),
+                None,
+                "only at a start; kept lists; missing: subsetting",
+            ),
+            row.make(
+                "a change of the list in force at a real proxy, p99",
+                Unit::Seconds,
+                self.above_floor(Backends, Metric::RealInForceP99Seconds),
+                Some(self.target.in_force_s),
+                "long polls",
+            ),
+            row.make(
+                "ready after a start, by settings",
+                Unit::Seconds,
+                self.settings(Metric::ReadySeconds),
+                None,
+                "missing: an index of names",
+            ),
+            row.make(
+                "ready after a start, by the list",
+                Unit::Seconds,
+                self.above_floor(Backends, Metric::ReadySeconds),
+                None,
+                "the list is taken beside",
+            ),
+        ]
+    }
+
+    fn proxy_sums(&self) -> Vec<Option<Row>> {
+        let row = Maker(Role::Proxy);
+        let memory = || {
+            let lists = self.above_floor(Backends, Metric::MemoryBytes)?;
+            let floor = self.floor(Tenants, Metric::MemoryBytes)?;
+            Some(self.settings(Metric::ReloadedMemoryBytes)?.plus(lists).plus(floor))
+        };
+        let processor = || {
+            let rest = self.above_floor(Backends, Metric::RestProcessorShare)?;
+            let talk = self.above_floor(Members, Metric::TalkProcessorShare)?;
+            Some(self.reload_share()?.plus(self.line_share()?).plus(rest).plus(talk))
+        };
+        let bytes = || {
+            let talk = self.above_floor(Members, Metric::TalkBytesPerSecond)?;
+            Some(self.settings_bytes()?.plus(self.list_bytes()?).plus(talk))
+        };
+        vec![
+            row.make(
+                "all memory together, program included",
+                Unit::Bytes,
+                memory(),
+                self.control_memory(),
+                "the rows above",
+            ),
+            row.make(
+                "all processor time together, talk included",
+                Unit::Share,
+                processor(),
+                self.control_core(),
+                "the rows above",
+            ),
+            row.make(
+                "all bytes together, talk included",
+                Unit::BytesPerSecond,
+                bytes(),
+                self.control_bytes(),
+                "the rows above",
+            ),
+        ]
+    }
+
+    fn discovery(&self) -> Vec<Option<Row>> {
+        let row = Maker(Role::Discovery);
+        let all_bytes = Some(self.target.control_bytes_per_s * self.target.proxies);
+        let day = self.list_bytes().map(|bytes| bytes.scale(self.target.proxies));
+        let calls = || {
+            let rest = self.above_floor(Proxies, Metric::RestCallsPerSecond)?;
+            let restart = self.above_floor(Proxies, Metric::RestartCalls)?;
+            Some(rest.plus(restart.scale(self.target.churn_per_day() / DAY_S)))
+        };
+        let whole = || {
+            let list = self.above_floor(Backends, Metric::WholeListBytes)?;
+            Some(list.scale(self.target.proxies))
+        };
+        vec![
+            row.make(
+                "bytes told, ordinary day",
+                Unit::BytesPerSecond,
+                day,
+                all_bytes,
+                "deltas (watch by version); answers shared by all of a version",
+            ),
+            row.make(
+                "calls answered, ordinary day",
+                Unit::CallsPerSecond,
+                calls(),
+                None,
+                "long polls; missing: a relay tree beyond one machine",
+            ),
+            row.make(
+                "bytes where a rack goes and comes back",
+                Unit::Bytes,
+                self.above_floor(Proxies, Metric::GroupBytes),
+                None,
+                "deltas",
+            ),
+            row.make(
+                "bytes where the largest zone goes and comes back",
+                Unit::Bytes,
+                self.above_floor(Proxies, Metric::LargestGroupBytes),
+                None,
+                "deltas; missing: subsetting",
+            ),
+            row.make(
+                "all proxies know that the zone is gone",
+                Unit::Seconds,
+                self.above_floor(Proxies, Metric::GroupInForceSeconds),
+                Some(self.target.in_force_s),
+                "deltas",
+            ),
+            row.make(
+                "bytes where all proxies ask for the whole list",
+                Unit::Bytes,
+                whole(),
+                None,
+                "missing: a relay tree, subsetting",
+            ),
+            row.make(
+                "all proxies have the whole list",
+                Unit::Seconds,
+                self.above_floor(Proxies, Metric::AllHaveListSeconds),
+                Some(self.target.in_force_s),
+                "one machine here; missing: a relay tree",
+            ),
+        ]
+    }
+
+    fn configuration(&self) -> Vec<Option<Row>> {
+        let row = Maker(Role::Configuration);
+        let all_bytes = Some(self.target.control_bytes_per_s * self.target.proxies);
+        let shipped = self.settings_bytes().map(|bytes| bytes.scale(self.target.proxies));
+        vec![
+            row.make(
+                "state: one whole document",
+                Unit::Bytes,
+                self.settings(Metric::DocumentBytes),
+                None,
+                "a file beside each proxy",
+            ),
+            row.make(
+                "bytes told, each change whole to all",
+                Unit::BytesPerSecond,
+                shipped,
+                all_bytes,
+                "missing: a source at all; deltas and a relay tree",
+            ),
+        ]
+    }
+
+    fn members(&self) -> Vec<Option<Row>> {
+        let row = Maker(Role::Member);
+        let membership = self.above_floor(Members, Metric::MembershipBytesPerSecond);
+        let talk = self.above_floor(Members, Metric::TalkBytesPerSecond);
+        let processor = self.above_floor(Members, Metric::TalkProcessorShare);
+        vec![
+            row.make(
+                "bytes of membership",
+                Unit::BytesPerSecond,
+                membership,
+                self.control_bytes(),
+                "gossip of bounded datagrams",
+            ),
+            row.make(
+                "bytes of membership and of what each holds",
+                Unit::BytesPerSecond,
+                talk,
+                self.control_bytes(),
+                "missing: sums by zone in place of a number for each member",
+            ),
+            row.make(
+                "processor time of the talk",
+                Unit::Share,
+                processor,
+                self.control_core(),
+                "gossip of bounded datagrams",
+            ),
+        ]
+    }
+}
+
+/// Lines that discovery tells of one restart: it drains, it has left, it serves anew.
+const LINES_PER_RESTART: f64 = 3.0;
+
+/// Makes rows of one role.
+struct Maker(Role);
+
+impl Maker {
+    fn make(
+        &self, what: &'static str, unit: Unit, estimate: Option<Estimate>, budget: Option<f64>,
+        carried_by: &'static str,
+    ) -> Option<Row> {
+        let Estimate { value, extrapolated } = estimate?;
+        Some(Row { role: self.0, what, value, unit, budget, extrapolated, carried_by })
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/scale.rs
@@ -0,0 +1,143 @@
+//! The scale rig: its experiments, its fit, its page, and a short walk with stand-ins alone.
+
+use lotusdeck_lab::scale::capacity;
+use lotusdeck_lab::scale::experiment::{AxisKind, ScaleExperiment};
+use lotusdeck_lab::scale::fit::Fit;
+use lotusdeck_lab::scale::record::Metric;
+use lotusdeck_lab::scale::{events_hash, walk, Rig};
+use std::path::{Path, PathBuf};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+const SMALL: &str = r#"
+name = "small"
+about = "A walk of seconds, without processes of the program"
+seed = 5
+repeats = 1
+[[axis]]
+of = "proxies"
+steps = [4, 8, 16, 32]
+[[axis]]
+of = "members"
+steps = [4, 8, 16, 32]
+[base]
+backends = 100
+[churn]
+rest_s = 0.3
+restarts = 3
+restarts_per_s = 6.0
+groups = [5, 20]
+"#;
+
+/// Every experiment that comes with the lab is sound and walks in at least four steps.
+#[test]
+fn every_scale_experiment_is_sound() {
+    let folder = root().join("crates/lab/scale");
+    let mut count = 0;
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        let experiment = ScaleExperiment::load(&path).unwrap_or_else(|error| panic!("{error}"));
+        assert_eq!(path.file_stem().unwrap().to_str().unwrap(), experiment.name);
+        assert!(experiment.axis.iter().all(|axis| axis.steps.len() >= 4), "{}", experiment.name);
+        count += 1;
+    }
+    assert!(count >= 4, "{count} experiments");
+}
+
+/// The same seed gives the same events, another seed others.
+#[test]
+fn the_same_seed_gives_the_same_events() {
+    let of = |seed: u64| {
+        let text = SMALL.replace("seed = 5", &format!("seed = {seed}"));
+        events_hash(&ScaleExperiment::parse("small", &text).unwrap())
+    };
+    assert_eq!(of(5), of(5));
+    assert_ne!(of(5), of(6));
+    assert_eq!(of(5), 0x9a8dc56f0e845f52, "these events are the same on every machine");
+}
+
+/// A law is found again from its own points, and its residual tells how far points stray.
+#[test]
+fn a_known_law_is_found() {
+    let points = |stray: f64| -> Vec<(f64, f64)> {
+        let law = |x: f64| 3.0 * x.powf(1.5);
+        let signs = [1.0, -1.0, -1.0, 1.0];
+        let xs = [10.0, 100.0, 1_000.0, 10_000.0];
+        xs.iter().zip(signs).map(|(x, sign)| (*x, law(*x) * (1.0 + stray).powf(sign))).collect()
+    };
+    let exact = Fit::of(&points(0.0)).unwrap();
+    assert!((exact.power - 1.5).abs() < 1e-9 && (exact.factor - 3.0).abs() < 1e-6, "{exact:?}");
+    assert!(exact.residual < 1e-9 && (exact.at(100.0) - 3_000.0).abs() < 1e-3, "{exact:?}");
+    assert!((exact.extrapolated(20_000.0) - 2.0).abs() < 1e-9, "{exact:?}");
+    // Four points, each ten percent off, and two unknowns: the residual is sqrt(4 / 2) times that in logarithms.
+    let strayed = Fit::of(&points(0.1)).unwrap();
+    assert!((strayed.residual - (1.1f64.powf(2f64.sqrt()) - 1.0)).abs() < 1e-9, "{strayed:?}");
+    assert!(Fit::of(&points(0.0)[..2]).is_none(), "two points say nothing of a residual");
+    assert!(Fit::of(&[(1.0, 0.0), (2.0, -1.0), (3.0, 1.0), (4.0, 2.0)]).is_none(), "no logarithm");
+    assert!(Fit::of(&[(5.0, 1.0), (5.0, 2.0), (5.0, 3.0)]).is_none(), "one x");
+}
+
+/// A fault names the file, the key, the value and the range.
+#[test]
+fn a_bad_experiment_is_told_with_key_value_and_range() {
+    let cases = [
+        ("repeats = 1", "repeats = 0", "bad: repeats: expected from 1 to 50, got 0"),
+        ("[4, 8, 16, 32]", "[4, 8, 16]", "bad: axis[0].steps (their number): expected from 4 to 12, got 3"),
+        ("[4, 8, 16, 32]", "[4, 8, 8, 32]", "bad: axis[0].steps[2]: expected from 9 to 4000, got 8"),
+        ("[4, 8, 16, 32]", "[4, 8, 16, 5000]", "bad: axis[0].steps[3]: expected from 17 to 4000, got 5000"),
+        ("rest_s = 0.3", "rest_s = 0.0", "bad: churn.rest_s: expected from 0.2 to 120, got 0"),
+        ("rest_s = 0.3", "rest_s = nan", "bad: churn.rest_s: expected from 0.2 to 120, got NaN"),
+        ("[5, 20]", "[5, 0]", "bad: churn.groups[1]: expected from 1 to 70000, got 0"),
+        ("backends = 100", "backends = 0", "bad: base.backends: expected from 1 to 70000, got 0"),
+        ("name = \"small\"", "name = \"a/b\"", "bad: name: expected letters, digits and hyphens, got a/b"),
+        ("restarts = 3", "restart = 3", "unknown field `restart`"),
+        ("of = \"proxies\"", "of = \"proxy\"", "unknown variant `proxy`"),
+        ("seed = 5", "", "missing field `seed`"),
+    ];
+    for (from, to, expected) in cases {
+        assert!(SMALL.contains(from), "{from}");
+        let fault = ScaleExperiment::parse("bad", &SMALL.replacen(from, to, 1)).unwrap_err().to_string();
+        assert!(fault.starts_with("bad: ") && fault.contains(expected), "{to}: {fault}");
+    }
+}
+
+/// Hollow proxies get every line and every change, and what they cost grows as the protocol says: with their number.
+#[test]
+fn a_small_walk_counts_what_the_protocol_says() {
+    let experiment = ScaleExperiment::parse("small", SMALL).unwrap();
+    let folder = std::env::temp_dir().join(format!("lotusdeck-scale-{}", std::process::id()));
+    let rig = Rig { experiment: &experiment, program: Path::new("no program is needed"), folder };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let series = runtime.block_on(walk(&rig)).unwrap();
+    let of = |axis: AxisKind, metric: Metric| {
+        let found = series.iter().find(|series| (series.axis, series.metric) == (axis, metric));
+        found.unwrap_or_else(|| panic!("{metric:?} by {axis:?}"))
+    };
+    // Each of three stages of a restart is one call and one line for each follower.
+    for metric in [Metric::RestartCalls, Metric::RestartLines] {
+        for point in &of(AxisKind::Proxies, metric).points {
+            assert_eq!(point.median(), 3.0 * point.x, "{metric:?}");
+        }
+    }
+    for metric in [Metric::RestartBytes, Metric::GroupBytes, Metric::LargestGroupBytes] {
+        let fit = of(AxisKind::Proxies, metric).fit.unwrap();
+        assert!((fit.power - 1.0).abs() < 0.01 && fit.residual < 0.01, "{metric:?}: {fit:?}");
+    }
+    let talk = of(AxisKind::Members, Metric::TalkBytesPerSecond);
+    let membership = of(AxisKind::Members, Metric::MembershipBytesPerSecond);
+    for (talk, membership) in talk.points.iter().zip(&membership.points) {
+        assert!(talk.median() > membership.median() && membership.median() > 0.0, "{talk:?} {membership:?}");
+    }
+}
+
+/// What the page says is what the records say: `lotusdeck-lab capacity` was run after the last measurement.
+#[test]
+fn the_capacity_page_agrees_with_its_records() {
+    let page = std::fs::read_to_string(root().join("docs/CAPACITY.md")).unwrap();
+    let block = capacity::block(&root().join("docs/capacity")).unwrap();
+    let made = capacity::with_block(&page, &block).unwrap();
+    assert!(made == page, "run `cargo run -p lotusdeck-lab -- capacity`");
+    assert!(capacity::with_block("no markers", &block).is_err());
+}
