--- a/crates/lab/src/scale/fit.rs
+++ b/crates/lab/src/scale/fit.rs
@@ -14,8 +14,6 @@
     pub power: f64,
     /// The standard deviation of the points from the law, as a ratio: 0.1 means about ten percent.
     pub residual: f64,
-    /// The greatest `x` that was measured.
-    pub measured_to: f64,
 }
 
 impl Fit {
@@ -38,17 +36,11 @@
         let intercept = mean_y - power * mean_x;
         let squares: f64 = logs.iter().map(|(x, y)| (y - intercept - power * x).powi(2)).sum();
         let residual = (squares / (count - 2.0)).sqrt().exp() - 1.0;
-        let measured_to = points.iter().map(|(x, _)| *x).fold(0.0, f64::max);
-        Some(Fit { factor: intercept.exp(), power, residual, measured_to })
+        Some(Fit { factor: intercept.exp(), power, residual })
     }
 
     /// What the law gives for `x`.
     pub fn at(&self, x: f64) -> f64 {
         self.factor * x.powf(self.power)
     }
-
-    /// How far `x` lies outside what was measured: 1 or less means inside.
-    pub fn extrapolated(&self, x: f64) -> f64 {
-        x / self.measured_to
-    }
 }
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -26,6 +26,7 @@
 use record::{Gathered, Record};
 use std::path::{Path, PathBuf};
 use thiserror::Error;
+use tokio::signal::unix::{signal, SignalKind};
 
 /// Walk axes of size and print slopes.
 #[derive(Clone, Debug, clap::Args)]
@@ -61,6 +62,9 @@
     /// A thread of the rig has ended.
     #[error("a thread of the rig has ended")]
     Thread,
+    /// A signal ended it.
+    #[error("interrupted: nothing is written")]
+    Interrupted,
     /// Followers did not get what they wait for.
     #[error("too late: {0}")]
     Late(String),
@@ -116,11 +120,14 @@
     let program = program(args.proxy.as_deref()).map_err(session)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let rig = Rig { experiment: &experiment, program: &program, folder: args.folder.join(&experiment.name) };
+    // Before the run: what is checked out may change while it goes on.
+    let commit = output_of("git", &["rev-parse", "--short=10", "HEAD"]);
+    let date = output_of("date", &["+%Y-%m-%d"]);
     let series = runtime.block_on(interruptible(&rig))?;
     let record = Record {
         label: args.label.clone(),
-        commit: output_of("git", &["rev-parse", "--short=10", "HEAD"]),
-        date: output_of("date", &["+%Y-%m-%d"]),
+        commit,
+        date,
         command: format!("lotusdeck-lab scale {} --label {}", args.experiment.display(), args.label),
         events: format!("{:016x}", events_hash(&experiment)),
         experiment,
@@ -131,14 +138,14 @@
     Ok(())
 }
 
-/// Ends with an interrupt, and with it all processes and threads that it started.
+/// Ends at SIGINT and SIGTERM, and with it all processes and threads that it started.
 async fn interruptible(rig: &Rig<'_>) -> Result<Vec<record::Series>, ScaleRunError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
         series = walk(rig) => series,
-        interrupted = tokio::signal::ctrl_c() => {
-            interrupted?;
-            Err(ScaleRunError::Io(std::io::ErrorKind::Interrupted.into()))
-        }
+        _ = terminate.recv() => Err(ScaleRunError::Interrupted),
+        _ = interrupt.recv() => Err(ScaleRunError::Interrupted),
     }
 }
 
--- a/crates/lab/src/scale/record.rs
+++ b/crates/lab/src/scale/record.rs
@@ -82,8 +82,6 @@
     TalkBytesPerSecond,
     /// Processor time a second of a member that tells what it holds.
     TalkProcessorShare,
-    /// Memory of a member, bytes.
-    MemberBytes,
 }
 
 impl Metric {
@@ -125,9 +123,19 @@
 }
 
 impl Series {
-    /// What the law gives for `x`, floor included.
-    pub fn at(&self, x: f64) -> Option<f64> {
-        Some(self.floor + self.fit?.at(x))
+    /// What `x` of the axis bring beyond the floor: what was measured where `x` is a step, and else what the law
+    /// gives.
+    pub fn above_floor(&self, x: f64) -> Option<f64> {
+        let measured = self.points.iter().find(|point| point.x == x);
+        match measured {
+            Some(point) => Some(point.median() - self.floor),
+            None => Some(self.fit?.at(x)),
+        }
+    }
+
+    /// How far `x` lies beyond the greatest step: 1 or less means within.
+    pub fn extrapolated(&self, x: f64) -> f64 {
+        x / self.points.iter().map(|point| point.x).fold(0.0, f64::max)
     }
 }
 
--- a/crates/lab/src/scale/rows.rs
+++ b/crates/lab/src/scale/rows.rs
@@ -133,8 +133,8 @@
     /// What the axis adds at the target, without what is there anyway.
     fn above_floor(&self, axis: AxisKind, metric: Metric) -> Option<Estimate> {
         let series = self.records.iter().rev().find_map(|record| record.series(axis, metric))?;
-        let (fit, x) = (series.fit?, self.count(axis));
-        Some(Estimate { value: fit.at(x), extrapolated: fit.extrapolated(x) })
+        let x = self.count(axis);
+        Some(Estimate { value: series.above_floor(x)?, extrapolated: series.extrapolated(x) })
     }
 
     fn floor(&self, axis: AxisKind, metric: Metric) -> Option<Estimate> {
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -3,7 +3,7 @@
 use lotusdeck_lab::scale::capacity;
 use lotusdeck_lab::scale::experiment::{AxisKind, ScaleExperiment};
 use lotusdeck_lab::scale::fit::Fit;
-use lotusdeck_lab::scale::record::Metric;
+use lotusdeck_lab::scale::record::{Gathered, Metric, Record};
 use lotusdeck_lab::scale::{events_hash, walk, Rig};
 use std::path::{Path, PathBuf};
 
@@ -70,7 +70,6 @@
     let exact = Fit::of(&points(0.0)).unwrap();
     assert!((exact.power - 1.5).abs() < 1e-9 && (exact.factor - 3.0).abs() < 1e-6, "{exact:?}");
     assert!(exact.residual < 1e-9 && (exact.at(100.0) - 3_000.0).abs() < 1e-3, "{exact:?}");
-    assert!((exact.extrapolated(20_000.0) - 2.0).abs() < 1e-9, "{exact:?}");
     // Four points, each ten percent off, and two unknowns: the residual is sqrt(4 / 2) times that in logarithms.
     let strayed = Fit::of(&points(0.1)).unwrap();
     assert!((strayed.residual - (1.1f64.powf(2f64.sqrt()) - 1.0)).abs() < 1e-9, "{strayed:?}");
@@ -132,6 +131,69 @@
     }
 }
 
+/// Tables of a folder with one record: reloads whose processor time grows with the square of the tenants.
+fn tables(label: &str, factor: f64) -> String {
+    let mut gathered = Gathered::default();
+    for (axis, steps) in [(AxisKind::Tenants, [100, 1_000, 10_000]), (AxisKind::Routes, [10, 100, 1_000])] {
+        for step in steps {
+            let seconds = factor * (step as f64).powi(2);
+            // An outlier in one of three repetitions is no matter.
+            for value in [seconds, seconds, 50.0 * seconds] {
+                gathered.add(axis, Metric::ReloadProcessorSeconds, step, value);
+            }
+        }
+    }
+    let record = Record {
+        label: label.into(),
+        commit: "0123456789".into(),
+        date: "2026-12-02".into(),
+        command: "lotusdeck-lab scale small.toml".into(),
+        experiment: ScaleExperiment::parse("small", SMALL).unwrap(),
+        events: "00".into(),
+        series: gathered.finish(),
+    };
+    let folder = std::env::temp_dir().join(format!("lotusdeck-capacity-{label}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    std::fs::copy(root().join("docs/capacity/target.toml"), folder.join("target.toml")).unwrap();
+    std::fs::write(folder.join("small.json"), serde_json::to_string(&record).unwrap()).unwrap();
+    let tables = capacity::block(&folder).unwrap();
+    std::fs::remove_dir_all(&folder).unwrap();
+    tables
+}
+
+/// A cost over its budget is bold with its ratio and ranked; one within is neither.
+#[test]
+fn costs_over_budget_are_bold_and_ranked() {
+    // 34,000 and 16,000 squared at 1e-9 s, 1,600 times a day: 2.61 % of a core, of 1.1 %.
+    let over = tables("over", 1e-9);
+    assert!(
+        over.contains("| proxy | processor time of reloads | **2.61 %** | 1.10 % | **2.38 x** | 16.0 x |"),
+        "{over}"
+    );
+    assert!(over.contains("1. **2.38 x** proxy: processor time of reloads (2.61 %)"), "{over}");
+    assert!(over.contains("| 1.00e-9 | 2.00 | 0 % |"), "{over}");
+    let within = tables("within", 1e-11);
+    assert!(
+        within.contains("| proxy | processor time of reloads | 0.03 % | 1.10 % | 0.02 x | 16.0 x |"),
+        "{within}"
+    );
+    assert!(within.contains("None."), "{within}");
+}
+
+/// What was measured at the target itself goes before the law.
+#[test]
+fn a_measured_step_goes_before_the_law() {
+    let mut gathered = Gathered::default();
+    [(10, 15.0), (20, 25.0), (40, 45.0), (80, 95.0)]
+        .into_iter()
+        .for_each(|(step, value)| gathered.add(AxisKind::Backends, Metric::MemoryBytes, step, value));
+    gathered.floor(AxisKind::Backends, Metric::MemoryBytes, 5.0);
+    let series = &gathered.finish()[0];
+    assert_eq!(series.above_floor(80.0), Some(90.0));
+    let law = series.above_floor(160.0).unwrap();
+    assert!((170.0..190.0).contains(&law) && series.extrapolated(160.0) == 2.0, "{law}");
+}
+
 /// What the page says is what the records say: `lotusdeck-lab capacity` was run after the last measurement.
 #[test]
 fn the_capacity_page_agrees_with_its_records() {
