Split the lab's experiments: format, defaults, checking, errors

format.rs holds the tables and keys, defaults.rs what holds where a key is left out, check.rs which values make sense (a short function for each table, a fault as a type in place of a tuple), error.rs why one is not played, mod.rs reading and the figures that follow from the whole. Bounds are named constants. No behaviour changes.

--- /dev/null
+++ b/crates/lab/src/experiment/check.rs
@@ -0,0 +1,128 @@
+//! Which values of an experiment make sense.
+
+use super::format::{Class, Experiment, Kind, Trouble, What};
+
+/// Bytes of an answer or a body, at most: a run holds thousands of them at a time.
+const MOST_BYTES: usize = 65_536;
+/// How often proxies may tell each other what they hold, and how late, ms: most runs are over after a minute.
+const MOST_TALK_MS: f64 = 60_000.0;
+/// The power by which a proxy's part falls with its number, at most: at 8 the second has under a hundredth of the
+/// first's.
+const MOST_SKEW: f64 = 8.0;
+
+/// A value that makes no sense.
+pub struct FieldFault {
+    /// Its key, with tables and positions.
+    pub key: String,
+    /// What was expected of it.
+    pub expected: &'static str,
+}
+
+/// The first value that makes no sense, in the order of the keys below.
+pub fn first_fault(experiment: &Experiment) -> Option<FieldFault> {
+    let classes =
+        || experiment.class.iter().enumerate().find_map(|(n, class)| in_class(experiment, n, class));
+    let kinds = || experiment.kind.iter().enumerate().find_map(|(n, kind)| in_kind(n, kind));
+    let troubles =
+        || experiment.trouble.iter().enumerate().find_map(|(n, trouble)| in_trouble(experiment, n, trouble));
+    in_whole(experiment).or_else(|| in_load(experiment)).or_else(classes).or_else(kinds).or_else(troubles)
+}
+
+/// The keys that stand for the whole run.
+fn in_whole(experiment: &Experiment) -> Option<FieldFault> {
+    let (clients, talk) = (&experiment.clients, &experiment.talk);
+    let talks = |ms: f64| (0.0..=MOST_TALK_MS).contains(&ms);
+    first([
+        above_zero("duration_s", experiment.duration_s),
+        one_or_more("proxies", experiment.proxies),
+        one_or_more("class", experiment.class.len()),
+        one_or_more("kind", experiment.kind.len()),
+        one_or_more("zones", experiment.zones.len()),
+        experiment.told_proxies.and_then(|count| one_or_more("told_proxies", count)),
+        one_or_more("clients.tries", clients.tries as usize),
+        fault_if(!(0.0..=MOST_SKEW).contains(&clients.skew), "clients.skew", "from 0 to 8"),
+        fault_if(!talks(talk.every_ms) || !talks(talk.lag_ms), "talk", "every_ms and lag_ms from 0 to 60000"),
+        part("rules.cold_from", experiment.rules.cold_from),
+        part("clients.impatient", clients.impatient),
+    ])
+}
+
+/// `[load]`.
+fn in_load(experiment: &Experiment) -> Option<FieldFault> {
+    match (experiment.load.part, experiment.load.rps) {
+        (Some(load), None) | (None, Some(load)) => above_zero("load", load),
+        _ => fault_if(true, "load", "either part or rps"),
+    }
+}
+
+/// `[[class]]`, by its position.
+fn in_class(experiment: &Experiment, position: usize, class: &Class) -> Option<FieldFault> {
+    let key = |name: &str| format!("class[{position}].{name}");
+    let twice = experiment.class[..position].iter().any(|before| before.name == class.name);
+    let in_alphabet = class.name.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-');
+    let longest = class.answer_bytes.max(class.body_bytes);
+    first([
+        above_zero(key("work_ms"), class.work_ms),
+        above_zero(key("share"), class.share),
+        above_zero(key("aim_ms"), class.aim_ms),
+        fault_if(class.deadline_ms < class.aim_ms, key("deadline_ms"), "no less than aim_ms"),
+        fault_if(twice, key("name"), "a name of its own"),
+        fault_if(class.name.is_empty() || !in_alphabet, key("name"), "letters, digits and hyphens"),
+        fault_if(longest > MOST_BYTES, key("answer_bytes"), "65536 at most"),
+    ])
+}
+
+/// `[[kind]]`, by its position.
+fn in_kind(position: usize, kind: &Kind) -> Option<FieldFault> {
+    let key = |name: &str| format!("kind[{position}].{name}");
+    first([
+        above_zero(key("cores"), kind.cores),
+        above_zero(key("speed"), kind.speed),
+        one_or_more(key("count"), kind.count),
+        one_or_more(key("slots"), kind.slots),
+        part(key("drag"), kind.drag),
+    ])
+}
+
+/// `[[trouble]]`, by its position.
+fn in_trouble(experiment: &Experiment, position: usize, trouble: &Trouble) -> Option<FieldFault> {
+    let key = |name: &str| format!("trouble[{position}].{name}");
+    let is_kind = |name: &String| experiment.kind.iter().any(|kind| kind.name == *name);
+    let is_zone = |name: &String| experiment.zones.contains(name);
+    let is_proxy = |number: usize| number < experiment.proxies;
+    let needs_proxy = matches!(trouble.what, What::KillProxy | What::RestartProxy | What::Reload);
+    let needs_factor = matches!(trouble.what, What::Slow | What::SharedSlow | What::DiscoveryLag);
+    first([
+        fault_if(!trouble.kind.as_ref().is_none_or(is_kind), key("kind"), "the name of a kind"),
+        fault_if(!trouble.zone.as_ref().is_none_or(is_zone), key("zone"), "one of zones"),
+        fault_if(
+            needs_proxy && !trouble.proxy.is_some_and(is_proxy),
+            key("proxy"),
+            "the number of a proxy, from 0",
+        ),
+        fault_if(needs_factor && trouble.factor.is_none(), key("factor"), "a number"),
+        trouble.part.and_then(|fraction| part(key("part"), fraction)),
+        fault_if(trouble.at_s < 0.0, key("at_s"), "0 or more"),
+    ])
+}
+
+/// The first of these faults.
+fn first(faults: impl IntoIterator<Item = Option<FieldFault>>) -> Option<FieldFault> {
+    faults.into_iter().flatten().next()
+}
+
+fn fault_if(wrong: bool, key: impl Into<String>, expected: &'static str) -> Option<FieldFault> {
+    wrong.then(|| FieldFault { key: key.into(), expected })
+}
+
+fn above_zero(key: impl Into<String>, number: f64) -> Option<FieldFault> {
+    fault_if(!(number.is_finite() && number > 0.0), key, "a number above 0")
+}
+
+fn part(key: impl Into<String>, number: f64) -> Option<FieldFault> {
+    fault_if(!(0.0..=1.0).contains(&number), key, "a number from 0 to 1")
+}
+
+fn one_or_more(key: impl Into<String>, number: usize) -> Option<FieldFault> {
+    fault_if(number == 0, key, "1 or more")
+}
