--- a/crates/lotusdeck/tests/closing.rs
+++ b/crates/lotusdeck/tests/closing.rs
@@ -107,47 +107,50 @@
     served
 }
 
-/// The time of a silent connection runs out, kept or new, and a request comes before the loop has closed it: it is
-/// answered.
-#[tokio::test(start_paused = true)]
-async fn a_request_that_meets_the_end_of_its_connections_patience_is_answered() {
+/// Lets a scenario happen to a server before a backend and the clients that it has answered, while time stands still.
+async fn with_kept_clients(scenario: impl AsyncFnOnce(Running, Vec<Client>)) {
     let backend = BackendServer::start(|_| ok("x"));
     LocalSet::new()
         .run_until(async {
             let _still = Still::stand();
             let running = Running::start(backend.address);
-            let mut clients = running.kept().await;
-            clients.extend((0..MANY).map(|_| Client::connect(running.address)));
-            running.until(|server| server.clients() == 2 * MANY).await;
-            tokio::time::advance(PATIENCE_OF_THE_PROXY + TURN).await;
-            // The timers have gone off, and none of the connections has had its turn.
-            clients.iter_mut().for_each(|client| client.send(&pay(9.0)));
-            all_served(clients).await;
+            let clients = running.kept().await;
+            scenario(running, clients).await;
         })
         .await;
 }
 
+/// The time of a silent connection runs out, kept or new, and a request comes before the loop has closed it: it is
+/// answered.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_meets_the_end_of_its_connections_patience_is_answered() {
+    with_kept_clients(async |running, mut clients| {
+        clients.extend((0..MANY).map(|_| Client::connect(running.address)));
+        running.until(|server| server.clients() == 2 * MANY).await;
+        tokio::time::advance(PATIENCE_OF_THE_PROXY + TURN).await;
+        // The timers have gone off, and none of the connections has had its turn.
+        clients.iter_mut().for_each(|client| client.send(&pay(9.0)));
+        all_served(clients).await;
+    })
+    .await;
+}
+
 /// After SIGTERM and its linger all that is idle is closed. A request that comes before the loop has come round to that
 /// is answered, and its connection ended then.
 #[tokio::test(start_paused = true)]
 async fn requests_that_meet_the_end_of_the_linger_are_answered() {
-    let backend = BackendServer::start(|_| ok("x"));
-    LocalSet::new()
-        .run_until(async {
-            let _still = Still::stand();
-            let running = Running::start(backend.address);
-            let mut clients = running.kept().await;
-            let Running { server, stop, ended, .. } = running;
-            stop.send(()).unwrap();
-            while server.accepting() {
-                yield_now().await;
-            }
-            tokio::time::advance(LINGER + TURN).await;
-            clients.iter_mut().for_each(|client| client.send(&pay(9.0)));
-            for mut client in all_served(clients).await {
-                assert!(spawn_blocking(move || client.ended()).await.unwrap());
-            }
-            ended.await.unwrap();
-        })
-        .await;
+    with_kept_clients(async |running, mut clients| {
+        let Running { server, stop, ended, .. } = running;
+        stop.send(()).unwrap();
+        while server.accepting() {
+            yield_now().await;
+        }
+        tokio::time::advance(LINGER + TURN).await;
+        clients.iter_mut().for_each(|client| client.send(&pay(9.0)));
+        for mut client in all_served(clients).await {
+            assert!(spawn_blocking(move || client.ended()).await.unwrap());
+        }
+        ended.await.unwrap();
+    })
+    .await;
 }
