--- a/crates/lotusdeck/tests/lab.rs
+++ b/crates/lotusdeck/tests/lab.rs
@@ -1,14 +1,16 @@
 //! The program in the laboratory: a short run with troubles, judged by the stand-ins alone.
 
 use lotusdeck_lab::campaign;
-use lotusdeck_lab::drive::run::play;
+use lotusdeck_lab::drive::run::{play, Outcome};
 use lotusdeck_lab::experiment::Experiment;
 use lotusdeck_lab::fleet::{self, Script, Way};
 use lotusdeck_lab::ledger;
+use lotusdeck_lab::oracle::Broken;
 use lotusdeck_lab::report::figures::Figures;
 use lotusdeck_lab::virt;
 use lotusdeck_lab::virt::policy::Which;
 use lotusdeck_lab::world::plan::Plan;
+use std::ops::Range;
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -40,31 +42,49 @@
     PLAYS.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Plays an experiment on sockets, with one seed after the other, until `judge` comes to a verdict: a machine too busy
+/// for the lab's own schedule gives none, and says why. The verdict, with the seed that was played.
+fn first_verdict<T>(
+    experiment: &Experiment, seeds: Range<u64>, name: &str,
+    judge: impl Fn(&Arc<Plan>, &Outcome) -> Result<T, String>,
+) -> (u64, T) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let program = Path::new(env!("CARGO_BIN_EXE_lotusdeck"));
+    for seed in seeds.clone() {
+        let plan = Arc::new(Plan::draw(experiment, seed));
+        let folder = std::env::temp_dir().join(format!("lotusdeck-{name}-{}-{seed}", std::process::id()));
+        let outcome = runtime.block_on(play(plan.clone(), program, &folder, &|_| {})).unwrap();
+        match judge(&plan, &outcome) {
+            Ok(verdict) => return (seed, verdict),
+            Err(why) => println!("{name} seed {seed}: {why}"),
+        }
+    }
+    panic!("{name}: the lab was late with each of the seeds {seeds:?}: no verdict");
+}
+
+/// The figures of a play that counts, with the rules that it broke; or why it counts for nothing.
+fn counted(plan: &Plan, outcome: &Outcome) -> Result<(Figures, Vec<Broken>), String> {
+    let (figures, broken) = Figures::of(plan, outcome);
+    match figures.void {
+        Some(why) => Err(why),
+        None => Ok((figures, broken)),
+    }
+}
+
 /// All rules hold through deaths, drains, cordons, a killed proxy and a reload. A machine too busy for the lab's
 /// own schedule gives no verdict, so the run is then played again.
 #[test]
 fn all_oracles_hold_through_a_short_run_of_troubles() {
     let _alone = alone();
     let experiment = Experiment::parse("short", SHORT).unwrap();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    for seed in experiment.seed..experiment.seed + 3 {
-        let plan = Arc::new(Plan::draw(&experiment, seed));
-        let folder = std::env::temp_dir().join(format!("lotusdeck-lab-{}-{seed}", std::process::id()));
-        let program = Path::new(env!("CARGO_BIN_EXE_lotusdeck"));
-        let outcome = runtime.block_on(play(plan.clone(), program, &folder, &|_| {})).unwrap();
-        let (figures, broken) = Figures::of(&plan, &outcome);
-        if let Some(why) = figures.void {
-            println!("seed {seed}: {why}");
-            continue;
-        }
-        assert_eq!(broken, [], "seed {seed}");
-        let served = figures.whole.in_time + figures.whole.late;
-        assert!(served * 2 > figures.whole.arrivals, "seed {seed}: {:?}", figures.whole);
-        let reached = figures.classes.iter().all(|c| c.earned > 0.0);
-        assert!(reached, "seed {seed}: every class is served");
-        return;
-    }
-    panic!("the lab was late three times: no verdict");
+    let seeds = experiment.seed..experiment.seed + 3;
+    let (seed, (figures, broken)) =
+        first_verdict(&experiment, seeds, "lab", |plan, outcome| counted(plan, outcome));
+    assert_eq!(broken, [], "seed {seed}");
+    let served = figures.whole.in_time + figures.whole.late;
+    assert!(served * 2 > figures.whole.arrivals, "seed {seed}: {:?}", figures.whole);
+    let reached = figures.classes.iter().all(|c| c.earned > 0.0);
+    assert!(reached, "seed {seed}: every class is served");
 }
 
 /// Scripts that once broke a rule, and some that a campaign draws, hold. Each is judged anew by up to three plays
@@ -118,29 +138,18 @@
     let _alone = alone();
     let text = SHORT.split("trouble = [").next().unwrap();
     let experiment = Experiment::parse("short", text).unwrap();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    for seed in 31..34 {
-        let plan = Arc::new(Plan::draw(&experiment, seed));
-        let folder = std::env::temp_dir().join(format!("lotusdeck-near-{}-{seed}", std::process::id()));
-        let program = Path::new(env!("CARGO_BIN_EXE_lotusdeck"));
-        let real = runtime.block_on(play(plan.clone(), program, &folder, &|_| {})).unwrap();
-        let real = Figures::of(&plan, &real).0;
-        if let Some(why) = real.void {
-            println!("seed {seed}: {why}");
-            continue;
-        }
-        let played = Figures::of(&plan, &virt::play(&plan, Which::Halb).unwrap()).0;
-        let apart = (real.whole.part() - played.whole.part()).abs();
-        assert!(
-            apart <= 0.05,
-            "seed {seed}: {} on sockets, {} in virtual time",
-            real.whole.part(),
-            played.whole.part()
-        );
-        assert!((real.attempts - played.attempts).abs() <= 0.05, "{} and {}", real.attempts, played.attempts);
-        return;
-    }
-    panic!("the lab was late three times: no verdict");
+    let (seed, (real, played)) = first_verdict(&experiment, 31..34, "near", |plan, outcome| {
+        let (real, _) = counted(plan, outcome)?;
+        Ok((real, Figures::of(plan, &virt::play(plan, Which::Halb).unwrap()).0))
+    });
+    let apart = (real.whole.part() - played.whole.part()).abs();
+    assert!(
+        apart <= 0.05,
+        "seed {seed}: {} on sockets, {} in virtual time",
+        real.whole.part(),
+        played.whole.part()
+    );
+    assert!((real.attempts - played.attempts).abs() <= 0.05, "{} and {}", real.attempts, played.attempts);
 }
 
 /// Twenty kills at random moments under load: what the ledger tells is never wrong.
@@ -179,25 +188,15 @@
 #[test]
 fn a_fleet_that_loses_power_serves_at_once_from_kept_lists() {
     let _alone = alone();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let program = Path::new(env!("CARGO_BIN_EXE_lotusdeck"));
     let restart_s = fleet::last_restart(Script::PowerLoss, 4);
     let worth = |way: Way| {
         let experiment = fleet::experiment(Script::PowerLoss, way, 4, 5.0).unwrap();
-        for seed in 7..10 {
-            let plan = Arc::new(Plan::draw(&experiment, seed));
-            let folder =
-                std::env::temp_dir().join(format!("lotusdeck-power-{}-{way:?}-{seed}", std::process::id()));
-            let outcome = runtime.block_on(play(plan.clone(), program, &folder, &|_| {})).unwrap();
-            let Some(back) = fleet::judge(&plan, &outcome, restart_s) else {
-                println!("{way:?} seed {seed}: the lab was late");
-                continue;
-            };
-            println!("{way:?} seed {seed}: {back:?}");
-            assert_eq!((back.broken, back.cold_over), (0, 0), "{way:?} seed {seed}");
-            return back.worth[1];
-        }
-        panic!("the lab was late three times: no verdict");
+        let (seed, back) = first_verdict(&experiment, 7..10, &format!("power-{way:?}"), |plan, outcome| {
+            fleet::judge(plan, outcome, restart_s).ok_or_else(|| "the lab was late".to_string())
+        });
+        println!("{way:?} seed {seed}: {back:?}");
+        assert_eq!((back.broken, back.cold_over), (0, 0), "{way:?} seed {seed}");
+        back.worth[1]
     };
     let (kept, blank) = (worth(Way::Kept), worth(Way::Blank));
     assert!(kept > 0.3 && blank < 0.15, "seconds 1 to 5 after the restart: kept {kept:.3}, blank {blank:.3}");
