Measure the ways of a cost interleaved in one function

overhead and pg-overhead each held a `Way` and the same loop over rounds and ways. `interleave` is that loop; `Way` says what is sent by its type parameter.

Both commands ran to their end and printed every way with no failure (one round of 0.3 s, debug build, busy machine: the figures say nothing).

--- a/crates/lab/src/overhead.rs
+++ b/crates/lab/src/overhead.rs
@@ -67,15 +67,33 @@
     pub failed: u64,
 }
 
-struct Way {
-    name: &'static str,
-    to: Vec<SocketAddr>,
+/// A way that a load takes, and what was measured of it. `Traffic` tells what is sent.
+pub(crate) struct Way<Traffic> {
+    pub name: &'static str,
+    pub to: Vec<SocketAddr>,
     /// The process whose processor time counts.
-    pid: Option<u32>,
-    /// Requests must never run twice.
-    post: bool,
-    full: Vec<Point>,
-    alone: Vec<Point>,
+    pub pid: Option<u32>,
+    pub traffic: Traffic,
+    /// At saturation, one for each round.
+    pub full: Vec<Point>,
+    /// With one connection, one for each round.
+    pub alone: Vec<Point>,
+}
+
+impl<Traffic> Way<Traffic> {
+    /// One that nothing was measured of.
+    pub fn new(name: &'static str, to: Vec<SocketAddr>, pid: Option<u32>, traffic: Traffic) -> Way<Traffic> {
+        Way { name, to, pid, traffic, full: Vec::new(), alone: Vec::new() }
+    }
+}
+
+/// How much is measured of each way.
+pub(crate) struct Rounds {
+    pub count: usize,
+    /// Of the measurement at saturation; the one alone takes half of it.
+    pub span: Duration,
+    /// Connections at saturation.
+    pub connections: usize,
 }
 
 /// Backends that answer at once, each on a port of its own.
@@ -105,7 +123,7 @@
     Ok(out)
 }
 
-/// A closed loop on so many connections for that time.
+/// A closed loop on so many connections for that time; `post` sends requests that must never run twice.
 async fn load(to: Vec<SocketAddr>, connections: usize, span: Duration, post: bool) -> Rc<Seen> {
     let (seen, number, mut tasks) = (Seen::start(span), Rc::new(Cell::new(0u64)), Vec::new());
     for n in 0..connections {
@@ -231,6 +249,34 @@
     })
 }
 
+/// Measures every way in every round, in turn, each on one processor: at saturation, and with one connection.
+pub(crate) async fn interleave<Traffic, Load, F>(
+    ways: &mut [Way<Traffic>], rounds: &Rounds, load: Load,
+) -> Result<(), RunError>
+where
+    Traffic: Copy + Send + 'static,
+    Load: Fn(Vec<SocketAddr>, usize, Duration, Traffic) -> F + Copy + Send + 'static,
+    F: Future<Output = Rc<Seen>>,
+{
+    ways.iter().filter_map(|way| way.pid).for_each(|pid| pin(Some(pid), 0..1));
+    let bar = ProgressBar::new((rounds.count * ways.len() * 2) as u64);
+    for _ in 0..rounds.count {
+        for way in ways.iter_mut() {
+            let play = |connections, span| {
+                let (to, traffic) = (way.to.clone(), way.traffic);
+                measure(way.pid, move || load(to, connections, span, traffic))
+            };
+            let full = play(rounds.connections, rounds.span).await?;
+            let alone = play(1, rounds.span / 2).await?;
+            way.full.push(full);
+            way.alone.push(alone);
+            bar.inc(2);
+        }
+    }
+    bar.finish_and_clear();
+    Ok(())
+}
+
 /// The middle one of a figure.
 pub(crate) fn median(points: &[Point], of: impl Fn(&Point) -> f64) -> f64 {
     let mut values: Vec<f64> = points.iter().map(of).collect();
@@ -238,7 +284,7 @@
     values.get(values.len() / 2).copied().unwrap_or(0.0)
 }
 
-fn report(ways: &[Way], args: &Args) -> String {
+fn report(ways: &[Way<bool>], args: &Args) -> String {
     let mut out = format!(
         "medians of {} rounds of {} s; {} backends, {}-byte answers, {} connections at saturation, proxy on one core\n",
         args.rounds, args.seconds, args.backends, args.bytes, args.connections
@@ -331,7 +377,10 @@
     if args.ledger {
         played = vec![("off", own, None), ("process", own, Some("process")), ("power", own, Some("power"))];
     } else {
-        ways.extend([way("direct", to, None, false), way("relay", vec![relay_at], relay.id(), false)]);
+        ways.extend([
+            Way::new("direct", to, None, false),
+            Way::new("relay", vec![relay_at], relay.id(), false),
+        ]);
         played.extend(beside);
     }
     let mut proxies = Vec::new();
@@ -343,30 +392,16 @@
         let prepared = Proxy::prepare(0, &plan, program, &folder, discovery[0], &known);
         let mut proxy = prepared.map_err(RunError::Proxy)?;
         proxy.start().await.map_err(RunError::Proxy)?;
-        ways.push(way(name, vec![proxy.address], proxy.pid(), args.ledger));
+        ways.push(Way::new(name, vec![proxy.address], proxy.pid(), args.ledger));
         if args.ledger {
             let reads = ["off, reads", "process, reads", "power, reads"][proxies.len()];
-            ways.push(way(reads, vec![proxy.address], proxy.pid(), false));
+            ways.push(Way::new(reads, vec![proxy.address], proxy.pid(), false));
         }
         proxies.push(proxy);
     }
-    ways.iter().filter_map(|w| w.pid).for_each(|pid| pin(Some(pid), 0..1));
-    let bar = ProgressBar::new((args.rounds * ways.len() * 2) as u64);
-    for _ in 0..args.rounds {
-        for w in &mut ways {
-            let span = Duration::from_secs_f64(args.seconds);
-            let (post, connections) = (w.post, args.connections);
-            let play = |connections, span| {
-                let to = w.to.clone();
-                measure(w.pid, move || load(to, connections, span, post))
-            };
-            let (full, alone) = (play(connections, span).await?, play(1, span / 2).await?);
-            bar.inc(2);
-            w.full.push(full);
-            w.alone.push(alone);
-        }
-    }
-    bar.finish_and_clear();
+    let span = Duration::from_secs_f64(args.seconds);
+    let rounds = Rounds { count: args.rounds, span, connections: args.connections };
+    interleave(&mut ways, &rounds, load).await?;
     for mut proxy in proxies {
         proxy.kill().await;
     }
@@ -376,10 +411,6 @@
     Ok(report(&ways, args))
 }
 
-fn way(name: &'static str, to: Vec<SocketAddr>, pid: Option<u32>, post: bool) -> Way {
-    Way { name, to, pid, post, full: Vec::new(), alone: Vec::new() }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/lab/src/postgres/cost.rs
+++ b/crates/lab/src/postgres/cost.rs
@@ -4,9 +4,8 @@
 use super::server::{Chance, Committed, Server};
 use super::{front, Front, PASSWORD};
 use crate::drive::run::{thread, RunError};
-use crate::overhead::{measure, median, pin, start_relay, Point, Seen};
+use crate::overhead::{interleave, median, start_relay, Rounds, Seen, Way};
 use crate::session::{program, say, SessionError};
-use indicatif::ProgressBar;
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -41,16 +40,6 @@
     out: PathBuf,
 }
 
-struct Way {
-    name: &'static str,
-    to: Vec<SocketAddr>,
-    pid: Option<u32>,
-    /// A prepared statement again and again, or a simple one.
-    prepared: bool,
-    full: Vec<Point>,
-    alone: Vec<Point>,
-}
-
 async fn driver(to: SocketAddr) -> Result<Client, tokio_postgres::Error> {
     let mut config = tokio_postgres::Config::new();
     config.host("127.0.0.1").port(to.port()).user("ann").password(PASSWORD).dbname("scores");
@@ -59,7 +48,7 @@
     Ok(client)
 }
 
-/// A closed loop on so many drivers for that time.
+/// A closed loop on so many drivers for that time; `prepared` repeats a prepared statement, else it is a simple one.
 async fn load(to: Vec<SocketAddr>, drivers: usize, span: Duration, prepared: bool) -> Rc<Seen> {
     let (seen, mut tasks) = (Seen::start(span), Vec::new());
     for n in 0..drivers {
@@ -116,26 +105,12 @@
     ] {
         let places = [(to.clone(), None), (vec![relay_at], relay.id()), (vec![at], proxy.pid())];
         for (name, (to, pid)) in names.into_iter().zip(places) {
-            ways.push(Way { name, to, pid, prepared, full: Vec::new(), alone: Vec::new() });
-        }
-    }
-    ways.iter().filter_map(|w| w.pid).for_each(|pid| pin(Some(pid), 0..1));
-    let bar = ProgressBar::new((args.rounds * ways.len() * 2) as u64);
-    for _ in 0..args.rounds {
-        for w in &mut ways {
-            let span = Duration::from_secs_f64(args.seconds);
-            let (prepared, drivers) = (w.prepared, args.connections);
-            let play = |drivers, span| {
-                let to = w.to.clone();
-                measure(w.pid, move || load(to, drivers, span, prepared))
-            };
-            let (full, alone) = (play(drivers, span).await?, play(1, span / 2).await?);
-            w.full.push(full);
-            w.alone.push(alone);
-            bar.inc(2);
+            ways.push(Way::new(name, to, pid, prepared));
         }
     }
-    bar.finish_and_clear();
+    let span = Duration::from_secs_f64(args.seconds);
+    let rounds = Rounds { count: args.rounds, span, connections: args.connections };
+    interleave(&mut ways, &rounds, load).await?;
     let memory = || proxy.usage().map_or(0, |u| u.memory);
     let (before, mut idle) = (memory(), Vec::new());
     for _ in 0..args.idle {
