--- a/crates/lotusdeck/src/serve.rs
+++ b/crates/lotusdeck/src/serve.rs
@@ -17,7 +17,7 @@
 use lotusdeck_proxy::peer::{self, Peer};
 use lotusdeck_proxy::pool::Pool;
 use lotusdeck_proxy::server::{self, Server};
-use lotusdeck_proxy::{discovery, handover};
+use lotusdeck_proxy::{age, discovery, handover};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -111,7 +111,7 @@
 /// Serves until it is told to stop.
 pub fn main(args: Args) -> ExitCode {
     logging::start(args.log_format, args.log);
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = age::note_looks(&mut tokio::runtime::Builder::new_current_thread()).enable_all().build();
     let local = tokio::task::LocalSet::new();
     match runtime.map_err(ServeError::Loop).and_then(|r| local.block_on(&r, run(args))) {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/lotusdeck/tests/time_left.rs
@@ -0,0 +1,165 @@
+//! What backends are told of the time that a client has left. Server and test share one thread: while the test holds
+//! it, what a client has written waits in the kernel, and the time of its request goes on.
+
+mod rig;
+
+use lotusdeck_core::cordon::Cordon;
+use lotusdeck_core::{Beside, Clock, Host, Lines};
+use lotusdeck_policy::settings::Settings;
+use lotusdeck_policy::{Balancer, ListUpdate};
+use lotusdeck_proxy::age;
+use lotusdeck_proxy::body::Budget;
+use lotusdeck_proxy::list::List;
+use lotusdeck_proxy::pauses::Shared;
+use lotusdeck_proxy::pool::Pool;
+use lotusdeck_proxy::server::{self, Server};
+use rig::*;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{spawn_blocking, spawn_local, LocalSet};
+
+/// The event loop is held for so long, or a connection rests.
+const HELD: Duration = Duration::from_millis(400);
+const REST: Duration = Duration::from_secs(1);
+/// A busy machine may hold the loop for so long beyond that.
+const SLACK: Duration = Duration::from_millis(700);
+/// What a client gives its request, in seconds.
+const TIME: f64 = 2.5;
+
+/// Runs it on a thread of its own kind: one that notes its looks, as the program's does.
+fn on_the_loop(what: impl Future<Output = ()>) {
+    let runtime = age::note_looks(&mut tokio::runtime::Builder::new_current_thread()).enable_all().build();
+    LocalSet::new().block_on(&runtime.unwrap(), what);
+}
+
+/// A server before these backends.
+async fn start(backends: &[&BackendServer]) -> SocketAddr {
+    let settings = Settings::read(&serde_json::from_str(SETTINGS).unwrap()).expect("sound settings");
+    let pool = Rc::new(Pool::new(&settings.network, Budget::new(1 << 20), Shared::default()));
+    let balancer = Balancer::new(settings.config.clone(), 1).expect("a sound configuration");
+    let none = std::env::temp_dir().join("lotusdeck-no-such-proxy");
+    let lines: Vec<Rc<dyn Lines>> = vec![pool.clone()];
+    let host = Host::new(balancer, settings, Clock::new(), lines, Cordon::load(&none), Beside::default());
+    let named = |(n, b): (usize, &&BackendServer)| entry(&format!("b{n}"), b.address, "SERVING");
+    let entries: Vec<String> = backends.iter().enumerate().map(named).collect();
+    let listed: List = serde_json::from_str(&list(1, true, &entries)).unwrap();
+    host.members(ListUpdate::Full, listed.news());
+    let server = Server::new(host, pool, Budget::new(1 << 20));
+    server.bound(500, 24);
+    let listener = server::listen(([127, 0, 0, 1], 0).into()).unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(server.clone().run(listener, false, std::future::pending()));
+    while !server.accepting() {
+        tokio::task::yield_now().await;
+    }
+    address
+}
+
+/// A connection on which the server waits for the next request.
+async fn kept(address: SocketAddr) -> Client {
+    let ask = move || {
+        let mut client = Client::connect(address);
+        assert_eq!(client.ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n").status(), 200);
+        client
+    };
+    spawn_blocking(ask).await.unwrap()
+}
+
+/// The client writes while the loop stands still, for all of that time.
+fn hold(client: &mut Client, text: &str) {
+    client.send(text);
+    std::thread::sleep(HELD);
+}
+
+async fn status(mut client: Client) -> u16 {
+    spawn_blocking(move || client.answer().expect("a whole answer").status()).await.unwrap()
+}
+
+/// What the next request told a backend, in seconds.
+fn told(backend: &BackendServer) -> f64 {
+    backend.request().header("x-time-left").expect("a time").parse().expect("seconds")
+}
+
+/// No more than is left where so much of it is over, and nearly all of that.
+fn fits(told: f64, over: Duration) {
+    let most = TIME - over.as_secs_f64();
+    let least = most - SLACK.as_secs_f64();
+    assert!(least < told && told <= most, "told {told}, where at most {most} and at least {least} is left");
+}
+
+#[test]
+fn a_backend_is_told_no_more_than_is_left_of_a_request_that_waited_in_its_socket() {
+    let backend = BackendServer::start(|_| ok("x"));
+    on_the_loop(async {
+        let mut client = kept(start(&[&backend]).await).await;
+        hold(&mut client, &read(TIME));
+        assert_eq!(status(client).await, 200);
+        fits(told(&backend), HELD);
+    });
+}
+
+#[test]
+fn a_backend_is_told_no_more_than_is_left_of_a_request_that_waited_in_the_listeners_queue() {
+    let backend = BackendServer::start(|_| ok("x"));
+    on_the_loop(async {
+        let address = start(&[&backend]).await;
+        drop(kept(address).await);
+        let mut client = Client::connect(address);
+        hold(&mut client, &read(TIME));
+        assert_eq!(status(client).await, 200);
+        fits(told(&backend), HELD);
+    });
+}
+
+#[test]
+fn a_further_attempt_is_told_no_more_than_is_left() {
+    let backend = BackendServer::start(|number| if number == 0 { Reply::Reset } else { ok("x") });
+    on_the_loop(async {
+        let mut client = kept(start(&[&backend]).await).await;
+        hold(&mut client, &read(TIME));
+        assert_eq!(status(client).await, 200);
+        fits(told(&backend), HELD);
+        fits(told(&backend), HELD);
+    });
+}
+
+#[test]
+fn a_request_whose_time_is_over_when_it_is_read_reaches_no_backend() {
+    let backend = BackendServer::start(|_| ok("x"));
+    on_the_loop(async {
+        let mut client = kept(start(&[&backend]).await).await;
+        hold(&mut client, &pay(HELD.as_secs_f64()));
+        assert_eq!((status(client).await, backend.count()), (504, 0));
+    });
+}
+
+/// The rest of a connection is not the age of what ends it.
+#[test]
+fn a_request_on_a_connection_that_rested_keeps_its_time() {
+    let backend = BackendServer::start(|_| ok("x"));
+    on_the_loop(async {
+        let mut client = kept(start(&[&backend]).await).await;
+        tokio::time::sleep(REST).await;
+        client.send(&read(TIME));
+        assert_eq!(status(client).await, 200);
+        fits(told(&backend), Duration::ZERO);
+    });
+}
+
+/// The time of a request that comes in parts counts from the last of them.
+#[test]
+fn the_age_of_a_request_in_parts_is_that_of_its_last_byte() {
+    let backend = BackendServer::start(|_| ok("x"));
+    on_the_loop(async {
+        let mut client = kept(start(&[&backend]).await).await;
+        let request = pay(TIME);
+        let (first, last) = request.split_at(request.len() - 1);
+        client.send(first);
+        tokio::time::sleep(REST).await;
+        hold(&mut client, last);
+        assert_eq!(status(client).await, 200);
+        fits(told(&backend), HELD);
+    });
+}
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -18,6 +18,9 @@
 use std::pin::pin;
 use std::rc::Rc;
 
+/// Of an answer whose time is up.
+const TIMED_OUT: &str = "timed out\n";
+
 impl Server {
     pub(crate) async fn answer(
         self: &Rc<Self>, client: &Rc<Client>, request: Request<Incoming>,
@@ -48,6 +51,12 @@
         self.end.get().map_or(left, |end| left.min(Micros(most(end).as_micros() as u64)))
     }
 
+    /// What is left of a time that began when the last byte that was read was written.
+    fn still_left(&self, most: Micros, client: &Client) -> Micros {
+        let age = client.stream.age().as_micros() as u64;
+        self.until_end(Micros(most.0.saturating_sub(age)))
+    }
+
     async fn proxy(
         self: &Rc<Self>, client: &Client, request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Fault> {
@@ -68,7 +77,12 @@
             gather(body, length, &client.stream, &self.budget, self.pool.pauses.get().upload_stall).await?;
         // The time of a request counts from its last byte; where more is to come it has not begun.
         let most = Micros(left.0.saturating_sub(self.host.margin().0));
-        let left = self.until_end(most);
+        let left = self.still_left(most, client);
+        if left == Micros(0) {
+            client.prove();
+            self.late.set(self.late.get() + 1);
+            return Ok(plain(StatusCode::GATEWAY_TIMEOUT, TIMED_OUT)); // nobody waits for what would be sent on now
+        }
         let deadline = Cell::new(self.host.clock.now() + left);
         let mut headers = head.headers;
         let arrival = Arrival {
@@ -102,7 +116,7 @@
         let due = async {
             if let Some(upload) = &upload {
                 upload.over().await?;
-                let left = self.until_end(most);
+                let left = self.still_left(most, client);
                 deadline.set(self.host.clock.now() + left);
                 self.host.uploaded(id, left);
             }
@@ -143,7 +157,7 @@
                 response
             }
             Ok(Answer::Failed) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-            Ok(Answer::TimedOut) | Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "timed out\n"),
+            Ok(Answer::TimedOut) | Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, TIMED_OUT),
         })
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -2,6 +2,7 @@
 //! nothing.
 
 pub mod admin;
+pub mod age;
 mod answer;
 pub mod attempt;
 pub mod body;
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -1,5 +1,6 @@
 //! Clients: the listener, their connections, and the graceful shutdown.
 
+use crate::age::Queue;
 use crate::answer::Answered;
 use crate::body::{AnswerBody, Budget};
 use crate::client::{Client, IDLE_PATIENCE};
@@ -72,6 +73,8 @@
     /// The ids of the requests that are open.
     pub(crate) ids: RefCell<HashSet<HeaderValue>>,
     accepting: Cell<bool>,
+    /// Where clients wait until they are accepted.
+    queue: Queue,
     pub(crate) stopping: Cell<bool>,
     /// When the program may be killed, once it was told to stop.
     pub(crate) end: Cell<Option<tokio::time::Instant>>,
@@ -81,6 +84,8 @@
     accepted: Cell<u64>,
     evicted: Cell<u64>,
     pub(crate) faults: Cell<u64>,
+    /// Requests whose time was over when they were read.
+    pub(crate) late: Cell<u64>,
 }
 
 pub fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
@@ -106,6 +111,7 @@
             clients,
             ids,
             accepting,
+            queue: Queue::new(),
             stopping,
             end: Cell::default(),
             left,
@@ -113,6 +119,7 @@
             accepted,
             evicted,
             faults,
+            late: Cell::default(),
         })
     }
 
@@ -142,6 +149,7 @@
             evicted = self.evicted.take(),
             filed = self.clients.filings.take(),
             turned_away = self.faults.take(),
+            late = self.late.take(),
             upstreams = self.pool.open(),
             connects = self.pool.opened.take(),
             "clients"
@@ -199,7 +207,7 @@
         if let Ok(listener) = listener.into_std() {
             while let Ok((stream, _)) = listener.accept() {
                 let tcp = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-                tcp.into_iter().for_each(|tcp| self.take_in(tcp));
+                tcp.into_iter().for_each(|tcp| self.take_in(tcp, self.queue.since()));
             }
         }
     }
@@ -213,8 +221,8 @@
             // Those that were told to leave have to be given the time: telling more makes no room sooner.
             let _ = tokio::time::timeout(Duration::from_millis(20), self.left.notified()).await;
         }
-        match listener.accept().await {
-            Ok((tcp, _)) => self.take_in(tcp),
+        match self.queue.accept(listener).await {
+            Ok((tcp, since)) => self.take_in(tcp, since),
             Err(e) => {
                 // Out of descriptors, or a client that left in the queue: never the end of the program.
                 let made_room = self.make_room() == Room::Soon || self.pool.close_oldest();
@@ -243,13 +251,14 @@
         }
     }
 
-    fn take_in(self: &Rc<Self>, tcp: TcpStream) {
+    /// Keeps a connection that can have waited in the queue since then.
+    fn take_in(self: &Rc<Self>, tcp: TcpStream, queued: std::time::Instant) {
         if self.clients.staying() >= self.max.get() {
             self.make_room();
         }
         self.accepted.set(self.accepted.get() + 1);
-        let population = self.clients.population.clone();
-        let client = Rc::new(Client::new(self.clients.next_id(), Stream::new(tcp), population));
+        let (stream, population) = (Stream::accepted(tcp, queued), self.clients.population.clone());
+        let client = Rc::new(Client::new(self.clients.next_id(), stream, population));
         self.clients.insert(client.clone());
         let server = self.clone();
         tokio::task::spawn_local(async move {
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -1,6 +1,7 @@
 //! A TCP stream under hyper that can also be looked at from outside: how much of a request was written,
 //! and whether the other side has closed or sent anything.
 
+use crate::age::Arrivals;
 use crate::chunks::Chunks;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
@@ -9,6 +10,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -40,6 +42,9 @@
     chunks: Cell<Chunks>,
     /// When something was last read.
     moved: Cell<Instant>,
+    /// Since when what is unread can wait, and what was read last could.
+    arrivals: Arrivals,
+    arrived: Cell<std::time::Instant>,
     /// Bytes read and written in all.
     received: Cell<u64>,
     sent: Cell<u64>,
@@ -55,7 +60,13 @@
 pub type Gate = Box<dyn Fn() -> bool>;
 
 impl Stream {
+    /// Of a connection on which nothing can have come before now.
     pub fn new(tcp: TcpStream) -> Stream {
+        Stream::accepted(tcp, std::time::Instant::now())
+    }
+
+    /// Of a connection that can have been there since then.
+    pub fn accepted(tcp: TcpStream, since: std::time::Instant) -> Stream {
         let _ = tcp.set_nodelay(true); // small writes are whole messages here
         Stream(Rc::new(Inner {
             tcp,
@@ -69,6 +80,8 @@
             line: Cell::default(),
             chunks: Cell::default(),
             moved: Cell::new(Instant::now()),
+            arrivals: Arrivals::new(since),
+            arrived: Cell::new(since),
             received: Cell::default(),
             sent: Cell::default(),
             first: Notify::new(),
@@ -170,6 +183,11 @@
         self.0.moved.get()
     }
 
+    /// How long ago the last byte that was read can have come at most.
+    pub fn age(&self) -> Duration {
+        self.0.arrived.get().elapsed()
+    }
+
     /// When the message that is coming began.
     pub fn heard(&self) -> Option<Instant> {
         self.0.heard.get()
@@ -255,14 +273,19 @@
         let mut chunk = [0u8; 8192];
         let room = buf.remaining().min(chunk.len());
         loop {
-            ready!(self.0.tcp.poll_read_ready(cx))?;
+            ready!(self.0.arrivals.wait(cx, |cx| self.0.tcp.poll_read_ready(cx)))?;
+            let asked = std::time::Instant::now();
             match self.0.tcp.try_read(&mut chunk[..room]) {
                 Ok(n) => {
+                    self.0.arrived.set(self.0.arrivals.since());
+                    if n < room {
+                        self.0.arrivals.empty(asked);
+                    }
                     self.read(&chunk[..n]);
                     buf.put_slice(&chunk[..n]);
                     return Poll::Ready(Ok(()));
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.0.arrivals.empty(asked),
                 Err(e) => return Poll::Ready(Err(e)),
             }
         }
