--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -18,9 +18,6 @@
 use std::pin::pin;
 use std::rc::Rc;
 
-/// Of an answer whose time is up.
-const TIMED_OUT: &str = "timed out\n";
-
 impl Server {
     pub(crate) async fn answer(
         self: &Rc<Self>, client: &Rc<Client>, request: Request<Incoming>,
@@ -78,11 +75,6 @@
         // The time of a request counts from its last byte; where more is to come it has not begun.
         let most = Micros(left.0.saturating_sub(self.host.margin().0));
         let left = self.still_left(most, client);
-        if left == Micros(0) {
-            client.prove();
-            self.late.set(self.late.get() + 1);
-            return Ok(plain(StatusCode::GATEWAY_TIMEOUT, TIMED_OUT)); // nobody waits for what would be sent on now
-        }
         let deadline = Cell::new(self.host.clock.now() + left);
         let mut headers = head.headers;
         let arrival = Arrival {
@@ -157,7 +149,7 @@
                 response
             }
             Ok(Answer::Failed) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-            Ok(Answer::TimedOut) | Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, TIMED_OUT),
+            Ok(Answer::TimedOut) | Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "timed out\n"),
         })
     }
 }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -84,8 +84,6 @@
     accepted: Cell<u64>,
     evicted: Cell<u64>,
     pub(crate) faults: Cell<u64>,
-    /// Requests whose time was over when they were read.
-    pub(crate) late: Cell<u64>,
 }
 
 pub fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
@@ -119,7 +117,6 @@
             accepted,
             evicted,
             faults,
-            late: Cell::default(),
         })
     }
 
@@ -149,7 +146,6 @@
             evicted = self.evicted.take(),
             filed = self.clients.filings.take(),
             turned_away = self.faults.take(),
-            late = self.late.take(),
             upstreams = self.pool.open(),
             connects = self.pool.opened.take(),
             "clients"
