--- a/crates/proxy/src/age.rs
+++ b/crates/proxy/src/age.rs
@@ -14,9 +14,12 @@
 //! - A read that takes less than there is room for has emptied the socket, and one that would block has found it
 //!   empty: what is read later came after that.
 //!
-//! The bound may exceed the true age by a turn of the loop, never fall short of it, with two exceptions: a look hands
-//! over 1,024 sockets at most (the default of the runtime), so with more of them ready at once the others are told
-//! one look late; and where the runtime does not note its looks ([`note_looks`]) age counts from the wake.
+//! The bound may exceed the true age: by a turn of the loop at a socket, and by as long as connections came faster
+//! than they were taken at a listener, whose queue was not seen empty meanwhile. It falls short of it
+//! - by the time in which the runtime hands out what a look found, as the look is noted behind that;
+//! - by a turn, where more than 1,024 sockets are ready at once: a look hands over no more (the runtime's default);
+//! - by what a connection waited in an inherited listener's queue before this process had it;
+//! - wholly, where the runtime does not note its looks ([`note_looks`]): age counts from the wake then.
 
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
