--- a/crates/lotusdeck/tests/time_left.rs
+++ b/crates/lotusdeck/tests/time_left.rs
@@ -206,7 +206,10 @@
         // What the event loop does where a socket has become readable.
         let readable = || {
             poll_fn(|cx| {
-                let _ = arrivals.wait(cx, |cx| Poll::Ready(cx.waker().wake_by_ref()));
+                let _ = arrivals.wait(cx, |cx| {
+                    cx.waker().wake_by_ref();
+                    Poll::Ready(())
+                });
                 arrivals.wait(cx, |_| Poll::Ready(arrivals.since()))
             })
         };
