Note the looks of the event loop that follow a yield

The runtime tells of a look by its hook where it parks, and not where a task has yielded: during a run of accepts, which yields every 16, the last look noted grew old, and with it the age of every request. The time before the yield counts as a look now: the loop looks behind it.

The whole: what servers were told of a request's time began when the request reached the core.

--- a/crates/proxy/src/age.rs
+++ b/crates/proxy/src/age.rs
@@ -41,6 +41,14 @@
     runtime.on_thread_unpark(|| LAST_LOOK.set(Some(Instant::now())))
 }
 
+/// Lets all other tasks run, and the loop look once. The runtime does not tell of such looks by itself, and a task that
+/// yields often would make the last one that it told of an old one.
+pub async fn yield_to_a_look() {
+    let before = Instant::now();
+    tokio::task::yield_now().await;
+    LAST_LOOK.set(LAST_LOOK.get().map(|last| last.max(before)));
+}
+
 /// The last look that is over, by the thread's loop; now, where it notes none.
 fn last_look() -> Instant {
     LAST_LOOK.get().unwrap_or_else(Instant::now)
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -1,6 +1,6 @@
 //! Clients: the listener, their connections, and the graceful shutdown.
 
-use crate::age::Queue;
+use crate::age::{self, Queue};
 use crate::answer::Answered;
 use crate::body::{AnswerBody, Budget};
 use crate::client::{Client, IDLE_PATIENCE};
@@ -165,7 +165,7 @@
             }
             accepts += 1;
             if accepts % ACCEPTS_A_TURN == 0 {
-                tokio::task::yield_now().await;
+                age::yield_to_a_look().await;
             }
         }
         self.accepting.set(false);
@@ -211,7 +211,7 @@
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         while self.clients() >= self.max.get() + self.over.get() {
             if self.clients.staying() > self.max.get() && self.make_room() == Room::Unknown {
-                tokio::task::yield_now().await;
+                age::yield_to_a_look().await;
                 continue;
             }
             // Those that were told to leave have to be given the time: telling more makes no room sooner.
