--- a/crates/lotusdeck/tests/time_left.rs
+++ b/crates/lotusdeck/tests/time_left.rs
@@ -179,6 +179,25 @@
     });
 }
 
+/// A task that yields all the time keeps the loop from waiting, and its looks from being told by the runtime.
+#[test]
+fn a_request_keeps_its_time_beside_a_task_that_yields() {
+    let backend = BackendServer::start(|_| ok("x"));
+    on_the_loop(async {
+        let mut client = kept(start(&[&backend]).await).await;
+        let busy = spawn_local(async {
+            loop {
+                age::yield_to_a_look().await;
+            }
+        });
+        tokio::time::sleep(REST).await;
+        client.send(&read(TIME));
+        assert_eq!(status(client).await, 200);
+        fits(told(&backend), Duration::ZERO);
+        busy.abort();
+    });
+}
+
 /// The time of a request that comes in parts counts from the last of them.
 #[test]
 fn the_age_of_a_request_in_parts_is_that_of_its_last_byte() {
