--- a/crates/lotusdeck/tests/discovery_faults.rs
+++ b/crates/lotusdeck/tests/discovery_faults.rs
@@ -67,6 +67,33 @@
     assert_eq!((proxy.ask(&pay(3.0)).status(), backend.count()), (503, 0));
 }
 
+/// A discovery that says nothing is called again and again, by a proxy of a large fleet more seldom, and never so seldom
+/// that the bound would not hold.
+#[test]
+fn a_silent_discovery_is_called_at_gaps_by_the_size_of_the_fleet() {
+    let longest = Duration::from_millis(1_500);
+    std::thread::scope(|scope| {
+        for (proxies, shortest) in [(1, Duration::from_secs(1)), (300, longest)] {
+            for settings in [SETTINGS.to_string(), asked()] {
+                scope.spawn(move || {
+                    let size = format!("\"group_size\":{proxies}");
+                    let proxy = Proxy::with(&[], 1024, &settings.replace("\"group_size\":1", &size));
+                    let mut before = (proxy.discovery.call(), Instant::now());
+                    let mut out = Vec::new();
+                    for _ in 0..6 {
+                        let next = (proxy.discovery.call(), Instant::now());
+                        let gap = next.1 - before.1;
+                        let slack = Duration::from_millis(300); // of a busy machine
+                        let bounds = shortest - slack..longest + slack;
+                        assert!(bounds.contains(&gap), "{gap:?} in a fleet of {proxies}, {settings}");
+                        out.push(std::mem::replace(&mut before, next));
+                    }
+                });
+            }
+        }
+    });
+}
+
 /// A call waits its turn while another is opened beside it, and both are answered: the older one's newer change is
 /// heeded though the list was taken from the other, and its older word undoes nothing.
 #[test]
