Hold that new clients are served in time among idle ones while discovery is down

Need: idle clients may fill the descriptors while discovery answers 503. Three rounds of 150 connections that send nothing, half a head or either, before a process told of 96 descriptors, all in the listener's queue when it wakes; requests before, amid and behind them are served within their 3 s.

--- /dev/null
+++ b/crates/lotusdeck/tests/crowd.rs
@@ -0,0 +1,65 @@
+//! Idle clients fill what the process may hold while discovery is down: requests on new connections are served in time.
+
+mod rig;
+
+use rig::sockets::*;
+use rig::*;
+use std::time::{Duration, Instant};
+
+/// Descriptors that the process is told it has.
+const SOCKETS: u32 = 96;
+/// More than it has places for, all of them in the listener's queue when it wakes.
+const CROWD: usize = 150;
+const ROUNDS: usize = 3;
+/// The time that a client gives its request, s; whoever is served gets its answer within it.
+const TIME: f64 = 3.0;
+
+/// What the idle send: nothing, or a head that never ends.
+const IDLE: [&[&str]; 3] = [&[""], &["GET /read/k1 HTTP/1.1\r\nHost: s\r\n"], &["", "GET /rea"]];
+
+/// A proxy whose discovery answers every call with 503.
+fn without_discovery(backend: &BackendServer) -> (Proxy, BackendServer) {
+    let down = BackendServer::start(|_| Reply::Answer(503, "", String::new()));
+    let proxy = Proxy::with(&[entry("b0", backend.address, "SERVING")], SOCKETS, SETTINGS);
+    proxy.move_discovery(down.address);
+    proxy.signal("HUP");
+    down.request();
+    (proxy, down)
+}
+
+/// Each round finds the whole crowd in the queue, and a new client's request before it, in its middle and behind it.
+#[test]
+fn new_clients_are_served_in_time_among_idle_ones_while_discovery_is_down() {
+    let mut slow = Vec::new();
+    for idle in IDLE {
+        let backend = BackendServer::start(|_| ok("x"));
+        let (proxy, down) = without_discovery(&backend);
+        let mut crowd = Vec::new();
+        for round in 0..ROUNDS {
+            hold(&proxy);
+            let mut asking = Vec::new();
+            for place in 0..=CROWD {
+                if [0, CROWD / 2, CROWD].contains(&place) {
+                    let mut client = proxy.client();
+                    client.send(&read(TIME));
+                    asking.push((place, client));
+                }
+                let mut client = proxy.client();
+                client.send(idle[place % idle.len()]);
+                crowd.push(client);
+            }
+            let woken = Instant::now();
+            proxy.signal("CONT");
+            for (place, mut client) in asking {
+                let status = client.answer().map(|answer| answer.status());
+                let took = woken.elapsed();
+                println!("{idle:?}, round {round}, behind {place}: {status:?} after {took:?}");
+                if status != Some(200) || took > Duration::from_secs_f64(TIME) {
+                    slow.push(format!("{idle:?}, round {round}, behind {place}: {status:?} after {took:?}"));
+                }
+            }
+        }
+        assert!(down.count() > 1, "discovery was asked all the while");
+    }
+    assert!(slow.is_empty(), "{slow:#?}");
+}
