Versioned changes of settings, checked over the whole and taken all or nothing: the crate

Change: crates/configuration, sans-IO. A document of named entries, versions of an epoch and a number that only rises, deltas with a checksum over the whole and the version, a follower that builds a version beside the one held in bounded slices and refuses with a reason, a source with a bounded history that tells all that was missed as one delta, and a desk with bounded buffers for its followers. The version is under the checksum: a message whose version alone was torn was taken as a later version of the same content before.

--- /dev/null
+++ b/crates/configuration/src/desk.rs
@@ -0,0 +1,176 @@
+//! The bounded buffers of a source for its followers: who waits for something later, and who takes an answer.
+//!
+//! A follower has one question at a time, and its answer is shared with all others that get the same, so that a slow one
+//! holds a pointer and a place until its time is over, and no other waits for it.
+
+use crate::follower::Ask;
+use crate::source::{Answer, Source};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+/// Bounds of a desk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DeskBounds {
+    /// Followers with a question at a time: three times the 1,200 planned for.
+    pub followers: usize,
+    /// An answer that was not taken whole by then is given up.
+    pub answer_within: Duration,
+    /// Bytes of all answers that are on their way; one that many followers take counts once.
+    pub bytes: usize,
+    /// The longest wait of a question, whatever it asks for.
+    pub wait: Duration,
+}
+
+impl Default for DeskBounds {
+    fn default() -> DeskBounds {
+        DeskBounds {
+            followers: 4_096,
+            answer_within: Duration::from_secs(15),
+            bytes: 256 * 1024 * 1024,
+            wait: Duration::from_secs(30),
+        }
+    }
+}
+
+/// A connection of a follower, as the driver numbers it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FollowerId(pub u64);
+
+/// What becomes of a question.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// Write this, and tell how far it is by [`Desk::written`].
+    Write(Arc<str>),
+    /// Nothing yet.
+    Parked,
+    /// There is no room: say so and close.
+    Busy,
+}
+
+/// What became of a follower whose time is over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Over {
+    /// Its wait: write this.
+    Write(FollowerId, Arc<str>),
+    /// The time for taking its answer: close its connection.
+    Close(FollowerId),
+}
+
+#[derive(Debug)]
+enum Turn {
+    Parked { ask: Ask, until: Duration },
+    Writing { answer: Arc<str>, written: usize, until: Duration },
+}
+
+/// Followers with a question.
+#[derive(Debug)]
+pub struct Desk {
+    bounds: DeskBounds,
+    turns: BTreeMap<FollowerId, Turn>,
+    /// Answers that may still be on their way.
+    answers: Vec<Weak<str>>,
+}
+
+impl Desk {
+    /// For no follower yet.
+    pub fn new(bounds: DeskBounds) -> Desk {
+        Desk { bounds, turns: BTreeMap::new(), answers: Vec::new() }
+    }
+
+    /// Followers with a question.
+    pub fn len(&self) -> usize {
+        self.turns.len()
+    }
+
+    /// Nobody has a question.
+    pub fn is_empty(&self) -> bool {
+        self.turns.is_empty()
+    }
+
+    /// Bytes of all answers that are on their way.
+    pub fn bytes(&mut self) -> usize {
+        self.answers.retain(|answer| answer.strong_count() > 0);
+        self.answers.iter().filter_map(Weak::upgrade).map(|answer| answer.len()).sum()
+    }
+
+    /// A follower asks. One that asks while its answer is on its way breaks the protocol, and is closed.
+    pub fn asked(&mut self, source: &mut Source, now: Duration, id: FollowerId, ask: Ask) -> Reply {
+        if self.turns.len() >= self.bounds.followers || self.turns.contains_key(&id) {
+            return Reply::Busy;
+        }
+        match source.answer(&ask) {
+            Answer::Now(answer) => self.write(now, id, answer),
+            Answer::Later => {
+                let until = now + ask.wait.min(self.bounds.wait);
+                self.turns.insert(id, Turn::Parked { ask, until });
+                Reply::Parked
+            }
+        }
+    }
+
+    fn write(&mut self, now: Duration, id: FollowerId, answer: Arc<str>) -> Reply {
+        let shared = self.answers.iter().any(|known| std::ptr::addr_eq(known.as_ptr(), Arc::as_ptr(&answer)));
+        if !shared {
+            if self.bytes() + answer.len() > self.bounds.bytes {
+                self.turns.remove(&id);
+                return Reply::Busy;
+            }
+            self.answers.push(Arc::downgrade(&answer));
+        }
+        let until = now + self.bounds.answer_within;
+        self.turns.insert(id, Turn::Writing { answer: answer.clone(), written: 0, until });
+        Reply::Write(answer)
+    }
+
+    /// The source has published: what each follower that waited gets.
+    pub fn published(&mut self, source: &mut Source, now: Duration) -> Vec<(FollowerId, Reply)> {
+        let mut replies = Vec::new();
+        let waiting = |(id, turn): (&FollowerId, &Turn)| match turn {
+            Turn::Parked { ask, .. } => Some((*id, *ask)),
+            Turn::Writing { .. } => None,
+        };
+        let parked: Vec<(FollowerId, Ask)> = self.turns.iter().filter_map(waiting).collect();
+        for (id, ask) in parked {
+            if let Answer::Now(answer) = source.answer(&ask) {
+                replies.push((id, self.write(now, id, answer)));
+            }
+        }
+        replies
+    }
+
+    /// So many more bytes of its answer were taken; with the last one the follower may ask again.
+    pub fn written(&mut self, id: FollowerId, bytes: usize) {
+        if let Some(Turn::Writing { answer, written, .. }) = self.turns.get_mut(&id) {
+            *written += bytes;
+            if *written >= answer.len() {
+                self.turns.remove(&id);
+            }
+        }
+    }
+
+    /// Its connection has ended.
+    pub fn left(&mut self, id: FollowerId) {
+        self.turns.remove(&id);
+    }
+
+    /// Followers whose time is over.
+    pub fn expire(&mut self, source: &Source, now: Duration) -> Vec<Over> {
+        let over = |(id, turn): (&FollowerId, &Turn)| match turn {
+            Turn::Parked { until, .. } if *until <= now => Some((*id, true)),
+            Turn::Writing { until, .. } if *until <= now => Some((*id, false)),
+            _ => None,
+        };
+        let over: Vec<(FollowerId, bool)> = self.turns.iter().filter_map(over).collect();
+        let mut told = Vec::new();
+        let unchanged = source.unchanged();
+        for (id, waited) in over {
+            self.turns.remove(&id);
+            match waited.then(|| self.write(now, id, unchanged.clone())) {
+                Some(Reply::Write(answer)) => told.push(Over::Write(id, answer)),
+                _ => told.push(Over::Close(id)),
+            }
+        }
+        told
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/lib.rs
@@ -0,0 +1,36 @@
+//! How settings reach every proxy as versioned changes, sans-IO: one source publishes versions of a document of named
+//! entries, and each proxy follows it by deltas. A version is taken whole or not at all: a checksum over the whole
+//! document has to hold, and the settings that come of it have to pass the proxy's own checks, before anything of it
+//! is in force. docs/configuration-distribution.md holds the bounds, the messages and the ways weighed.
+//!
+//! - [`document`]: named entries in sections, their canonical order, and the settings object that they stand for;
+//! - [`checksum`]: an incremental checksum over all entries;
+//! - [`version`]: the source's epoch and a number that only rises;
+//! - [`delta`]: what a version changes, and a whole document;
+//! - [`message`]: the text of both on the wire;
+//! - [`staging`]: a version that is built beside the one held, in bounded slices;
+//! - [`follower`]: the proxy's side; [`pace`]: its pauses after failures;
+//! - [`history`] and [`source`]: the publishing side; [`desk`]: the bounded buffers for its followers.
+//!
+//! Time is a span since the process began, by a clock that never steps back; no two processes' clocks are compared.
+
+pub mod checksum;
+pub mod delta;
+pub mod desk;
+pub mod document;
+pub mod follower;
+pub mod history;
+pub mod message;
+pub mod pace;
+pub mod source;
+pub mod staging;
+pub mod version;
+
+pub use checksum::Checksum;
+pub use delta::{Delta, Entry, Whole};
+pub use document::{Document, DocumentError, Key, Section};
+pub use follower::{Ask, Failure, Follower, FollowerSettings, Refusal, Standing, Step};
+pub use message::{decode, encode, Message, MessageError};
+pub use source::{Publication, PublishError, Source};
+pub use staging::Candidate;
+pub use version::Version;
--- /dev/null
+++ b/crates/configuration/tests/common/mod.rs
@@ -0,0 +1,150 @@
+//! What the tests of this crate share: settings of any size, and a follower that is driven by hand.
+#![allow(dead_code)]
+
+use lotusdeck_configuration::history::HistoryBounds;
+use lotusdeck_configuration::{
+    decode, Ask, Document, Entry, Follower, FollowerSettings, Key, Message, Refusal, Section, Source, Step,
+    Version,
+};
+use serde_json::{json, Value};
+use std::time::Duration;
+
+pub const EPOCH: u64 = 1_000;
+
+pub fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Settings with so many profiles and customers.
+pub fn settings(profiles: usize, customers: usize) -> Value {
+    let profile = |at| json!({"name": format!("class-{at}"), "aim_us": 250_000, "deadline_us": 500_000});
+    let customer = |at| json!({"name": format!("tenant-{at}"), "quota_rps": 50.0});
+    json!({
+        "rules": {"cold_from": 0.5},
+        "zones": ["b", "a"],
+        "profiles": (0..profiles).map(profile).collect::<Vec<Value>>(),
+        "customers": (0..customers).map(customer).collect::<Vec<Value>>(),
+    })
+}
+
+/// Unsound is only what has a customer of a quota below 0.
+pub fn check(settings: &Value) -> Result<(), String> {
+    let customers = settings["customers"].as_array().ok_or("customers: missing")?;
+    let quota = |customer: &Value| customer["quota_rps"].as_f64().is_some_and(|quota| quota >= 0.0);
+    match customers.iter().find(|customer| !quota(customer)) {
+        Some(wrong) => Err(format!("customer {}: expected a quota of at least 0", wrong["name"])),
+        None => Ok(()),
+    }
+}
+
+pub fn source(profiles: usize, customers: usize) -> Source {
+    Source::begin(EPOCH, &settings(profiles, customers), HistoryBounds::default(), check).unwrap()
+}
+
+pub fn quota(customer: usize, quota: f64) -> Entry {
+    Entry { key: customer_key(customer), value: json!({ "quota_rps": quota }).to_string().into() }
+}
+
+pub fn customer_key(customer: usize) -> Key {
+    Key::new(Section::Customers, &format!("tenant-{customer}"))
+}
+
+/// Sets the quota of one customer.
+pub fn change(source: &mut Source, customer: usize, to: f64) -> Version {
+    source.publish_changes(vec![quota(customer, to)], Vec::new(), check).unwrap().version
+}
+
+/// So many versions, each with another quota of the same customer.
+pub fn changes(source: &mut Source, versions: usize) {
+    for at in 0..versions {
+        change(source, 1, at as f64);
+    }
+}
+
+/// What came of working on an answer.
+#[derive(Debug, PartialEq)]
+pub enum End {
+    Took(Version),
+    Refused(Refusal),
+    /// Nothing to do but to rest or to ask.
+    Idle,
+}
+
+/// A follower and its clock.
+pub struct Driven {
+    pub follower: Follower,
+    pub now: Duration,
+    /// Slices that it worked on.
+    pub slices: usize,
+    /// What is in force: settings read of the version taken last.
+    pub in_force: Option<(Version, Value)>,
+}
+
+impl Driven {
+    pub fn new(seed: u64) -> Driven {
+        let follower = Follower::new(FollowerSettings::default(), seed);
+        Driven { follower, now: Duration::ZERO, slices: 0, in_force: None }
+    }
+
+    /// Its next question; time goes on to the end of its rest.
+    pub fn ask(&mut self) -> Ask {
+        loop {
+            match self.follower.poll(self.now) {
+                Step::Ask(ask) => return ask,
+                Step::Wait(until) => self.now = until,
+                _ => {}
+            }
+        }
+    }
+
+    /// Hands an answer in and works on it to its end.
+    pub fn answer(&mut self, message: Message) -> End {
+        self.follower.answered(self.now, message);
+        self.work()
+    }
+
+    pub fn work(&mut self) -> End {
+        let mut read = None;
+        loop {
+            match self.follower.poll(self.now) {
+                Step::More => self.slices += 1,
+                Step::Judge => {
+                    let candidate = self.follower.candidate().unwrap();
+                    let settings = candidate.to_settings().map_err(|error| error.to_string());
+                    let verdict = settings.and_then(|settings| check(&settings).map(|()| settings));
+                    self.follower.judged(self.now, verdict.as_ref().map(|_| ()).map_err(String::clone));
+                    read = verdict.ok();
+                }
+                Step::Took(version) => {
+                    self.in_force = read.take().map(|settings| (version, settings));
+                    return End::Took(version);
+                }
+                Step::Refused(refusal) => return End::Refused(refusal),
+                Step::Failed(_) => {}
+                Step::Wait(_) | Step::Ask(_) => return End::Idle,
+            }
+        }
+    }
+
+    /// Asks the source and works on its answer; `Idle` where it has nothing later.
+    pub fn exchange(&mut self, source: &mut Source) -> End {
+        let ask = self.ask();
+        match source.answer(&ask) {
+            lotusdeck_configuration::source::Answer::Now(text) => {
+                self.answer(decode(text.as_bytes()).unwrap())
+            }
+            lotusdeck_configuration::source::Answer::Later => {
+                self.now += ask.wait;
+                self.answer(Message::Unchanged(source.version()))
+            }
+        }
+    }
+
+    /// What it holds and what is in force is this document.
+    pub fn holds(&self, document: &Document) {
+        assert_eq!(self.follower.document(), document);
+        let (version, settings) = self.in_force.as_ref().unwrap();
+        assert_eq!(Some(*version), self.follower.held());
+        assert_eq!(&Document::from_settings(settings).unwrap(), document);
+    }
+}
