--- a/crates/configuration/src/desk.rs
+++ b/crates/configuration/src/desk.rs
@@ -18,6 +18,10 @@
     pub answer_within: Duration,
     /// Bytes of all answers that are on their way; one that many followers take counts once.
     pub bytes: usize,
+    /// Followers that take an answer of over [`LARGE`] bytes at a time; the others are told to come again. Without
+    /// it, where all ask for the whole document at once, each gets so small a part of the source's line that none
+    /// has all of it in time, and every byte of it is sent in vain.
+    pub large: usize,
     /// The longest wait of a question, whatever it asks for.
     pub wait: Duration,
 }
@@ -28,11 +32,15 @@
             followers: 4_096,
             answer_within: Duration::from_secs(15),
             bytes: 256 * 1024 * 1024,
+            large: 64,
             wait: Duration::from_secs(30),
         }
     }
 }
 
+/// Beyond so many bytes an answer counts as large: a delta of hundreds of entries is smaller.
+pub const LARGE: usize = 64 * 1024;
+
 /// A connection of a follower, as the driver numbers it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FollowerId(pub u64);
@@ -110,19 +118,31 @@
     }
 
     fn write(&mut self, now: Duration, id: FollowerId, answer: Arc<str>) -> Reply {
-        let shared = self.answers.iter().any(|known| std::ptr::addr_eq(known.as_ptr(), Arc::as_ptr(&answer)));
-        if !shared {
-            if self.bytes() + answer.len() > self.bounds.bytes {
-                self.turns.remove(&id);
-                return Reply::Busy;
-            }
-            self.answers.push(Arc::downgrade(&answer));
+        if !self.room_for(&answer) {
+            self.turns.remove(&id);
+            return Reply::Busy;
         }
         let until = now + self.bounds.answer_within;
         self.turns.insert(id, Turn::Writing { answer: answer.clone(), written: 0, until });
         Reply::Write(answer)
     }
 
+    /// One more follower may take this answer; it counts as being on its way from now on.
+    fn room_for(&mut self, answer: &Arc<str>) -> bool {
+        let large = |turn: &&Turn| matches!(turn, Turn::Writing { answer, .. } if answer.len() > LARGE);
+        if answer.len() > LARGE && self.turns.values().filter(large).count() >= self.bounds.large {
+            return false;
+        }
+        if self.answers.iter().any(|known| std::ptr::addr_eq(known.as_ptr(), Arc::as_ptr(answer))) {
+            return true;
+        }
+        if self.bytes() + answer.len() > self.bounds.bytes {
+            return false;
+        }
+        self.answers.push(Arc::downgrade(answer));
+        true
+    }
+
     /// The source has published: what each follower that waited gets.
     pub fn published(&mut self, source: &mut Source, now: Duration) -> Vec<(FollowerId, Reply)> {
         let mut replies = Vec::new();
