Follow a source of configuration from the operator file, on a thread of its own

Need: changes reach the proxy as deltas instead of whole files and SIGHUP, without holding the loop.

Change: [configuration] source in the operator file, off by default; a long poll over a connection of its own, shared with discovery as proxy/call.rs; settings of a version go through the adoption of SIGHUP, under the proxy's own keys and against the outline of what is in force; how it stands is in admin status. While a version is in force SIGHUP takes the operator file, discovery and the proxy's own keys; without a source the file's settings come back.

--- a/crates/configuration/src/follower.rs
+++ b/crates/configuration/src/follower.rs
@@ -289,6 +289,13 @@
         }
     }
 
+    /// The question that is out is given up by the driver: the next is put at once.
+    pub fn abandoned(&mut self, now: Duration) {
+        if matches!(self.phase, Phase::Asked { .. }) {
+            self.phase = Phase::Resting { until: now };
+        }
+    }
+
     fn unchanged(&mut self, now: Duration, version: Version) {
         let known = self.held.max(self.refused);
         match known {
--- a/crates/configuration/src/message.rs
+++ b/crates/configuration/src/message.rs
@@ -13,7 +13,7 @@
 use crate::delta::{Delta, Entry, Whole};
 use crate::document::{Key, Section, MAX_DOCUMENT, MAX_ENTRIES};
 use crate::version::Version;
-use serde::de::{Error as _, MapAccess, Visitor};
+use serde::de::{Error as _, MapAccess, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use std::fmt;
@@ -70,7 +70,7 @@
     checksum: Option<Text<Checksum>>,
     entries: Option<Sections<Values>>,
     changed: Option<Sections<Values>>,
-    removed: Option<Sections<Vec<Box<str>>>>,
+    removed: Option<Sections<Names>>,
 }
 
 #[derive(Deserialize)]
@@ -126,11 +126,49 @@
         let mut values = Vec::new();
         while let Some((name, value)) = map.next_entry::<Box<str>, Box<RawValue>>()? {
             values.push((name, value.into()));
+            within_bound::<A::Error>(values.len())?;
         }
         Ok(Values(values))
     }
 }
 
+/// Names in the order in which they came, doubles among them.
+#[derive(Default)]
+struct Names(Vec<Box<str>>);
+
+impl<'de> Deserialize<'de> for Names {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Names, D::Error> {
+        deserializer.deserialize_seq(NamesVisitor)
+    }
+}
+
+struct NamesVisitor;
+
+impl<'de> Visitor<'de> for NamesVisitor {
+    type Value = Names;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("names")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut sequence: A) -> Result<Names, A::Error> {
+        let mut names = Vec::new();
+        while let Some(name) = sequence.next_element()? {
+            names.push(name);
+            within_bound::<A::Error>(names.len())?;
+        }
+        Ok(Names(names))
+    }
+}
+
+/// Reading ends where there are too many: small entries take several times their text's bytes in memory.
+fn within_bound<E: serde::de::Error>(entries: usize) -> Result<(), E> {
+    match entries <= MAX_ENTRIES {
+        true => Ok(()),
+        false => Err(E::custom(format_args!("more than {MAX_ENTRIES} entries in a section"))),
+    }
+}
+
 /// The message of a text.
 ///
 /// # Errors
@@ -220,10 +258,10 @@
     Ok(entries)
 }
 
-fn keys(sections: Sections<Vec<Box<str>>>) -> Result<Vec<Key>, MessageError> {
+fn keys(sections: Sections<Names>) -> Result<Vec<Key>, MessageError> {
     let mut keys = Vec::new();
     for (section, names) in sections.parts() {
-        keys.extend(names.into_iter().map(|name| Key { section, name }));
+        keys.extend(names.0.into_iter().map(|name| Key { section, name }));
     }
     if keys.len() > MAX_ENTRIES {
         return Err(MessageError::Entries(keys.len()));
--- /dev/null
+++ b/crates/lotusdeck/src/configuration.rs
@@ -0,0 +1,380 @@
+//! Follows a source of configuration (docs/configuration-distribution.md) on a thread of its own: asking, decoding,
+//! verifying and reading megabytes never hold the event loop, which gets settings that were read and checked.
+
+use lotusdeck_configuration::message::MAX_MESSAGE;
+use lotusdeck_configuration::{
+    decode, Ask, DocumentError, Failure, Follower, FollowerSettings, Standing, Step, Version,
+};
+use lotusdeck_policy::settings::Settings;
+use lotusdeck_proxy::admin::ConfigurationStatus;
+use lotusdeck_proxy::call::{self, CallError, Link};
+use lotusdeck_proxy::config::{NodeError, Outline};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use thiserror::Error;
+use tokio::sync::{mpsc, watch};
+use tracing::{info, warn};
+
+/// The answer of a source that has no room for the question.
+const BUSY: u16 = 503;
+
+/// `[configuration]`.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ConfigurationSettings {
+    /// Where the source is; `None` where none is followed.
+    pub source: Option<SocketAddr>,
+}
+
+/// What the program tells the thread: whom to follow, and as which proxy.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    /// Where the source is; `None` where none is followed.
+    pub source: Option<SocketAddr>,
+    /// Of the settings in the node configuration.
+    pub file: Outline,
+}
+
+/// Settings of a version, read and checked.
+pub struct News {
+    /// The order under which they were read: under another one they are not taken.
+    pub order: Order,
+    /// The version that they are of.
+    pub version: Version,
+    /// All of them.
+    pub settings: Settings,
+}
+
+/// Why a version's settings are not sound here.
+#[derive(Debug, Error)]
+enum Unsound {
+    #[error(transparent)]
+    Document(#[from] DocumentError),
+    #[error(transparent)]
+    Node(#[from] NodeError),
+}
+
+/// The program's side of the thread, which there is from the first order on that names a source.
+pub struct Following {
+    orders: watch::Sender<Order>,
+    tell: mpsc::Sender<News>,
+    news: mpsc::Receiver<News>,
+    told: Arc<Told>,
+    seed: u64,
+    started: bool,
+}
+
+/// What the thread last told of itself.
+#[derive(Default)]
+pub struct Told(Mutex<Option<Snapshot>>);
+
+#[derive(Clone, Copy)]
+struct Snapshot {
+    source: SocketAddr,
+    held: Option<Version>,
+    standing: Standing,
+    /// When the question was put whose answer last said that the version held was the latest.
+    current_at: Option<Instant>,
+}
+
+impl Told {
+    fn tell(&self, snapshot: Option<Snapshot>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = snapshot;
+    }
+
+    /// For operators; `None` where no source is followed.
+    pub fn status(&self) -> Option<ConfigurationStatus> {
+        let snapshot = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let Snapshot { source, held, standing, current_at } = snapshot?;
+        let millis = |at: Instant| u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let (standing, refused) = match standing {
+            Standing::Empty => ("empty", None),
+            Standing::Current => ("current", None),
+            Standing::Refusing(version) => ("refusing", Some(version)),
+            Standing::CutOff => ("cut off", None),
+        };
+        Some(ConfigurationStatus {
+            source: source.to_string(),
+            version: held.map(|version| version.to_string()),
+            standing,
+            refused: refused.map(|version| version.to_string()),
+            age_ms: current_at.map(millis),
+        })
+    }
+}
+
+impl Following {
+    /// `seed` spreads the pauses of this proxy.
+    ///
+    /// # Errors
+    /// There is no thread to be had.
+    pub fn new(order: Order, seed: u64) -> std::io::Result<Following> {
+        let named = order.source.is_some();
+        // One at a time: what comes meanwhile is one delta later.
+        let (tell, news) = mpsc::channel(1);
+        let (orders, told) = (watch::Sender::new(order), Arc::new(Told::default()));
+        let mut following = Following { orders, tell, news, told, seed, started: false };
+        if named {
+            following.start()?;
+        }
+        Ok(following)
+    }
+
+    /// Its descriptors (an event queue, its waker, a connection) are three of the reserve.
+    fn start(&mut self) -> std::io::Result<()> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let (orders, tell, told) = (self.orders.subscribe(), self.tell.clone(), self.told.clone());
+        let seed = self.seed;
+        std::thread::Builder::new()
+            .name("configuration".into())
+            .spawn(move || runtime.block_on(Worker::new(orders, tell, told, seed).run()))?;
+        self.started = true;
+        Ok(())
+    }
+
+    /// Settings of a later version.
+    pub async fn news(&mut self) -> Option<News> {
+        self.news.recv().await
+    }
+
+    /// Whatever an order needs that can fail: after it the order cannot.
+    ///
+    /// # Errors
+    /// It names the first source, and there is no thread to be had.
+    pub fn prepare(&mut self, order: &Order) -> std::io::Result<()> {
+        match order.source.is_some() && !self.started {
+            true => self.start(),
+            false => Ok(()),
+        }
+    }
+
+    /// From now on this holds.
+    pub fn order(&mut self, order: Order) {
+        self.orders.send_if_modified(|old| {
+            let changed = *old != order;
+            *old = order;
+            changed
+        });
+    }
+
+    /// The order that holds.
+    pub fn ordered(&self) -> Order {
+        self.orders.borrow().clone()
+    }
+
+    /// What the thread tells of itself.
+    pub fn told(&self) -> Arc<Told> {
+        self.told.clone()
+    }
+}
+
+/// How a question ended.
+enum Ended {
+    Answered(Box<lotusdeck_configuration::Message>),
+    Failed(Failure),
+    /// Another order came first.
+    Ordered,
+    /// The program ends.
+    Closed,
+}
+
+/// The thread's state.
+struct Worker {
+    orders: watch::Receiver<Order>,
+    order: Order,
+    news: mpsc::Sender<News>,
+    told: Arc<Told>,
+    seed: u64,
+    begun: Instant,
+    follower: Follower,
+    /// Of the settings in force; before the first version, of those in the file.
+    outline: Outline,
+    /// Read of the candidate, until it is held.
+    read: Option<(Settings, Outline)>,
+    link: Option<Link>,
+    /// The last trouble told, so that one that lasts is told once.
+    trouble: Option<String>,
+}
+
+impl Worker {
+    fn new(
+        mut orders: watch::Receiver<Order>, news: mpsc::Sender<News>, told: Arc<Told>, seed: u64,
+    ) -> Worker {
+        let order = orders.borrow_and_update().clone();
+        let outline = order.file.clone();
+        Worker {
+            orders,
+            order,
+            news,
+            told,
+            seed,
+            begun: Instant::now(),
+            follower: Follower::new(FollowerSettings::default(), seed),
+            outline,
+            read: None,
+            link: None,
+            trouble: None,
+        }
+    }
+
+    /// Until the program ends.
+    async fn run(mut self) {
+        loop {
+            let going_on = match self.order.source {
+                Some(source) => self.follow(source).await,
+                None => self.orders.changed().await.is_ok() && self.obey().await,
+            };
+            if !going_on {
+                return;
+            }
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    /// One step of the follower; `false` where the program ends.
+    async fn follow(&mut self, source: SocketAddr) -> bool {
+        let now = self.now();
+        let step = self.follower.poll(now);
+        self.tell(source);
+        match step {
+            Step::Ask(ask) => return self.ask(source, ask).await,
+            Step::Wait(until) => return self.rest(until.saturating_sub(now)).await,
+            Step::More => tokio::task::yield_now().await,
+            Step::Judge => self.judge(),
+            Step::Took(version) => return self.took(version).await,
+            Step::Refused(refusal) => self.trouble("configuration refused", refusal.to_string()),
+            Step::Failed(failure) => self.trouble("no answer from the source", failure.to_string()),
+        }
+        true
+    }
+
+    fn tell(&self, source: SocketAddr) {
+        let now = self.now();
+        let status = self.follower.status(now);
+        let current_at = status.age.and_then(|age| Instant::now().checked_sub(age));
+        let (held, standing) = (status.held, status.standing);
+        self.told.tell(Some(Snapshot { source, held, standing, current_at }));
+    }
+
+    async fn rest(&mut self, span: Duration) -> bool {
+        tokio::select! {
+            () = tokio::time::sleep(span) => true,
+            changed = self.orders.changed() => changed.is_ok() && self.obey().await,
+        }
+    }
+
+    async fn ask(&mut self, source: SocketAddr, ask: Ask) -> bool {
+        let settings = FollowerSettings::default();
+        let uri = uri(&ask);
+        let patience = ask.wait + settings.overdue;
+        let ended = tokio::select! {
+            answer = call::get(&mut self.link, source, &uri, MAX_MESSAGE, patience) => ended(answer.map(|b| decode(&b))),
+            changed = self.orders.changed() => changed.map_or(Ended::Closed, |()| Ended::Ordered),
+        };
+        let now = self.now();
+        match ended {
+            Ended::Answered(message) => {
+                self.follower.answered(now, *message);
+                if self.follower.status(now).standing == Standing::Current && self.trouble.take().is_some() {
+                    info!(%source, "the source of configuration is back");
+                }
+            }
+            Ended::Failed(failure) => {
+                self.link = None;
+                self.follower.failed(now, failure);
+            }
+            Ended::Ordered => {
+                self.link = None;
+                self.follower.abandoned(now);
+                return self.obey().await;
+            }
+            Ended::Closed => return false,
+        }
+        true
+    }
+
+    /// Reads the candidate's settings as those of a file are read.
+    fn judge(&mut self) {
+        let Some(candidate) = self.follower.candidate() else { return };
+        let read = candidate.to_settings().map_err(Unsound::from).and_then(|object| self.check(object));
+        let verdict = read.as_ref().map(|_| ()).map_err(Unsound::to_string);
+        self.read = read.ok();
+        self.follower.judged(self.now(), verdict);
+    }
+
+    fn check(&self, object: Value) -> Result<(Settings, Outline), Unsound> {
+        Ok(self.outline.succeed(object)?)
+    }
+
+    async fn took(&mut self, version: Version) -> bool {
+        let Some((settings, outline)) = self.read.take() else { return true };
+        self.trouble = None;
+        self.outline = outline;
+        self.news.send(News { order: self.order.clone(), version, settings }).await.is_ok()
+    }
+
+    /// Takes a new order over. The document held stays while any source is followed; where the proxy's own keys have
+    /// changed its settings are read anew under them.
+    async fn obey(&mut self) -> bool {
+        let order = self.orders.borrow_and_update().clone();
+        let old = std::mem::replace(&mut self.order, order);
+        if self.order.source.is_none() || old.source.is_none() {
+            self.follower = Follower::new(FollowerSettings::default(), self.seed);
+            self.outline = self.order.file.clone();
+            self.told.tell(None);
+            return true;
+        }
+        self.outline = self.outline.with_own(&self.order.file);
+        let Some(version) = self.follower.held() else { return true };
+        let object = lotusdeck_configuration::document::to_settings(self.follower.document().iter());
+        match object.map_err(Unsound::from).and_then(|object| self.check(object)) {
+            Ok(read) => {
+                self.read = Some(read);
+                self.took(version).await
+            }
+            Err(reason) => {
+                self.trouble("the version held does not fit the node configuration", reason.to_string());
+                true
+            }
+        }
+    }
+
+    fn trouble(&mut self, what: &str, reason: String) {
+        if self.trouble.as_ref() != Some(&reason) {
+            let held = self.follower.held().map_or("none".into(), |version| version.to_string());
+            warn!(reason, in_force = held, "{what}");
+        }
+        self.trouble = Some(reason);
+    }
+}
+
+/// `/configuration` with what is asked.
+fn uri(ask: &Ask) -> String {
+    let mut uri = format!("/configuration?wait_ms={}", ask.wait.as_millis());
+    if let Some(after) = ask.after {
+        uri.push_str(&format!("&after={after}"));
+    }
+    if let Some(past) = ask.past {
+        uri.push_str(&format!("&past={past}"));
+    }
+    uri
+}
+
+fn ended(
+    answer: Result<
+        Result<lotusdeck_configuration::Message, lotusdeck_configuration::MessageError>,
+        CallError,
+    >,
+) -> Ended {
+    match answer {
+        Ok(Ok(message)) => Ended::Answered(Box::new(message)),
+        Ok(Err(error)) => Ended::Failed(Failure::Malformed(error.to_string())),
+        Err(CallError::Status(BUSY)) => Ended::Failed(Failure::Busy),
+        Err(CallError::Silent) => Ended::Failed(Failure::Silent),
+        Err(error) => Ended::Failed(Failure::Broken(error.to_string())),
+    }
+}
--- a/crates/lotusdeck/src/main.rs
+++ b/crates/lotusdeck/src/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod check;
+mod configuration;
 mod fleet;
 mod journaling;
 mod ledger;
--- a/crates/lotusdeck/src/operator/keys.rs
+++ b/crates/lotusdeck/src/operator/keys.rs
@@ -70,7 +70,7 @@
 }
 
 /// Every key of the plain tables. `[[postgres]]` and `[[limit]]` are read by the modules that use them.
-pub const KEYS: [Key; 22] = [
+pub const KEYS: [Key; 23] = [
     number(
         "http.answer_gap_ms",
         "ms",
@@ -150,6 +150,11 @@
         1_000,
         "a changed list, and what was learned, are kept at most this often",
     ),
+    Key {
+        path: "configuration.source",
+        value_type: ValueType::Address,
+        about: "where settings are followed from; empty: they come from the node configuration alone",
+    },
     Key {
         path: "fleet.listen",
         value_type: ValueType::Address,
--- a/crates/lotusdeck/src/operator/mod.rs
+++ b/crates/lotusdeck/src/operator/mod.rs
@@ -15,6 +15,7 @@
 pub use keys::KEYS;
 pub use settings::{LedgerSettings, StateSettings};
 
+use crate::configuration::ConfigurationSettings;
 use crate::fleet::{self, FleetSettings, LimitSpec};
 use crate::postgres::{self, Spec};
 use faults::{type_name, unknown};
@@ -39,6 +40,8 @@
     pub fleet: FleetSettings,
     /// `[[limit]]`.
     pub limits: Vec<LimitSpec>,
+    /// `[configuration]`.
+    pub configuration: ConfigurationSettings,
 }
 
 impl Operator {
--- a/crates/lotusdeck/src/operator/sections.rs
+++ b/crates/lotusdeck/src/operator/sections.rs
@@ -4,6 +4,7 @@
 use super::keys::{ValueType, KEYS};
 use super::settings::{LedgerSettings, StateSettings};
 use super::Operator;
+use crate::configuration::ConfigurationSettings;
 use crate::fleet::{self, FleetSettings};
 use lotusdeck_proxy::pauses::Pauses;
 use std::net::SocketAddr;
@@ -83,6 +84,7 @@
             Some(("http", key)) => set_http(&mut self.pauses, key, value),
             Some(("ledger", key)) => set_ledger(&mut self.ledger, key, value),
             Some(("state", key)) => set_state(&mut self.state, key, value),
+            Some(("configuration", key)) => set_configuration(&mut self.configuration, key, value),
             Some(("fleet", key)) => set_fleet(&mut self.fleet, key, value),
             _ => unread(path),
         }
@@ -127,6 +129,14 @@
     }
 }
 
+/// `[configuration]`.
+fn set_configuration(configuration: &mut ConfigurationSettings, key: &str, value: Value) {
+    match (key, value) {
+        ("source", Value::Address(address)) => configuration.source = address,
+        _ => unread(key),
+    }
+}
+
 /// `[fleet]`.
 fn set_fleet(fleet: &mut FleetSettings, key: &str, value: Value) {
     match (key, value) {
--- a/crates/lotusdeck/src/serve.rs
+++ b/crates/lotusdeck/src/serve.rs
@@ -1,5 +1,6 @@
 //! `lotusdeck serve`: start-up, signals, and what goes on beside requests.
 
+use crate::configuration::{Following, News, Order};
 use crate::fleet::{Fleet, FleetError, FleetSettings, LimitSpec};
 use crate::journaling::Journaling;
 use crate::logging::{self, Format};
@@ -74,6 +75,8 @@
     Interrupted(tokio::task::JoinError),
     #[error("no event loop: {0}")]
     Loop(std::io::Error),
+    #[error("configuration: {0}")]
+    Configuration(std::io::Error),
     #[error("ledger: {0}")]
     Ledger(std::io::Error),
     #[error("[ledger] has changed: that needs a new start")]
@@ -159,7 +162,7 @@
     }
 }
 
-/// What SIGHUP may change.
+/// What SIGHUP and versions of a source may change.
 struct Adoption {
     host: Rc<Host>,
     file: FileInForce,
@@ -167,6 +170,9 @@
     fixed: Arc<Fixed>,
     pauses: Shared,
     moved: watch::Sender<(SocketAddr, Discovery)>,
+    following: Following,
+    /// Settings of the source are in force.
+    followed: bool,
 }
 
 /// Work that takes its time, on another thread: the event loop goes on.
@@ -189,8 +195,27 @@
     /// Takes both files whole or nothing of either. The event loop is held for the last step only.
     async fn take(&mut self) -> Result<(SocketAddr, String), ServeError> {
         let (operator, change) = self.read().await?;
-        let at = (change.discovery, change.settings.config.discovery);
-        let settings = Arc::new(change.settings);
+        let order = Order { source: operator.configuration.source, file: change.file.outline() };
+        self.following.prepare(&order).map_err(ServeError::Configuration)?;
+        let followed = self.followed && order.source.is_some();
+        let changed = match followed {
+            true => {
+                self.move_discovery(change.discovery);
+                "nothing but what each proxy is told: a source is followed".into()
+            }
+            false => self.adopt(change.discovery, change.settings).await?,
+        };
+        self.followed = followed;
+        self.following.order(order);
+        self.pauses.set(operator.pauses);
+        self.file = change.file;
+        Ok((change.discovery, changed))
+    }
+
+    /// Puts settings in force. The event loop is held for the last step only.
+    async fn adopt(&self, discovery: SocketAddr, settings: Settings) -> Result<String, ServeError> {
+        let at = (discovery, settings.config.discovery);
+        let settings = Arc::new(settings);
         let changed = loop {
             let (in_force, new) = (self.host.in_force(), settings.clone());
             let successor = apart(move || in_force.succeeded_by(Settings::clone(&new))).await?;
@@ -199,19 +224,47 @@
                 Err(outdated) => debug!(%outdated, "settings are merged anew"),
             }
         };
-        self.pauses.set(operator.pauses);
-        self.file = change.file;
         self.moved.send_if_modified(|old| std::mem::replace(old, at) != at);
-        Ok((at.0, changed))
+        Ok(changed)
+    }
+
+    /// Only where it is: how it is asked stays.
+    fn move_discovery(&self, to: SocketAddr) {
+        self.moved.send_if_modified(|old| std::mem::replace(&mut old.0, to) != to);
     }
 
-    /// One change after the other, in the order of the signals: one that comes during a change is heeded after it, with
+    /// Takes the settings of a version, unless another order has come since they were read.
+    async fn take_version(&mut self, news: News) {
+        if news.order != self.following.ordered() {
+            return;
+        }
+        let discovery = self.moved.borrow().0;
+        match self.adopt(discovery, news.settings).await {
+            Ok(changed) => {
+                self.followed = true;
+                info!(version = %news.version, changed, "settings taken");
+            }
+            Err(error) => warn!(version = %news.version, reason = %error, "settings refused"),
+        }
+    }
+
+    async fn take_files(&mut self) {
+        match self.take().await {
+            Ok((discovery, changed)) => info!(%discovery, changed, "settings taken"),
+            Err(error) => warn!(reason = %error, "settings refused, nothing is taken"),
+        }
+    }
+
+    /// One change after the other, of files or of a version, as the signals and versions come: one that comes during a change is heeded after it, with
     /// the files as they are then.
     async fn heed(mut self, mut hangup: Signal) {
-        while hangup.recv().await.is_some() {
-            match self.take().await {
-                Ok((discovery, changed)) => info!(%discovery, changed, "settings taken"),
-                Err(e) => warn!(reason = %e, "settings refused, nothing is taken"),
+        loop {
+            tokio::select! {
+                signal = hangup.recv() => match signal {
+                    Some(()) => self.take_files().await,
+                    None => return,
+                },
+                Some(news) = self.following.news() => self.take_version(news).await,
             }
         }
     }
@@ -301,10 +354,14 @@
     if let Some(fleet) = fleet {
         tokio::task::spawn_local(fleet.run(operator.fleet.listen, host.clone()));
     }
-    let Operator { ledger: ledger_settings, postgres, state, fleet, limits, .. } = operator;
+    let Operator { ledger: ledger_settings, postgres, state, fleet, limits, configuration, .. } = operator;
     let (file, operator) = (node.file, args.operator);
     let fixed = Arc::new(Fixed { ledger: ledger_settings, postgres, state, fleet, limits });
-    let adoption = Adoption { host: host.clone(), file, operator, fixed, pauses, moved };
+    let order = Order { source: configuration.source, file: file.outline() };
+    let following = Following::new(order, node.seed).map_err(ServeError::Configuration)?;
+    let told = following.told();
+    let adoption =
+        Adoption { host: host.clone(), file, operator, fixed, pauses, moved, following, followed: false };
     tokio::task::spawn_local(adoption.heed(hangup));
     let server = Server::new(host.clone(), pool.clone(), budget);
     let shared = peer.alive();
@@ -316,7 +373,9 @@
     if let Some(calls) = calls {
         let address = calls.local_addr().ok().or(node.admin);
         info!(address = address.map(tracing::field::display), "operators call");
-        tokio::task::spawn_local(Admin::new(host.clone(), server.clone()).run(calls));
+        tokio::task::spawn_local(
+            Admin::new(host.clone(), server.clone(), Box::new(move || told.status())).run(calls),
+        );
     }
     tokio::task::spawn_local(host.clone().heed_cordons());
     let fronts = Rc::new(fronts);
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -61,17 +61,36 @@
     }
 }
 
+/// How this proxy follows a source of configuration.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct ConfigurationStatus {
+    /// Where the source is.
+    pub source: String,
+    /// The version held, as `EPOCH-NUMBER`.
+    pub version: Option<String>,
+    /// `empty`, `current`, `refusing` or `cut off`.
+    pub standing: &'static str,
+    /// The later version that is refused here.
+    pub refused: Option<String>,
+    /// At most so long ago the version held was the source's latest, ms.
+    pub age_ms: Option<u64>,
+}
+
+/// Tells it; `None` where no source is followed.
+pub type Configuration = Box<dyn Fn() -> Option<ConfigurationStatus>>;
+
 /// The operators' side of the proxy.
 pub struct Admin {
     host: Rc<Host>,
     server: Rc<Server>,
+    configuration: Configuration,
     /// Those whose calls are not over, the oldest first.
     callers: RefCell<VecDeque<(u64, AbortHandle)>>,
 }
 
 impl Admin {
-    pub fn new(host: Rc<Host>, server: Rc<Server>) -> Rc<Admin> {
-        Rc::new(Admin { host, server, callers: RefCell::default() })
+    pub fn new(host: Rc<Host>, server: Rc<Server>, configuration: Configuration) -> Rc<Admin> {
+        Rc::new(Admin { host, server, configuration, callers: RefCell::default() })
     }
 
     /// Takes calls for as long as the program runs.
@@ -125,11 +144,13 @@
         struct Document {
             accepting: bool,
             clients: usize,
+            configuration: Option<ConfigurationStatus>,
             #[serde(flatten)]
             core: lotusdeck_core::Status,
         }
         let (accepting, clients) = (self.server.accepting(), self.server.clients());
-        let document = Document { accepting, clients, core: self.host.status() };
+        let (configuration, core) = ((self.configuration)(), self.host.status());
+        let document = Document { accepting, clients, configuration, core };
         let text = serde_json::to_vec_pretty(&document).map_err(|_| No::Path)?;
         let mut answer = plain(StatusCode::OK, "");
         answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- /dev/null
+++ b/crates/proxy/src/call.rs
@@ -0,0 +1,85 @@
+//! One call after another on a connection of its own, to what serves this proxy: discovery, a source of configuration.
+
+use crate::exchange::driven;
+use crate::stream::Stream;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1;
+use hyper::Request;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpStream;
+
+/// A connection that is not up by then will hardly come: a lost segment is sent again after 1 s.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// Why a call has no answer.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// Nobody listens, or the way there is broken.
+    #[error("no connection: {0}")]
+    Connect(std::io::Error),
+    /// What came is no answer, or is too long.
+    #[error("call broken: {0}")]
+    Http(Box<dyn std::error::Error + Send + Sync>),
+    /// Another status than 200.
+    #[error("answered {0}")]
+    Status(u16),
+    /// It ended before the answer.
+    #[error("connection ended")]
+    Ended,
+    /// The time for the call is over.
+    #[error("silent")]
+    Silent,
+}
+
+/// A connection between calls.
+pub struct Link {
+    sender: http1::SendRequest<Empty<Bytes>>,
+    conn: http1::Connection<Stream, Empty<Bytes>>,
+}
+
+/// Gets `uri` from `at`, over the connection left in `link` by the call before or over a new one; the body, of at most
+/// `most` bytes. A connection whose call failed is not used again.
+///
+/// # Errors
+/// Why there is no whole answer within `patience`.
+pub async fn get(
+    link: &mut Option<Link>, at: SocketAddr, uri: &str, most: usize, patience: Duration,
+) -> Result<Bytes, CallError> {
+    let call = ask(link, at, uri, most);
+    tokio::time::timeout(patience, call).await.unwrap_or(Err(CallError::Silent))
+}
+
+async fn ask(link: &mut Option<Link>, at: SocketAddr, uri: &str, most: usize) -> Result<Bytes, CallError> {
+    let mut live = match link.take() {
+        Some(live) if !live.sender.is_closed() => live,
+        _ => {
+            let dial = tokio::time::timeout(CONNECT, TcpStream::connect(at)).await;
+            let tcp = dial.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()));
+            let tcp = tcp.map_err(CallError::Connect)?;
+            let (sender, conn) = http1::handshake(Stream::new(tcp)).await.map_err(boxed)?;
+            Link { sender, conn }
+        }
+    };
+    let request = Request::get(uri).header("host", at.to_string()).body(Empty::new()).map_err(boxed)?;
+    let Link { sender, conn } = &mut live;
+    let answer = async {
+        sender.ready().await.map_err(boxed)?;
+        let answer = sender.send_request(request).await.map_err(boxed)?;
+        let status = answer.status().as_u16();
+        let body = Limited::new(answer.into_body(), most).collect().await.map_err(CallError::Http)?;
+        Ok((status, body.to_bytes()))
+    };
+    let (status, body) = driven(conn, answer).await.unwrap_or(Err(CallError::Ended))?;
+    if status != 200 {
+        return Err(CallError::Status(status));
+    }
+    *link = Some(live);
+    Ok(body)
+}
+
+fn boxed(e: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> CallError {
+    CallError::Http(e.into())
+}
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -3,7 +3,7 @@
 use crate::list::List;
 use lotusdeck_policy::settings::{Faults, Settings};
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::{Map, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -47,7 +47,7 @@
     #[error("seed: expected a number or up to 16 hex digits")]
     Seed,
     /// A key that the file in force has.
-    #[error("{0}: missing, though the file in force has it")]
+    #[error("{0}: missing, though what is in force has it")]
     Missing(String),
 }
 
@@ -83,6 +83,7 @@
 pub struct FileInForce {
     path: PathBuf,
     keys: Arc<Keys>,
+    outline: Outline,
 }
 
 /// The keys of an object and of the objects in it, without any value: tens of thousands of entries in its arrays take
@@ -110,6 +111,57 @@
     }
 }
 
+/// Keys of the settings that the platform tells each proxy: they come from its own file, wherever the others are from.
+pub const OWN_KEYS: [&str; 3] = ["my_zone", "position", "group_size"];
+/// Keys of the settings whose entries have names: which there are may change, and an outline leaves them out.
+const NAMED_KEYS: [&str; 2] = ["profiles", "customers"];
+
+/// Settings without their named entries: what it takes to check their successors, in a few hundred bytes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Outline(Map<String, Value>);
+
+impl Outline {
+    fn of(settings: &Value) -> Outline {
+        let keys = settings.as_object().into_iter().flatten();
+        let kept = keys.filter(|(key, _)| !NAMED_KEYS.contains(&key.as_str()));
+        Outline(kept.map(|(key, value)| (key.clone(), value.clone())).collect())
+    }
+
+    /// The same with another proxy file's own keys.
+    pub fn with_own(&self, file: &Outline) -> Outline {
+        let mut outline = self.clone();
+        file.put_own(&mut outline.0);
+        outline
+    }
+
+    fn keys(&self) -> Keys {
+        Keys(self.0.iter().map(|(key, value)| (key.clone(), Keys::of(value))).collect())
+    }
+
+    fn put_own(&self, settings: &mut Map<String, Value>) {
+        for key in OWN_KEYS {
+            match self.0.get(key) {
+                Some(value) => drop(settings.insert(key.into(), value.clone())),
+                None => drop(settings.remove(key)),
+            }
+        }
+    }
+
+    /// Reads settings that come from elsewhere than the file, under this proxy's own keys; nothing is taken where any
+    /// part is at fault, or lacks a key that these have.
+    ///
+    /// # Errors
+    /// The first thing that is wrong with them.
+    pub fn succeed(&self, mut settings: Value) -> Result<(Settings, Outline), NodeError> {
+        settings.as_object_mut().into_iter().for_each(|settings| self.put_own(settings));
+        if let Some(key) = self.keys().missing(&settings, "") {
+            return Err(NodeError::Missing(key));
+        }
+        let read = Settings::read(&settings)?;
+        Ok((read, Outline::of(&settings)))
+    }
+}
+
 /// What a new file may change while the program runs.
 pub struct Change {
     /// Where discovery is.
@@ -121,6 +173,15 @@
 }
 
 impl FileInForce {
+    fn of(path: PathBuf, whole: &Value, settings: &Value) -> FileInForce {
+        FileInForce { path, keys: Arc::new(Keys::of(whole)), outline: Outline::of(settings) }
+    }
+
+    /// Of its settings.
+    pub fn outline(&self) -> Outline {
+        self.outline.clone()
+    }
+
     /// The file as it is now, whole: where anything is wrong with it nothing of it is taken.
     ///
     /// # Errors
@@ -132,13 +193,9 @@
             return Err(NodeError::Missing(key));
         }
         let (file, settings) = parts(&new).map_err(|e| NodeError::Malformed(path, e))?;
+        let in_force = FileInForce::of(self.path.clone(), &new, settings);
         let settings = Settings::read(settings)?;
-        let keys = Arc::new(Keys::of(&new));
-        Ok(Change {
-            discovery: file.discovery,
-            settings,
-            file: FileInForce { path: self.path.clone(), keys },
-        })
+        Ok(Change { discovery: file.discovery, settings, file: in_force })
     }
 }
 
@@ -175,6 +232,7 @@
         let (path, text) = text(path)?;
         let whole: Value = serde_json::from_str(&text).map_err(|e| NodeError::Malformed(path.clone(), e))?;
         let (file, settings) = parts(&whole).map_err(|e| NodeError::Malformed(path, e))?;
+        let in_force = FileInForce::of(at, &whole, settings);
         let settings = Settings::read(settings)?;
         let hex = file.seed.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
         let seed = hex.or(file.seed.as_u64());
@@ -188,7 +246,7 @@
             memory: file.limits.memory_mb << 20,
             known: file.known,
             settings,
-            file: FileInForce { path: at, keys: Arc::new(Keys::of(&whole)) },
+            file: in_force,
         })
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 mod answer;
 pub mod attempt;
 pub mod body;
+pub mod call;
 pub mod chunks;
 mod client;
 mod clients;
