Measure a following proxy's memory in a process of its own

Need: the figure before was taken in a process whose allocator had free memory left from other parts.

Change: the example starts itself as a proxy that only follows.

--- a/crates/configuration/examples/size.rs
+++ b/crates/configuration/examples/size.rs
@@ -18,6 +18,8 @@
 use serde_json::{json, Value};
 use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
 use std::alloc::System;
+use std::io::Write;
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 #[global_allocator]
@@ -72,12 +74,16 @@
 
 /// Takes an answer as a proxy does.
 fn take(follower: &mut Follower, text: &str, read_settings: bool) -> Cost {
+    let begun = Instant::now();
+    let message = decode(text.as_bytes()).expect("a message");
+    let decode = begun.elapsed();
+    Cost { decode, ..take_message(follower, message, read_settings) }
+}
+
+fn take_message(follower: &mut Follower, message: Message, read_settings: bool) -> Cost {
     let mut cost = Cost::default();
     let now = Duration::ZERO;
     while !matches!(follower.poll(now), Step::Ask(_)) {}
-    let begun = Instant::now();
-    let message = decode(text.as_bytes()).expect("a message");
-    cost.decode = begun.elapsed();
     follower.answered(now, message);
     let mut judged = false;
     loop {
@@ -186,23 +192,11 @@
 }
 
 fn memory(source: &mut Source) {
-    let text = text(source, None);
-    let region = Region::new(ALLOCATOR);
-    let mut follower = Follower::new(FollowerSettings::default(), 1);
-    take(&mut follower, &text, false);
-    println!("held document: {:.1} MB allocated", allocated(&region));
-    let before = resident().0;
-    // proc(5): resets the most resident memory to the present one.
-    let reset = std::fs::write("/proc/self/clear_refs", "5").is_ok();
+    let whole = text(source, None);
+    let held = source.version();
     source.publish_changes(vec![quota(1, 0.5)], Vec::new(), |_| Ok(())).expect("published");
-    let held = follower.held();
-    let cost = take(&mut follower, &self::text(source, held), true);
-    let most = resident().1;
-    println!(
-        "one change with its settings read: Settings::read {:.1} ms, {:.1} MB more resident at the most (reset {reset})",
-        cost.read.as_secs_f64() * 1e3,
-        most - before
-    );
+    let delta = text(source, Some(held));
+    proxy(&whole, &delta);
     let region = Region::new(ALLOCATOR);
     let object = source_object(source);
     println!("settings as one JSON object in memory: {:.1} MB allocated", allocated(&region));
@@ -212,6 +206,43 @@
     drop(settings);
 }
 
+/// The argument that makes this program the process of a proxy that only follows.
+const AS_PROXY: &str = "proxy";
+
+/// Starts that process, and gives it these two answers, one a line.
+fn proxy(whole: &str, delta: &str) {
+    let program = std::env::current_exe().expect("this program");
+    let mut command = Command::new(program);
+    let mut child = command.arg(AS_PROXY).stdin(Stdio::piped()).spawn().expect("a process");
+    let mut input = child.stdin.take().expect("its input");
+    input.write_all(format!("{whole}\n{delta}\n").as_bytes()).expect("written");
+    drop(input);
+    assert!(child.wait().expect("its end").success());
+}
+
+/// That process: takes both answers as a proxy does, and tells its memory after each.
+fn run_proxy() {
+    let region = Region::new(ALLOCATOR);
+    let mut follower = Follower::new(FollowerSettings::default(), 1);
+    println!("a process of its own: {:.1} MB resident at its start", resident().0);
+    for name in ["whole document", "one change"] {
+        // proc(5): resets the most resident memory to the present one.
+        let reset = std::fs::write("/proc/self/clear_refs", "5").is_ok();
+        let mut text = String::new();
+        std::io::stdin().read_line(&mut text).expect("an answer");
+        let message = decode(text.as_bytes()).expect("a message");
+        drop(text); // as the program does
+        let cost = take_message(&mut follower, message, true);
+        let (now, most) = resident();
+        println!(
+            "  {name}: Settings::read {:.1} ms, {most:.1} MB resident at the most (reset {reset}), {now:.1} MB after it, \
+             {:.1} MB allocated",
+            cost.read.as_secs_f64() * 1e3,
+            allocated(&region)
+        );
+    }
+}
+
 fn source_object(source: &Source) -> Value {
     lotusdeck_configuration::document::to_settings(source.document().iter()).expect("an object")
 }
@@ -271,6 +302,9 @@
 }
 
 fn main() {
+    if std::env::args().nth(1).as_deref() == Some(AS_PROXY) {
+        return run_proxy();
+    }
     let begun = Instant::now();
     let mut source = Source::begin(1, &settings(), HistoryBounds::default(), |_| Ok(())).expect("a source");
     let (document, made) = (source.document(), begun.elapsed());
