--- /dev/null
+++ b/crates/proxy/tests/outline.rs
@@ -0,0 +1,51 @@
+//! Settings that come from elsewhere than the proxy's own file.
+
+use lotusdeck_proxy::config::{Node, NodeError, Outline};
+use serde_json::{json, Value};
+
+fn settings(position: u32, group_size: u32) -> Value {
+    json!({
+        "blend": {"whole": 0.6, "worst_class": 0.2}, "costs": {"cross_zone": 0.0}, "customers": [],
+        "discovery": "automatic", "position": position, "group_size": group_size, "granularity_us": 5000,
+        "kinds": ["big"], "my_zone": "east", "zones": ["west", "east"], "over_share_worth": 0.1,
+        "limits": {"cancel": true, "max_attempts": 4, "parallel_tries": true, "dial_timeout_us": 300_000,
+            "conn_idle_us": 60_000_000, "max_retry_after_us": 2_000_000},
+        "profiles": [{"name": "read", "aim_us": 900_000, "deadline_us": 3_000_000, "effect": "free",
+            "gain": 1.0, "late_worth": 0.5}],
+        "rules": {"cold_from": 0.3, "fall_multiple": 2.5, "must_ask_in_us": 9_000_000,
+            "ramp_time_us": 9_000_000, "tip_after_us": 2_000_000},
+    })
+}
+
+/// Of a proxy's file with these settings.
+fn outline(name: &str, settings: &Value) -> Outline {
+    let file = json!({"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": 1,
+        "settings": settings});
+    let path = std::env::temp_dir().join(format!("lotusdeck-outline-{name}-{}", std::process::id()));
+    std::fs::write(&path, file.to_string()).unwrap();
+    let node = Node::read(&path, None).unwrap_or_else(|error| panic!("{error}"));
+    node.file.outline()
+}
+
+/// What the platform tells each proxy comes from its file, whatever the others are told.
+#[test]
+fn a_proxy_keeps_its_own_keys() {
+    let outline = outline("own", &settings(7, 9));
+    let mut told = settings(0, 1);
+    told["my_zone"] = json!("west");
+    let (read, next) = outline.succeed(told.clone()).unwrap();
+    assert_eq!((read.config.position, read.config.proxies, read.config.zone.0), (7, 9, 1));
+    let (read, _) = next.succeed(told).unwrap();
+    assert_eq!((read.config.position, read.config.proxies, read.config.zone.0), (7, 9, 1));
+}
+
+/// A key that is in force may not be missing; named entries may.
+#[test]
+fn a_key_in_force_is_not_left_out() {
+    let outline = outline("missing", &settings(0, 1));
+    let mut told = settings(0, 1);
+    told["profiles"] = json!([]);
+    told["rules"].as_object_mut().unwrap().remove("ramp_time_us");
+    let refused = outline.succeed(told).err();
+    assert!(matches!(&refused, Some(NodeError::Missing(key)) if key == "rules.ramp_time_us"), "{refused:?}");
+}
