--- a/crates/lotusdeck/tests/configuration.rs
+++ b/crates/lotusdeck/tests/configuration.rs
@@ -130,7 +130,7 @@
     let (asked, answer) = published.question();
     assert!(asked.contains(&format!("&after={version}")), "{asked}");
     answer.send((200, encode(&Told::Unchanged(version)))).unwrap();
-    published.question();
+    let _held = published.question(); // were it let go, its connection would end
     let status = status(&proxy);
     assert_eq!((&status["version"], &status["standing"]), (&json!("7-2"), &json!("current")), "{status}");
     assert!(status["age_ms"].is_u64(), "{status}");
