--- a/crates/proxy/src/call.rs
+++ b/crates/proxy/src/call.rs
@@ -1,4 +1,4 @@
-//! One call after another on a connection of its own, to what serves this proxy: discovery, a source of configuration.
+//! One call after another on a connection of its own, to a source of configuration.
 
 use crate::exchange::driven;
 use crate::stream::Stream;
