--- a/crates/lab/src/scale/record.rs
+++ b/crates/lab/src/scale/record.rs
@@ -224,7 +224,7 @@
         return "0".into();
     }
     match value.abs() {
-        size if size >= 1e5 || size < 1e-3 => format!("{value:.2e}"),
+        size if !(1e-3..1e5).contains(&size) => format!("{value:.2e}"),
         size if size >= 100.0 => format!("{value:.0}"),
         size if size >= 1.0 => format!("{value:.2}"),
         _ => format!("{value:.4}"),
