--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -121,7 +121,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let rig = Rig { experiment: &experiment, program: &program, folder: args.folder.join(&experiment.name) };
     // Before the run: what is checked out may change while it goes on.
-    let commit = output_of("git", &["rev-parse", "--short=10", "HEAD"]);
+    let commit = commit();
     let date = output_of("date", &["+%Y-%m-%d"]);
     let series = runtime.block_on(interruptible(&rig))?;
     let record = Record {
@@ -189,6 +189,22 @@
     Ok(())
 }
 
+/// What the program is made of, of all that is checked out: not the lab, nor tests.
+const PROGRAM: [&str; 3] = ["crates", ":!crates/lab", ":!crates/*/tests/*"];
+
+/// The last commit that touched the program, marked where it was changed since.
+fn commit() -> String {
+    let last = ["log", "-1", "--abbrev=10", "--format=%h", "--"];
+    let commit = output_of("git", &[last.as_slice(), PROGRAM.as_slice()].concat());
+    let changes = ["status", "--porcelain", "--"];
+    let changed = output_of("git", &[changes.as_slice(), PROGRAM.as_slice()].concat());
+    if changed.is_empty() {
+        commit
+    } else {
+        commit + "-changed"
+    }
+}
+
 /// What a command prints on one line; `unknown` where it fails.
 fn output_of(command: &str, arguments: &[&str]) -> String {
     let output = std::process::Command::new(command).args(arguments).output();
--- a/crates/lab/src/scale/rows.rs
+++ b/crates/lab/src/scale/rows.rs
@@ -149,14 +149,26 @@
 
     /// All rows whose laws were measured, in the order of the roles.
     pub fn rows(&self) -> Vec<Row> {
-        let all = [self.proxy(), self.proxy_sums(), self.discovery(), self.configuration(), self.members()];
-        all.into_iter().flatten().flatten().collect()
+        let proxy = [
+            self.proxy_memory(),
+            self.proxy_reloads(),
+            self.proxy_settings(),
+            self.proxy_list(),
+            self.proxy_sums(),
+        ];
+        let others = [self.discovery(), self.configuration(), self.members()];
+        let all = proxy.into_iter().chain(others);
+        all.flatten().flatten().collect()
     }
 
     fn control_core(&self) -> Option<f64> {
         Some(self.target.control_core_share)
     }
 
+    fn added(&self) -> Option<f64> {
+        Some(self.target.added_p99_ms / 1e3)
+    }
+
     fn control_memory(&self) -> Option<f64> {
         Some(self.target.control_memory_mb * 1e6)
     }
@@ -189,11 +201,8 @@
         Some(document.scale(self.target.settings_changes_per_day / DAY_S))
     }
 
-    fn proxy(&self) -> Vec<Option<Row>> {
-        let pause = self.settings(Metric::ReloadLongestSeconds);
-        let pauses = self.settings(Metric::ReloadSeconds);
-        let undisturbed = self.settings(Metric::ReloadProcessorSeconds);
-        let added = Some(self.target.added_p99_ms / 1e3);
+    /// What a proxy holds.
+    fn proxy_memory(&self) -> Vec<Option<Row>> {
         let row = Maker(Role::Proxy);
         vec![
             row.make(
@@ -217,6 +226,13 @@
                 self.control_memory(),
                 "missing: subsetting, where 320 services share one list",
             ),
+        ]
+    }
+
+    /// What a change of the settings costs a proxy.
+    fn proxy_reloads(&self) -> Vec<Option<Row>> {
+        let row = Maker(Role::Proxy);
+        vec![
             row.make(
                 "processor time of reloads",
                 Unit::Share,
@@ -227,35 +243,28 @@
             row.make(
                 "pause of all requests at a reload, with a core to itself",
                 Unit::Seconds,
-                undisturbed,
-                added,
+                self.settings(Metric::ReloadProcessorSeconds),
+                self.added(),
                 "missing: an index of names; reading off the event loop",
             ),
             row.make(
                 "pause of all requests at a reload, as measured on a busy machine",
                 Unit::Seconds,
-                pause,
-                added,
-                "missing: as above",
+                self.settings(Metric::ReloadLongestSeconds),
+                self.added(),
+                "missing: an index of names; reading off the event loop",
             ),
             row.make(
                 "part of the day in such pauses (over 1 % the day's p99 is a pause)",
                 Unit::Share,
                 self.reload_share(),
                 Some(TAIL),
-                "missing: as above",
-            ),
-            row.make(
-                "look-up of tenant and route, a request",
-                Unit::Seconds,
-                self.settings(Metric::LookupSeconds),
-                added,
-                "missing: an index of names",
+                "missing: an index of names; reading off the event loop",
             ),
             row.make(
                 "settings in force after SIGHUP",
                 Unit::Seconds,
-                pauses,
+                self.settings(Metric::ReloadSeconds),
                 Some(self.target.in_force_s),
                 "reload, without the way to the proxy",
             ),
@@ -266,6 +275,34 @@
                 self.control_bytes(),
                 "missing: deltas of settings",
             ),
+        ]
+    }
+
+    /// What the size of the settings costs a proxy beside changes of them.
+    fn proxy_settings(&self) -> Vec<Option<Row>> {
+        let row = Maker(Role::Proxy);
+        vec![
+            row.make(
+                "look-up of tenant and route, a request",
+                Unit::Seconds,
+                self.settings(Metric::LookupSeconds),
+                self.added(),
+                "missing: an index of names",
+            ),
+            row.make(
+                "ready after a start, by settings",
+                Unit::Seconds,
+                self.settings(Metric::ReadySeconds),
+                None,
+                "missing: an index of names",
+            ),
+        ]
+    }
+
+    /// What the list of backends costs a proxy.
+    fn proxy_list(&self) -> Vec<Option<Row>> {
+        let row = Maker(Role::Proxy);
+        vec![
             row.make(
                 "bytes of the list, ordinary day",
                 Unit::BytesPerSecond,
@@ -315,13 +352,6 @@
                 Some(self.target.in_force_s),
                 "long polls",
             ),
-            row.make(
-                "ready after a start, by settings",
-                Unit::Seconds,
-                self.settings(Metric::ReadySeconds),
-                None,
-                "missing: an index of names",
-            ),
             row.make(
                 "ready after a start, by the list",
                 Unit::Seconds,
