Call a crowded discovery once at a time, and pause as before: a second call starved a fleet

Cause: pacing.rs opened a second and third call beside one that waits its turn, and rules.rs paused 0.2 s to 0.6 s: discovery takes 0.2 s to 0.25 s for each call there (times of 'discovery is back'), so that 30 proxies kept its queue full for good.

Change: one call at a time where nothing was waited for, given up after 2 s; another beside it only where a watch is overdue or an answer goes on too long; pauses double up to an eighth of the time to ask.

--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -57,9 +57,6 @@
 const STEPS: usize = 128;
 /// Passes of a solution at most.
 const PASSES: f64 = 5.0;
-/// Calls of all proxies to a discovery that fails, 1/s; each pauses for so long at most all the same, s.
-const ASK_RATE: f64 = 400.0;
-const ASK_PAUSE: f64 = 0.6;
 /// A request worth less than this part of a first try within quota finds half of the room: the rest is kept.
 const LOW: f64 = 0.5;
 
@@ -245,8 +242,8 @@
         match (update, self.cfg.discovery) {
             // A lost subscription is asked for again, later each time and not in step with others.
             (ListUpdate::Lost, Discovery::Subscribe(within)) => {
-                let most = (f64::from(self.cfg.proxies) / ASK_RATE).clamp(0.2, ASK_PAUSE);
-                let wait = (self.ask.1 * 2.0).clamp(0.1, (within.secs() / 8.0).clamp(0.1, most));
+                // Shorter pauses of a whole fleet keep a crowded discovery from ever answering.
+                let wait = (self.ask.1 * 2.0).clamp(0.1, (within.secs() / 8.0).max(0.1));
                 self.ask = (Some(now + Micros::from_secs(wait * (0.5 + self.dice.unit()))), wait);
                 self.look_at = now;
             }
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,25 +1,23 @@
 //! Discovery: the watch that keeps the backend list up to date.
 //!
-//! What discovery has counts as told 6 s after it could be reached, whatever became of the calls before, so the time from
-//! any moment at which it can be reached to the next answer is bounded at every proxy:
+//! What discovery has counts as told 6 s after it could be reached, whatever became of the calls before. From the moment
+//! at which it can be reached until the next call is made there pass at most
 //!
 //! ```text
-//! told <= gap + pause + answer <= 1.5 s + 0.9 s + 3.5 s = 5.9 s
+//! silence + pause <= 2 s + 1.9 s
 //! ```
 //!
-//! - `gap`: while calls are out and bring no list, another is opened after 10 ms for each proxy of the fleet, 1 s at
-//!   least and 1.5 s at most. A call that waits its turn is kept beside it: at a crowded discovery, one that is given up
-//!   is asked again from the end of the queue.
-//! - `pause`: a call that failed (a refused or broken connection, an answer other than 200, an answer that makes no sense)
-//!   is followed by the next after at most one and a half times the module's longest pause, 0.2 s to 0.6 s by the size of
-//!   the fleet. Only where no other call is out is there a pause.
-//! - `answer`: a call that is reached is answered within 3.5 s of silence, or counts as lost. An answer that comes slowly
-//!   lives as long as it moves, up to 20 s; what is newer than the list held is asked for beside it all the same.
+//! where the settings ask every 10 s, which leaves 2 s for the answer.
 //!
-//! Each further call that fails once discovery can be reached costs the time until its failure and one `pause`.
+//! - `silence`: a call on which nothing comes is given up after 2 s, and one that waits for news gets another beside it
+//!   0.5 s after its wait. An answer that comes slowly lives as long as it moves, up to 20 s; what is newer than the
+//!   list held is asked for beside it after 1.5 s.
+//! - `pause`: a call that failed (a refused or broken connection, an answer other than 200, an answer that makes no sense)
+//!   is followed by the next after a pause that doubles with each failure in a row, up to one and a half times an
+//!   eighth of the time in which the settings want discovery asked. Only where no other call is out is there a pause.
 //!
-//! Discovery's work is bounded as well: each proxy has three calls out at most, opened one a gap, and calls again no sooner
-//! than after a pause. While discovery is silent 300 proxies open 200 calls a second; while it refuses, 500 at most.
+//! Both are long on purpose: a discovery that takes a quarter of a second for each of thirty callers answers none in time
+//! where each has several calls out, or comes back sooner.
 
 mod call;
 mod pacing;
@@ -28,7 +26,7 @@
 use call::{Call, Dialer, Ended, Link, Question};
 use lotusdeck_core::{span, Host};
 use lotusdeck_policy::{Discovery, ListUpdate};
-use pacing::{backoff, spread, Gaps, MOST_CALLS};
+use pacing::{backoff, spread, GAP, MOST_CALLS};
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -130,17 +128,18 @@
 
     /// When another call is due beside them, a gap after the newest, which may have failed, at the soonest; never while
     /// as many are out as may be.
-    fn another_at(&self, gaps: Gaps, held: Option<u64>) -> Option<Instant> {
-        let due = self.out.iter().map(|call| call.another_at(gaps, held)).max();
+    fn another_at(&self, held: Option<u64>) -> Option<Instant> {
+        let due =
+            self.out.iter().map(|call| call.another_at(held)).collect::<Option<Vec<_>>>()?.into_iter().max();
         let room = self.out.len() < MOST_CALLS;
-        due.filter(|_| room).map(|due| due.max(self.opened + gaps.usual()))
+        due.filter(|_| room).map(|due| due.max(self.opened + GAP))
     }
 
     /// The first of them to end. While they bring nothing, another is opened beside them at each gap, for what is newer
     /// than the version held then.
-    async fn ended(&mut self, gaps: Gaps, held: &Cell<Option<u64>>) -> (Question, Ended) {
+    async fn ended(&mut self, held: &Cell<Option<u64>>) -> (Question, Ended) {
         loop {
-            let another = self.another_at(gaps, held.get());
+            let another = self.another_at(held.get());
             let due = async {
                 match another {
                     Some(at) => tokio::time::sleep_until(at).await,
@@ -152,7 +151,7 @@
                 ended = self.first() => return ended,
                 () = due => {
                     // Something may have come meanwhile.
-                    if self.another_at(gaps, held.get()).is_some_and(|at| at <= Instant::now()) {
+                    if self.another_at(held.get()).is_some_and(|at| at <= Instant::now()) {
                         if self.out.len() == 1 {
                             info!("discovery does not answer, another call is opened");
                         }
@@ -188,8 +187,7 @@
             if calls.out.is_empty() {
                 calls.open(link.take(), self.question(wait));
             }
-            let gaps = Gaps::new(self.host.settings().config.proxies);
-            let (question, (kept, answer)) = calls.ended(gaps, &self.index).await;
+            let (question, (kept, answer)) = calls.ended(&self.index).await;
             match answer {
                 Ok(told) => {
                     if failures > 0 {
--- a/crates/proxy/src/discovery/call.rs
+++ b/crates/proxy/src/discovery/call.rs
@@ -1,6 +1,6 @@
 //! One call to discovery: its connection, its answer, and when either is given up.
 
-use super::pacing::{Gaps, CONNECT, LONGEST_CALL, SILENCE};
+use super::pacing::{CONNECT, GAP, LONGEST_CALL, OVERDUE, SILENCE};
 use crate::exchange::driven;
 use crate::list::{List, Told};
 use crate::stream::Stream;
@@ -176,15 +176,17 @@
         Call { question, progress, ended }
     }
 
-    /// When another call is due beside it. An answer that still comes is waited for where the other would have to
-    /// ask for the whole list as well; where it asks for what is newer than the list held, that costs little.
-    pub fn another_at(&self, gaps: Gaps, held: Option<u64>) -> Instant {
+    /// When another call is due beside it; `None`: not before it has ended. One that has no wait and no answer yet is
+    /// left alone: a crowded discovery handles calls in turn, and takes up to a quarter of a second for each, so that
+    /// second calls of a whole fleet keep it from ever answering the first.
+    pub fn another_at(&self, held: Option<u64>) -> Option<Instant> {
         let Progress { due, heard } = &*self.progress;
         match heard.get() {
-            None if self.question.patience() > Duration::ZERO => *due + gaps.overdue(),
-            None => *due + gaps.usual(),
-            Some((first, _)) if held.is_some() => first + gaps.usual(),
-            Some((_, last)) => last + gaps.usual(),
+            None if self.question.patience() > Duration::ZERO => Some(*due + OVERDUE),
+            None => None,
+            // An answer that still comes is waited for where the other would have to ask for the whole list as well.
+            Some((first, _)) if held.is_some() => Some(first + GAP),
+            Some((_, last)) => Some(last + GAP),
         }
     }
 }
--- a/crates/proxy/src/discovery/pacing.rs
+++ b/crates/proxy/src/discovery/pacing.rs
@@ -5,19 +5,14 @@
 
 /// Beyond its wait a call that waits may take so long before another is opened beside it. What a silent watch missed
 /// counts as told 2 s after its wait, which leaves 1.5 s for the answer to the other call.
-const OVERDUE: Duration = Duration::from_millis(500);
-/// A call that does not wait gets another beside it after this time: the shorter, after which a lost segment would be
-/// sent again, in fleets of up to a hundred proxies, and in large ones the longer, as each call costs discovery work.
-const SHORTEST_GAP: Duration = Duration::from_secs(1);
-const LONGEST_GAP: Duration = Duration::from_millis(1_500);
-/// Part of the gap for each proxy of the fleet: between the two, all together open a hundred such calls a second.
-const GAP_PER_PROXY: Duration = Duration::from_millis(10);
-/// Calls that one proxy has out at once. At every gap one more is opened, and the oldest is given up after
-/// [`SILENCE`], so that three keep the gaps without a hole.
+pub(super) const OVERDUE: Duration = Duration::from_millis(500);
+/// An answer that has begun and is not whole gets another call beside it after this time.
+pub(super) const GAP: Duration = Duration::from_millis(1_500);
+/// Calls that one proxy has out at once: one that is overdue or unfinished, and others beside it until it is given up.
 pub(super) const MOST_CALLS: usize = 3;
-/// A call on which nothing has come for so long is given up. It is as long as the bound allows: a crowded discovery
-/// handles calls in turn, and one that is given up has waited there in vain.
-pub(super) const SILENCE: Duration = Duration::from_millis(3_500);
+/// A call on which nothing has come for so long is given up. What a silent discovery missed counts as told 6 s after it
+/// fell silent, so that another call, and the pause before it, are over by then.
+pub(super) const SILENCE: Duration = Duration::from_secs(2);
 /// A call may take so long beyond its wait, whatever comes on it: longer ones only trickle. At this size a list comes
 /// at 1 MiB/s.
 pub(super) const LONGEST_CALL: Duration = Duration::from_secs(20);
@@ -31,26 +26,6 @@
 /// Multiples of it, whole parts left out, lie evenly spread however many there are (Kronecker's sequence).
 const GOLDEN: f64 = 0.618_033_988_749_895;
 
-/// After how long another call is opened beside one that has brought no list.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Gaps(Duration);
-
-impl Gaps {
-    pub fn new(proxies: u32) -> Gaps {
-        Gaps(GAP_PER_PROXY.saturating_mul(proxies).clamp(SHORTEST_GAP, LONGEST_GAP))
-    }
-
-    /// After a call without a wait was opened, or the first byte of any answer came.
-    pub fn usual(self) -> Duration {
-        self.0
-    }
-
-    /// After a wait was over and not a byte came.
-    pub fn overdue(self) -> Duration {
-        OVERDUE
-    }
-}
-
 /// The pause after so many failed calls in a row, where lists are pushed.
 pub(super) fn backoff(failures: u32) -> Duration {
     (BACKOFF * (1 << failures.min(4))).min(LONGEST_BACKOFF)
