--- a/crates/lotusdeck/tests/discovery_faults.rs
+++ b/crates/lotusdeck/tests/discovery_faults.rs
@@ -96,14 +96,17 @@
 /// change is heeded though the list was taken from the other, and its older word undoes nothing.
 #[test]
 fn an_overdue_watch_is_kept_and_heard_beside_the_next_call() {
-    let backend = BackendServer::start(|_| ok("x"));
-    let [serving, draining] = ["SERVING", "DRAINING"].map(|s| vec![entry("b0", backend.address, s)]);
-    let played = [((10, &serving), (11, &draining)), ((11, &draining), (10, &serving))];
     std::thread::scope(|scope| {
-        for (other, late) in played {
-            let (backend, serving) = (&backend, &serving);
+        for drains_late in [true, false] {
             scope.spawn(move || {
-                let proxy = Proxy::with(serving, 1024, &asked());
+                let backend = BackendServer::start(|_| ok("x"));
+                let listed = |state| vec![entry("b0", backend.address, state)];
+                let (serving, draining) = (listed("SERVING"), listed("DRAINING"));
+                let (other, late) = match drains_late {
+                    true => ((10, &serving), (11, &draining)),
+                    false => ((11, &draining), (10, &serving)),
+                };
+                let proxy = Proxy::with(&serving, 1024, &asked());
                 proxy.discovery.call().1.send((200, list(9, false, &[]))).unwrap();
                 let (_, first) = proxy.discovery.call();
                 let begun = Instant::now();
@@ -122,7 +125,6 @@
                 let (watch, _waits) = proxy.discovery.call();
                 assert!(watch.contains("after=11&"), "{watch}");
                 assert_eq!(proxy.ask(&read(3.0)).status(), 503, "older news undid newer");
-                drop(backend);
             });
         }
     });
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -139,13 +139,9 @@
     /// than the version held then.
     async fn ended(&mut self, held: &Cell<Option<u64>>) -> (Question, Ended) {
         loop {
-            let another = self.another_at(held.get());
-            let due = async {
-                match another {
-                    Some(at) => tokio::time::sleep_until(at).await,
-                    None => std::future::pending().await,
-                }
-            };
+            // Whether another is due is seen anew when an answer may have begun.
+            let look = self.another_at(held.get()).unwrap_or_else(|| Instant::now() + GAP);
+            let due = tokio::time::sleep_until(look);
             tokio::select! {
                 biased;
                 ended = self.first() => return ended,
