Refuse every duplicate of an open request's id, not the first alone

Callers saw: while a request was open, the first further request of the same X-Correlation-Id was answered 409 and the second was forwarded, so that a class that must not run twice could run twice.

Cause: OpenId::new built its guard with bool::then_some, which takes a value.

Evidence: request_guards::tests::a_duplicate_id_is_refused_as_long_as_its_request_is_open failed at the second duplicate. The new test through sockets, service::no_duplicate_of_an_open_request_reaches_a_backend, failed before at duplicate 2: (502, 2 requests at the backend) for (409, 1).

The guard is now built only where the id was inserted, so that nothing that frees an id exists for a duplicate. The other types with a drop of their own were read: none of them is built as an argument.

--- a/crates/lotusdeck/tests/service.rs
+++ b/crates/lotusdeck/tests/service.rs
@@ -242,6 +242,29 @@
     assert_eq!(backend.count(), 1);
 }
 
+/// Guards against a duplicate whose rejection frees the id, so that the next duplicate runs beside the first request.
+#[test]
+fn no_duplicate_of_an_open_request_reaches_a_backend() {
+    let gate = Arc::new(Gate::default());
+    let wait = gate.clone();
+    let backend = BackendServer::start(move |_| Reply::Gate(wait.clone()));
+    let proxy = one(&backend);
+    let request = pay(3.0);
+    let mut first = proxy.client();
+    first.send(&request);
+    backend.request();
+    for number in 1..=4 {
+        let mut duplicate = proxy.client();
+        duplicate.send(&request);
+        let answered = duplicate.answer().map(|answer| answer.status());
+        assert_eq!((answered, backend.count()), (Some(409), 1), "duplicate {number}");
+    }
+    gate.open();
+    assert_eq!(first.answer().expect("the answer to the first").body, b"gated");
+    assert_eq!(proxy.ask(&request).status(), 200, "an answered request's id is free");
+    assert_eq!(backend.count(), 2);
+}
+
 /// Whoever says nothing, sends half a head or half a body is let go of, with room to spare or not.
 #[test]
 fn connections_that_bring_no_whole_request_end() {
--- a/crates/proxy/src/request_guards.rs
+++ b/crates/proxy/src/request_guards.rs
@@ -60,8 +60,11 @@
 impl<'a> OpenId<'a> {
     /// `None` where a request of this id is open.
     pub(crate) fn new(open_ids: &'a RefCell<HashSet<HeaderValue>>, id: HeaderValue) -> Option<OpenId<'a>> {
-        let is_new = open_ids.borrow_mut().insert(id.clone());
-        is_new.then_some(OpenId { open_ids, id })
+        // No guard is built for a duplicate: its drop would free the id of the request that is open.
+        if !open_ids.borrow_mut().insert(id.clone()) {
+            return None;
+        }
+        Some(OpenId { open_ids, id })
     }
 }
 
