--- a/crates/policy/src/discovery_poll.rs
+++ b/crates/policy/src/discovery_poll.rs
@@ -5,8 +5,8 @@
 
 /// The first pause after a failed subscription, in seconds.
 const MIN_BACKOFF_S: f64 = 0.1;
-/// The longest pause before jitter, in seconds: with a silent poll and a slow answer behind it, an update is in place
-/// within the 6 s after which it counts as notified.
+/// The longest pause before jitter, in seconds: with a silent poll and a slow answer behind it, an update is
+/// in place within the 6 s after which it counts as notified.
 const MAX_BACKOFF_S: f64 = 0.8;
 
 /// The subscription to the endpoint list.
