Let a request that may run again return to backends that lost its answer, when none is left

Callers saw: where each of three backends loses every fourth answer, one request in twenty of a class that may run again failed after all of its 0.4 s, though its last attempt was sent within the first 0.1 s.

Cause: retry::may_repeat_on allowed one attempt a backend, whatever the class. One lost answer ejects a backend, so that two or three lost answers left none to send to. The flaky where_answers_are_lost_copies_make_up_for_them is this draw of backends, not load.

Evidence: crates/policy/tests/lost_answers.rs plays the fleet in virtual time, without load: answers of 1, 3, 10, 30 ms, seeds 0 to 19.

Change: where each backend in use has had an attempt of a request that may run any number of times, the next may go to any of them, within the same attempts and budget, never to a silent one; in fleets of up to 256 backends. Ejection is as before.

--- a/crates/lotusdeck/tests/service.rs
+++ b/crates/lotusdeck/tests/service.rs
@@ -402,8 +402,7 @@
     let statuses: Vec<u16> = (0..60).map(|_| proxy.ask(&read(0.4)).status()).collect();
     let lost = |part: &[u16]| part.iter().filter(|s| **s != 200).count();
     assert!(lost(&statuses[..30]) > 3, "it takes some to tell: {statuses:?}");
-    // Without copies seven or eight; both may be lost, and one lost with nothing heard since ejects for a term.
-    assert!(lost(&statuses[30..]) < 5, "{statuses:?}");
+    assert!(lost(&statuses[30..]) < 2, "{statuses:?}"); // without copies seven or eight
     never.open();
 }
 
--- a/crates/policy/src/balancer/dispatch.rs
+++ b/crates/policy/src/balancer/dispatch.rs
@@ -3,6 +3,8 @@
 use super::Balancer;
 use crate::admission::QueuedRequest;
 use crate::api::{Action, AttemptNo, BackendId, Micros, RequestId, Time};
+use crate::backend_health::BackendHealth;
+use crate::backend_table::SMALL_FLEET;
 use crate::outlier::EJECTION_TERM_S;
 use crate::picker::Eligibility;
 use crate::requests::{AttemptKey, AttemptRecord, InFlightAttempt, PendingRequest};
@@ -61,6 +63,7 @@
             work: estimates.relative_work(request.class),
             respects_class_ejections: !estimates.classes[request.class].is_ejected_by_most,
             any_idempotent: self.recovery.any_idempotent,
+            may_return: self.may_return(request),
             warmup: WarmupBudget {
                 now,
                 config: &self.config,
@@ -71,6 +74,17 @@
         traffic.picker.pick_backend(&mut self.rng, &self.backends.by_id, &estimates.kinds, &eligibility)
     }
 
+    /// Each backend in use has had an attempt of the request, which may run again: an answer that was lost is
+    /// no reason to do without the others.
+    fn may_return(&self, request: &PendingRequest) -> bool {
+        let is_idempotent = self.config.classes[request.class].is_idempotent();
+        if !is_idempotent || request.attempts.is_empty() || self.backends.by_id.len() > SMALL_FLEET {
+            return false;
+        }
+        let is_in_use = |backend: &BackendHealth| backend.is_listed() && backend.plan.readiness > 0.0;
+        self.backends.by_id.iter().all(|(id, backend)| !is_in_use(backend) || retry::has_tried(request, *id))
+    }
+
     fn send(&mut self, now: Time, id: RequestId, request: &mut PendingRequest, picked: BackendId) {
         let Some(backend) = self.backends.by_id.get_mut(&picked) else { return };
         if !request.attempts.is_empty() {
--- a/crates/policy/src/picker/eligibility.rs
+++ b/crates/policy/src/picker/eligibility.rs
@@ -19,6 +19,8 @@
     pub respects_class_ejections: bool,
     /// Some class is idempotent: only such requests probe backends on probation.
     pub any_idempotent: bool,
+    /// The request may go to a backend again that had an attempt of it.
+    pub may_return: bool,
     pub warmup: WarmupBudget<'a>,
 }
 
@@ -41,6 +43,7 @@
         backend.is_listed()
             && (!backend.ejection.on_probation || self.may_probe(backend))
             && !self.is_barred(backend)
+            && (self.may_return || !retry::has_tried(self.request, backend.entry.id))
             && retry::may_repeat_on(self.config(), self.request, &backend.entry)
             && self.warmup.warmup_budget(backend) >= self.work
     }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -1,6 +1,6 @@
 //! Retries: whether another attempt may do harm, and the budget that bounds how many there are.
 
-use crate::api::{Backend, Class, Config, KeyScope, SideEffects, Time};
+use crate::api::{Backend, BackendId, Class, Config, KeyScope, SideEffects, Time};
 use crate::requests::{AttemptRecord, PendingRequest};
 
 /// Retries and hedged attempts for each request: twice the usual tenth, as failures are seen late.
@@ -54,8 +54,13 @@
         && request.attempts.iter().all(is_repeatable)
 }
 
-/// The request may go to this backend: it had no attempt there, and where one may have run elsewhere, the
-/// backend knows its key. A repeat outside the scope that knows the key would run twice.
+/// The request had an attempt on this backend.
+pub(crate) fn has_tried(request: &PendingRequest, backend: BackendId) -> bool {
+    request.attempts.iter().any(|attempt| attempt.backend.id == backend)
+}
+
+/// The request may go to this backend: where an attempt may have run elsewhere, the backend knows its key. A
+/// repeat outside the scope that knows the key would run twice.
 pub(crate) fn may_repeat_on(config: &Config, request: &PendingRequest, backend: &Backend) -> bool {
     let knows_key = |attempt: &AttemptRecord| match config.classes[request.class].side_effects {
         SideEffects::IdempotencyKey { scope: KeyScope::Zone, .. } => {
@@ -66,7 +71,7 @@
         }
         _ => true,
     };
-    request.attempts.iter().all(|attempt| attempt.backend.id != backend.id && knows_key(attempt))
+    request.attempts.iter().all(knows_key)
 }
 
 /// The client may safely send the request again: it never ran, or all backends would discard a repeat.
--- /dev/null
+++ b/crates/policy/tests/lost_answers.rs
@@ -0,0 +1,88 @@
+//! Backends whose answers are lost now and then.
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::too_many_lines,
+    reason = "a test stops at what it did not expect"
+)]
+
+mod common;
+use common::{backend, class, Host};
+use lotusdeck_policy::*;
+use std::collections::BTreeMap;
+
+const BACKENDS: u32 = 3;
+/// Each backend loses the answer to every one of so many requests.
+const LOST_EVERY: u32 = 4;
+const TIME_LEFT: u64 = 400_000;
+
+/// A fleet whose backends each lose every fourth answer, and one client that sends a request after the other.
+struct LossyFleet {
+    host: Host,
+    received: BTreeMap<u32, u32>,
+    /// How long an answer takes.
+    latency: Micros,
+}
+
+impl LossyFleet {
+    fn new(seed: u64, latency: Micros) -> LossyFleet {
+        let class =
+            Class { latency_objective: Micros(900_000), late_value_factor: 0.5, ..class(SideEffects::None) };
+        let attempts = AttemptLimits { max_attempts: 4, allow_cancel: true, allow_hedging: true };
+        let cfg = Config { proxy_count: 1, classes: vec![class], attempts, ..Config::example() };
+        let mut host = Host::new(cfg, seed);
+        host.members(ListUpdate::Full, (0..BACKENDS).map(|id| backend(id, 0, 0)).collect());
+        LossyFleet { host, received: BTreeMap::new(), latency }
+    }
+
+    /// Sends one request and waits for its end; whether it was served.
+    fn is_next_served(&mut self) -> bool {
+        let id = self.host.arrive(0, TIME_LEFT);
+        let mut is_lost: Vec<bool> = Vec::new();
+        loop {
+            for to in self.host.sent_to(id).iter().skip(is_lost.len()) {
+                let count = self.received.entry(*to).or_default();
+                *count += 1;
+                is_lost.push(count.is_multiple_of(LOST_EVERY));
+            }
+            for (attempt, _) in is_lost.iter().enumerate().filter(|(_, is_lost)| !**is_lost) {
+                if self.host.now >= self.host.requests[&id].tries[attempt].at + self.latency {
+                    self.host.end(id, attempt, Outcome::Success);
+                }
+            }
+            if let Some(answer) = self.host.requests[&id].answer {
+                for (id, attempt) in self.host.out() {
+                    self.host.end(id, attempt, Outcome::Cancelled);
+                }
+                return answer == "served";
+            }
+            self.host.advance(1_000);
+        }
+    }
+
+    /// Sends so many requests; how many were not served.
+    fn count_lost(&mut self, requests: u32) -> usize {
+        (0..requests).filter(|_| !self.is_next_served()).count()
+    }
+}
+
+/// Guards against requests that are given up with most of their time left, because each backend has lost an answer of
+/// theirs or is ejected for one lost answer.
+#[test]
+fn where_every_fourth_answer_is_lost_one_request_in_thirty_is_at_most() {
+    let mut lost_in_all = 0;
+    for latency_ms in [1, 3, 10, 30] {
+        for seed in 0..20 {
+            let mut fleet = LossyFleet::new(seed, Micros(latency_ms * 1_000));
+            let until_it_tells = fleet.count_lost(30);
+            let lost = fleet.count_lost(30);
+            lost_in_all += lost;
+            assert!(
+                until_it_tells > 3,
+                "it takes some to tell: {until_it_tells}, {latency_ms} ms, seed {seed}"
+            );
+            assert!(lost < 2, "{lost} of 30 were lost, {latency_ms} ms, seed {seed}");
+        }
+    }
+    println!("{lost_in_all} of 2,400 lost once it could tell");
+}
