Send no PostgreSQL transaction for a client that left while it waited for a server

Callers saw: a client of the PostgreSQL front that closed its connection while its transaction waited for a server's connection had it run all the same.

Cause: Transaction::send_attempt asked the core alone, which knows of a client's end from the session, and the session reads nothing while it waits (postgres/src/bridge.rs).

Evidence: the new test raw::nothing_is_sent_for_a_client_that_left_while_it_waited_for_a_server failed before ("insert of nobody" ran between "commit" and "select 1"), with the client's end right behind its statement; it also plays an end behind half a message and behind a farewell.

Change: the kernel is asked at the first byte, also for an end behind unread bytes. The questions to the kernel were the HTTP front's (proxy's stream/kernel.rs); they are core's module socket_state now, so that both fronts have one.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 mod registry;
 mod retired;
 mod settings_change;
+pub mod socket_state;
 mod status;
 mod timers;
 
--- a/crates/proxy/src/stream/kernel.rs
+++ b/crates/core/src/socket_state.rs
@@ -1,21 +1,21 @@
-//! What the kernel knows of a connection: the event loop may not have come round to it yet.
+//! What the kernel knows of a client's or a backend's connection: the event loop may not have come round to it yet.
 
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io;
 use tokio::net::TcpStream;
 
 /// Something waits to be read, be it bytes, the end of the connection or an error.
-pub(super) fn is_readable(tcp: &TcpStream) -> bool {
+pub fn is_readable(tcp: &TcpStream) -> bool {
     !peek(tcp).is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
 
 /// Bytes wait that nobody has read.
-pub(super) fn has_bytes(tcp: &TcpStream) -> bool {
+pub fn has_bytes(tcp: &TcpStream) -> bool {
     matches!(peek(tcp), Ok(count) if count > 0)
 }
 
 /// The other side sends no more: it has closed or reset the connection, be it behind bytes that nobody has read.
-pub(super) fn is_closed_by_peer(tcp: &TcpStream) -> bool {
+pub fn is_closed_by_peer(tcp: &TcpStream) -> bool {
     match peek(tcp) {
         Ok(0) => true,
         Ok(_) => has_hung_up(tcp),
--- a/crates/postgres/src/bridge.rs
+++ b/crates/postgres/src/bridge.rs
@@ -7,7 +7,7 @@
 use crate::upstream::{Servers, Upstream};
 use crate::wire::{CancelKey, Forwarder, WireError};
 use bytes::{BufMut, Bytes, BytesMut};
-use lotusdeck_core::{AttemptContext, AttemptFuture, Exchange};
+use lotusdeck_core::{socket_state, AttemptContext, AttemptFuture, Exchange};
 use lotusdeck_policy::{AttemptNo, Outcome};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -73,6 +73,16 @@
         })
     }
 
+    /// Asked right before the first byte of a transaction: nothing is read of a client while it waits for a server, and
+    /// its end may lie behind bytes that are still to be read.
+    fn has_left(&self) -> bool {
+        let has_left = socket_state::is_closed_by_peer(&self.tcp);
+        if has_left {
+            self.end(SessionEnd::ClientLeft);
+        }
+        has_left
+    }
+
     fn end(&self, why: SessionEnd) {
         self.over.set(Some(why));
         self.ended.notify_one();
@@ -219,7 +229,8 @@
                 Ok(upstream) => upstream,
                 Err(outcome) => return outcome,
             };
-            if !leg.journaled().await || self.client.sent.get() || !leg.may_send() {
+            let may_send = leg.journaled().await && !self.client.sent.get() && leg.may_send();
+            if !may_send || self.client.has_left() {
                 self.servers.put(leg.backend, upstream);
                 return Outcome::NeverSent;
             }
--- a/crates/postgres/tests/raw.rs
+++ b/crates/postgres/tests/raw.rs
@@ -276,3 +276,35 @@
     })
     .await;
 }
+
+/// Guards against a transaction that is sent to a server for a client that has left while it waited for one: with its end
+/// behind the statement, behind a part of the next one, and behind a farewell.
+#[tokio::test]
+async fn nothing_is_sent_for_a_client_that_left_while_it_waited_for_a_server() {
+    scope(async {
+        let mut farewell = BytesMut::new();
+        put(&mut farewell, b'X', b"");
+        for behind in [b"".as_ref(), b"Q\0\0", &farewell] {
+            let (at, seen) = stand_in().await;
+            let rig = Rig::start(&[at], 1, LONG).await;
+            let (mut holder, mut leaver) = (Raw::log_in(&rig).await, Raw::log_in(&rig).await);
+            holder.say(&[(b'Q', b"begin\0")]).await; // the only connection is bound
+            assert_eq!(holder.until(b'Z').await, "TDCZ");
+            let mut query = BytesMut::new();
+            put(&mut query, b'Q', b"insert of nobody\0");
+            leaver.write(&[&query, behind].concat()).await;
+            drop(leaver);
+            for _ in 0..3 {
+                holder.say(&[(b'Q', b"insert\0")]).await; // the front reads the other client meanwhile
+                assert_eq!(holder.until(b'Z').await, "TDCZ");
+            }
+            holder.say(&[(b'Q', b"commit\0")]).await;
+            assert_eq!(holder.until(b'Z').await, "TDCZ");
+            holder.say(&[(b'Q', b"select 1\0")]).await; // behind the other client, in the order of coming
+            assert_eq!(holder.until(b'Z').await, "TDCZ");
+            let order = ["begin", "insert", "insert", "insert", "commit", "select 1"];
+            assert_eq!(*seen.statements.borrow(), order, "{behind:?} behind the statement");
+        }
+    })
+    .await;
+}
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -3,12 +3,12 @@
 
 mod head;
 mod incoming;
-mod kernel;
 mod outgoing;
 
 use crate::queueing_delay::QueueingDelay;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use incoming::IncomingMessage;
+use lotusdeck_core::socket_state;
 use outgoing::OutgoingRequest;
 pub(crate) use outgoing::SendGate;
 use std::cell::Cell;
@@ -119,18 +119,18 @@
 
     /// Bytes came since `mark_idle`, or wait in the kernel, or the other side has closed.
     pub(crate) fn has_unread_data(&self) -> bool {
-        self.message_started_at().is_some() || kernel::is_readable(&self.0.tcp)
+        self.message_started_at().is_some() || socket_state::is_readable(&self.0.tcp)
     }
 
     /// The other side sends no more, by the kernel's account. One that only ended its sending counts as closed as well:
     /// what it asked for may be answered to nobody, and the platform's clients end their sending by leaving.
     pub(crate) fn is_closed_by_peer(&self) -> bool {
-        kernel::is_closed_by_peer(&self.0.tcp)
+        socket_state::is_closed_by_peer(&self.0.tcp)
     }
 
     /// Bytes wait in the kernel that nobody has read.
     pub(crate) fn has_kernel_bytes(&self) -> bool {
-        kernel::has_bytes(&self.0.tcp)
+        socket_state::has_bytes(&self.0.tcp)
     }
 }
 
