Keep a drain across a move to a discovery that lags behind

Callers saw: after SIGHUP had moved discovery to an address whose list was older than the one in place, requests went to a backend that the old address had said to drain.

Cause: a list of a smaller version is taken for the truth of a discovery that counts anew, with all that it says; a replica that lags behind looks the same (EndpointWatcher::apply, Registry::update).

Evidence: the new test discovery_faults::a_drain_outlasts_a_move_to_a_discovery_that_lags_behind, for lists that are pushed and polled, failed before with (200, 1 request) for (503, 0).

Change: the registry marks what drains when discovery moves; a list older than the one before the move makes it ready only if it was started again. The mark goes when the new address reaches that version or says itself that the backend drains.

--- a/crates/core/src/host/membership.rs
+++ b/crates/core/src/host/membership.rs
@@ -23,6 +23,11 @@
         self.handle_event(Event::EndpointsUpdated { update, backends });
     }
 
+    /// Discovery has another address: what drains now stays so by lists that predate the move.
+    pub fn discovery_moved(&self) {
+        self.state.borrow_mut().registry.record_move();
+    }
+
     /// Whether the list has or recently had a backend of that id, or one is cordoned under it.
     pub fn knows_backend(&self, id: &str) -> bool {
         self.state.borrow().registry.knows(id) || self.cordon.contains(id)
--- a/crates/core/src/registry.rs
+++ b/crates/core/src/registry.rs
@@ -35,11 +35,14 @@
     /// The others, applied after those: a known backend keeps everything else that is known of it, an unknown one
     /// stays unknown.
     pub partial: Vec<PartialEndpoint>,
+    /// It is older than the list that was in place when discovery moved: it makes no backend ready that drained then,
+    /// unless that has been started again since.
+    pub predates_move: bool,
 }
 
 impl From<Vec<Endpoint>> for EndpointUpdate {
     fn from(complete: Vec<Endpoint>) -> EndpointUpdate {
-        EndpointUpdate { complete, partial: Vec::new() }
+        EndpointUpdate { complete, ..EndpointUpdate::default() }
     }
 }
 
@@ -48,6 +51,8 @@
     pub(crate) name: String,
     pub(crate) address: SocketAddr,
     pub(crate) state: BackendState,
+    /// It drained when discovery moved, and the new address has not said anything newer of it.
+    drained_at_move: bool,
     /// What the balancer was last notified of.
     notified: Backend,
 }
@@ -80,7 +85,7 @@
         &mut self, update: ListUpdate, endpoints: EndpointUpdate, names: &mut Names,
         in_flight: &HashSet<BackendId>, is_cordoned: impl Fn(&str) -> bool,
     ) -> Vec<Backend> {
-        let EndpointUpdate { complete, partial } = endpoints;
+        let EndpointUpdate { complete, partial, predates_move } = endpoints;
         // Before the complete entries are applied: a partial one may keep the state from before this update.
         let state_changes = self.resolve_states(partial, &complete);
         if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
@@ -88,7 +93,14 @@
         }
         let mut notifications = Vec::with_capacity(complete.len());
         for endpoint in complete {
-            notifications.push(self.apply_endpoint(endpoint, update, names));
+            let mut entry = self.resolve(endpoint, update, names);
+            entry.drained_at_move = predates_move && self.keeps_draining(&entry);
+            if entry.drained_at_move {
+                entry.state = BackendState::Draining;
+                entry.notified.state = BackendState::Draining;
+            }
+            notifications.push(entry.notified.clone());
+            self.backends.insert(entry.notified.id, entry);
         }
         for change in state_changes {
             notifications.extend(self.apply_state(&change));
@@ -115,16 +127,30 @@
         partial.into_iter().filter_map(resolve).collect()
     }
 
-    /// Inserts or replaces a backend; returns what the balancer is to be notified of.
-    fn apply_endpoint(&mut self, endpoint: Endpoint, update: ListUpdate, names: &mut Names) -> Backend {
+    /// The backend that an entry describes, with its id.
+    fn resolve(&mut self, endpoint: Endpoint, update: ListUpdate, names: &mut Names) -> KnownBackend {
         let Endpoint { name, address, state, row } = endpoint;
         let id = self.id_or_assign(&name, address);
         if update != ListUpdate::Cached {
             debug!(backend = id.0, name = %name, %address, ?state, "backend listed");
         }
         let notified = names.resolve(&row, id);
-        self.backends.insert(id, KnownBackend { name, address, state, notified: notified.clone() });
-        notified
+        KnownBackend { name, address, state, drained_at_move: false, notified }
+    }
+
+    /// The backend drained when discovery moved, and is said to be ready though it was not started again.
+    fn keeps_draining(&self, entry: &KnownBackend) -> bool {
+        let Some(known) = self.backends.get(&entry.notified.id) else { return false };
+        entry.state == BackendState::Ready
+            && known.drained_at_move
+            && known.notified.started_at == entry.notified.started_at
+    }
+
+    /// Discovery moves: what drains now may be said to be ready by a list that is older.
+    pub(crate) fn record_move(&mut self) {
+        for backend in self.backends.values_mut() {
+            backend.drained_at_move |= backend.state == BackendState::Draining;
+        }
     }
 
     fn id_or_assign(&mut self, name: &str, address: SocketAddr) -> BackendId {
--- a/crates/lotusdeck/tests/discovery_faults.rs
+++ b/crates/lotusdeck/tests/discovery_faults.rs
@@ -314,3 +314,29 @@
         drop(clients);
     }
 }
+
+/// Guards against a discovery at a new address that lags behind the old one and undoes a drain that was already notified:
+/// the backend has not been started again since.
+#[test]
+fn a_drain_outlasts_a_move_to_a_discovery_that_lags_behind() {
+    for settings in [SETTINGS.to_string(), asked()] {
+        let backend = BackendServer::start(|_| ok("x"));
+        let listed = |state| vec![entry("b0", backend.address, state)];
+        let proxy = holding(backend.address, &settings);
+        proxy.discovery.call().1.send((200, list(10, false, &listed("DRAINING")))).unwrap();
+        let (watch, _waits) = proxy.discovery.call();
+        assert!(watch.contains("after=10&"), "{watch}");
+        assert_eq!(proxy.ask(&pay(3.0)).status(), 503, "it drains");
+        let lagging = DiscoveryServer::start();
+        proxy.move_discovery(lagging.address);
+        proxy.signal("HUP");
+        lagging.call().1.send((200, list(9, true, &listed("SERVING")))).unwrap();
+        let (watch, waits) = lagging.call(); // by now the list is taken in
+        assert_eq!((proxy.ask(&pay(3.0)).status(), backend.count()), (503, 0), "sent after {watch}");
+        // Once it has caught up its word counts again.
+        waits.send((200, list(11, false, &listed("SERVING")))).unwrap();
+        let (watch, _waits) = lagging.call();
+        assert!(watch.contains("after=11&"), "{watch}");
+        assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
+    }
+}
--- a/crates/proxy/src/discovery/watcher.rs
+++ b/crates/proxy/src/discovery/watcher.rs
@@ -20,6 +20,8 @@
     version: Cell<Option<u64>>,
     /// When the list in place is compared with a full one: discovery may count versions otherwise at its new address.
     full_list_due: Cell<Option<Instant>>,
+    /// The version in place when discovery moved, until its new address has reached it.
+    version_at_move: Cell<Option<u64>>,
     /// How often discovery has moved.
     moves: Cell<u32>,
     /// Discovery has answered at its present address.
@@ -36,6 +38,7 @@
             host,
             version: Cell::new(version),
             full_list_due: Cell::default(),
+            version_at_move: Cell::default(),
             moves: Cell::default(),
             has_answered: Cell::default(),
             sink,
@@ -51,6 +54,7 @@
     pub(super) fn discovery_moved(&self, mode: DiscoveryMode) {
         self.moves.set(self.moves.get() + 1);
         self.has_answered.set(false);
+        self.record_last_version(self.version.get());
         match mode {
             DiscoveryMode::Push => self.version.set(None),
             DiscoveryMode::Subscribe { poll_within } => {
@@ -62,6 +66,12 @@
         }
     }
 
+    /// The last version that the address which discovery has left told.
+    fn record_last_version(&self, version: Option<u64>) {
+        self.version_at_move.set(self.version_at_move.get().max(version));
+        self.host.discovery_moved();
+    }
+
     /// Follows one address of discovery for ever, from the version in place on.
     pub(super) async fn follow(self: &Rc<Self>, mode: DiscoveryMode, polls: &mut DiscoveryPolls) {
         let mut idle_connection = None;
@@ -167,7 +177,11 @@
         true
     }
 
-    fn publish(&self, ParsedEndpointList { list, update }: ParsedEndpointList) {
+    fn publish(&self, ParsedEndpointList { list, mut update }: ParsedEndpointList) {
+        update.predates_move = self.version_at_move.get().is_some_and(|version| list.version < version);
+        if !update.predates_move {
+            self.version_at_move.set(None);
+        }
         let kind = if list.snapshot { ListUpdate::Full } else { ListUpdate::Changes };
         self.host.update_endpoints(kind, update);
         if let Some(sink) = &self.sink {
@@ -226,5 +240,6 @@
         }
         self.version.set(known_version.map(|_| new_version));
         self.publish(received);
+        self.record_last_version(Some(new_version));
     }
 }
--- a/crates/proxy/src/endpoint_list.rs
+++ b/crates/proxy/src/endpoint_list.rs
@@ -185,7 +185,7 @@
         };
         let complete = self.update.complete.into_iter().filter_map(departure);
         let partial = self.update.partial.into_iter().filter(|entry| entry.state.is_some());
-        EndpointUpdate { complete: Vec::new(), partial: complete.chain(partial).collect() }
+        EndpointUpdate { partial: complete.chain(partial).collect(), ..EndpointUpdate::default() }
     }
 }
 
