Test that a request behind four hundred half heads is answered in its time, known red

Not mended: a shorter rest cuts clients that write slowly, and what would tell a half head that lay in the queue from a fresh one is the time of its last byte, which only the kernel knows.

The 4 s after SIGHUP at a crowded discovery get no test: thirty polls of 0.25 s take 7.5 s whatever the proxies do.

--- a/crates/lotusdeck/tests/service.rs
+++ b/crates/lotusdeck/tests/service.rs
@@ -487,3 +487,24 @@
     }
     assert_eq!(slow.answer().map(|a| a.status()), Some(200));
 }
+
+/// Guards against a request that waits in the listener's queue beyond its time, behind half heads that rest before they make
+/// way: half a second after its time it is lost.
+#[test]
+fn a_request_behind_four_hundred_half_heads_is_answered_in_its_time() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = Proxy::with(&[entry("b0", backend.address, "SERVING")], 80, SETTINGS);
+    let half_heads: Vec<Client> = (0..400)
+        .map(|_| {
+            let mut client = proxy.client();
+            client.send("GET /read/k HTTP/1.1\r\nHost");
+            client
+        })
+        .collect();
+    let begun = std::time::Instant::now();
+    let status = proxy.ask(&read(3.0)).status();
+    let took = begun.elapsed();
+    println!("answered {status} after {took:?}");
+    assert!(took < std::time::Duration::from_millis(3_500), "answered {status} after {took:?}");
+    drop(half_heads);
+}
