--- /dev/null
+++ b/crates/testbed/src/oracle/tests.rs
@@ -0,0 +1,51 @@
+//! Sound and broken lives of requests, for the tests of all oracles.
+
+use super::*;
+use crate::experiment::Experiment;
+use crate::record::How;
+
+/// A plan of two classes, `read` (free) and `order` (single-shot), whose arrivals 0 and 1 are of each.
+pub fn plan() -> Plan {
+    let text = r#"
+        name = "t"
+        duration_s = 5.0
+        proxies = 2
+        load = { rps = 50.0 }
+        class = [
+          { name = "read", effect = "free", share = 1.0, aim_ms = 100, deadline_ms = 500, work_ms = 5 },
+          { name = "order", effect = "single_shot", share = 1.0, aim_ms = 100, deadline_ms = 500, work_ms = 5 },
+        ]
+        kind = [{ name = "m", count = 3 }]
+    "#;
+    let mut plan = Plan::draw(&Experiment::parse("t", text).unwrap(), 1);
+    (plan.arrivals[0].class, plan.arrivals[1].class) = (0, 1);
+    plan
+}
+
+pub const READ: TryId = TryId { arrival: 0, no: 0 };
+pub const ORDER: TryId = TryId { arrival: 1, no: 0 };
+
+pub fn at(ms: u64, what: What) -> Record {
+    Record { at: Time(ms * 1000), what }
+}
+
+/// A sound life of a request: asked, begun, ended, answered.
+pub fn served(id: TryId, from: u64) -> Vec<Record> {
+    vec![
+        at(from, What::Asked { id, proxy: 0, left: 500_000 }),
+        at(from + 1, What::Began { id, backend: 0 }),
+        at(from + 20, What::Ended { id, backend: 0, how: How::Served }),
+        at(from + 21, What::Answered { id, status: 200, retry_after: None, own: true }),
+    ]
+}
+
+pub fn broken(records: &[Record]) -> Vec<(&'static str, String)> {
+    judge(&plan(), records).into_iter().map(|b| (b.oracle, b.text)).collect()
+}
+
+#[test]
+fn a_sound_run_breaks_nothing() {
+    let all: Vec<Record> = [served(READ, 10), served(ORDER, 200)].concat();
+    assert!(broken(&all).is_empty());
+    assert!(story(&plan(), &all, ORDER).lines().count() == 5);
+}
