--- a/crates/core/src/host/tests.rs
+++ b/crates/core/src/host/tests.rs
@@ -11,6 +11,7 @@
     Arrival, AttemptNo, Backend, BackendId, BackendState, Balancer, ClassId, Config, ListUpdate, Micros,
     RequestId, SideEffects, Time,
 };
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::oneshot::Receiver;
@@ -107,3 +108,16 @@
     };
     tokio::task::LocalSet::new().run_until(check).await;
 }
+
+/// Guards against a pause after a failed poll that ends at once, as the balancer wanted one while the poll was silent.
+#[tokio::test]
+async fn a_watch_that_was_requested_before_is_not_waited_for_again() {
+    let host = host();
+    host.watch_request.notify_one();
+    host.discard_watch_request();
+    let mut requested = std::pin::pin!(host.watch_requested());
+    let is_ready = std::future::poll_fn(|cx| std::task::Poll::Ready(requested.as_mut().poll(cx).is_ready()));
+    assert!(!is_ready.await, "the request from before counts");
+    host.watch_request.notify_one();
+    requested.await;
+}
