Review: the ledger says 'never sent' of orders that ran (case 3)

After three planned restarts the ledger says of five orders that backends ran that they were never sent.

--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, clients and checks of the cases in `review/`. Only the standard library is used.
 
+mod case_ledger;
 mod case_transaction;
 mod case_unnamed;
 mod crypto;
@@ -23,6 +24,7 @@
         ["discovery", port, list] => http::run_discovery(port, list),
         ["unnamed"] => lab::run_case(case_unnamed::run),
         ["transaction"] => lab::run_case(case_transaction::run),
+        ["ledger"] => lab::run_case(case_ledger::run),
         _ => {
             eprintln!("expected the name of a case or a stand-in");
             std::process::exit(2);
