Review: stand-ins and proxies end with their script, however it ends

Need: a script that is stopped from outside left its stand-ins and the proxy running. Change: each process that a case starts gets SIGKILL when the case's program ends (PR_SET_PDEATHSIG).

--- a/review/src/lab.rs
+++ b/review/src/lab.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
@@ -15,6 +16,14 @@
 /// The longest wait for a process to start or to end.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// prctl(2): the signal that a process gets when its parent ends, and SIGKILL.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+extern "C" {
+    fn prctl(option: i32, argument: u64, third: u64, fourth: u64, fifth: u64) -> i32;
+}
+
 pub type Result<T> = std::result::Result<T, String>;
 
 /// The record of a run, and the processes that were started. Clones share both.
@@ -104,6 +113,13 @@
     /// Starts a command; the lines of its standard output go to the record, under `name`, and to the process's channel.
     fn start(&self, name: &str, mut command: Command) -> Result<Process> {
         command.stdin(Stdio::null()).stdout(Stdio::piped());
+        // SAFETY: the call allocates nothing. The process ends with this program, however that ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0);
+                Ok(())
+            });
+        }
         let mut child = command.spawn().map_err(|error| format!("{name}: {error}"))?;
         self.processes.lock().unwrap().push(child.id());
         let output = BufReader::new(child.stdout.take().unwrap());
