PostgreSQL: a client's unnamed statement goes with the client

On another server the Bind failed with 26000.

Cause: the unnamed statement belongs to the session, but it stayed on the server connection, which goes back to the pool after each transaction. PreparedStatements mapped named statements alone; Parse, Bind and Describe without a name were passed on as they came, and nothing knew whose text a connection had.

Change: the session keeps the text of its unnamed statement (1 MB at most), a server connection the text that it has. A Bind or Describe that meets another text has the session's own parsed before it, and the reply removed. Another client's statement is closed before the first message of a transaction that can fail, so that the server cannot ignore the Close; from there on the connection has a statement of this session or none. That is why no order of errors in a pipeline can reach a foreign one.

On the same path: Describe had the fault too, and a setting in an unnamed statement that is run in a later transaction counts as a change of the session there as well.

The stand-in's unnamed statement ends with a Query or a failed Parse and Close removes a statement, as PostgreSQL documents. The sans-IO tests read messages of up to 2 MB, as one of them sends more than 1 MB.

--- a/crates/postgres/src/bridge.rs
+++ b/crates/postgres/src/bridge.rs
@@ -102,13 +102,13 @@
     fn forward_to_server(&self, upstream: &Upstream) -> Option<SessionEnd> {
         let (mut forwarder, mut tracker) = (self.to_server.borrow_mut(), self.tracker.get());
         let (mut from, mut to) = (self.input.borrow_mut(), upstream.output.borrow_mut());
-        let mut prepared = upstream.prepared.borrow_mut();
+        let mut server = upstream.statements.borrow_mut();
         let mut direction = Direction {
             forwarder: &mut forwarder,
             tracker: &mut tracker,
             from: &mut from,
             to: &mut to,
-            prepared: &mut prepared,
+            server: &mut server,
         };
         let forwarded = self.statements.borrow_mut().forward_to_server(&mut direction);
         self.tracker.set(tracker);
@@ -130,13 +130,13 @@
     fn forward_to_client(&self, upstream: &Upstream) -> Result<(), WireError> {
         let (mut forwarder, mut tracker) = (self.to_client.borrow_mut(), self.tracker.get());
         let (mut from, mut to) = (upstream.input.borrow_mut(), self.output.borrow_mut());
-        let mut prepared = upstream.prepared.borrow_mut();
+        let mut server = upstream.statements.borrow_mut();
         let mut direction = Direction {
             forwarder: &mut forwarder,
             tracker: &mut tracker,
             from: &mut from,
             to: &mut to,
-            prepared: &mut prepared,
+            server: &mut server,
         };
         let forwarded = self.statements.borrow_mut().forward_to_client(&mut direction);
         self.tracker.set(tracker);
@@ -172,7 +172,7 @@
     /// Returns whether another client may use the server connection.
     fn is_reusable(&self, upstream: &Upstream) -> bool {
         !self.statements.borrow().has_session_state
-            && upstream.prepared.borrow().len() <= MAX_PREPARED_STATEMENTS
+            && upstream.statements.borrow().named_count() <= MAX_PREPARED_STATEMENTS
     }
 
     /// Returns whether the transaction has ended and both streams are at a message boundary, with no bytes buffered
--- a/crates/postgres/src/statements.rs
+++ b/crates/postgres/src/statements.rs
@@ -1,28 +1,32 @@
-//! Named prepared statements, which stay valid when a client's transactions run on different server connections. Each
-//! client has its own statement names. On a server connection each text is prepared once, under a name derived from
-//! the text, and before its first use there. Sans-IO: messages move from one buffer to another; the proxy inserts its
-//! own, and removes the replies to them.
+//! Prepared statements, which stay valid when a client's transactions run on different server connections, and which no
+//! other client can reach. Each client has its own statement names. On a server connection each text of a named
+//! statement is prepared once, under a name derived from the text, and before its first use there. Sans-IO: messages
+//! move from one buffer to another; the proxy inserts its own, and removes the replies to them.
 
 mod direction;
 mod key;
 mod names;
 mod pending;
+mod server_statements;
 mod session_end;
+mod statement;
+mod unnamed;
 
 use crate::wire::{header, put, Header, WireError, HEADER_BYTES};
 use bytes::{Buf, BufMut, Bytes};
 use key::{may_change_session, StatementKey};
 use names::{statement_name, text_end};
-use pending::{Completion, PendingReplies, PendingReply};
+use pending::{Completion, PendingReplies, PendingReply, UnnamedParse};
+use statement::{NamedStatement, StatementText, UnnamedStatement};
 use std::collections::HashMap;
 
 pub(crate) use direction::Direction;
-pub(crate) use key::PreparedKeys;
+pub(crate) use server_statements::ServerStatements;
 pub(crate) use session_end::{Interrupted, SessionEnd};
 
-/// Maximum length of a named statement's Parse message, without its header, bytes.
+/// Maximum length of the Parse message of a statement that is kept, without its header, bytes.
 const MAX_STATEMENT_BYTES: usize = 1 << 20;
-/// Maximum length of all statements of a session together, bytes.
+/// Maximum length of all named statements of a session together, bytes.
 const MAX_SESSION_BYTES: usize = 8 << 20;
 /// Maximum length of the name of a statement or a portal, bytes (PostgreSQL truncates names to 63).
 const MAX_NAME_BYTES: usize = 1024;
@@ -33,12 +37,9 @@
 /// The body of a Close for a statement that never exists.
 const CLOSE_NONEXISTENT: &[u8] = b"Sld_none\0";
 
-/// A statement that a client has prepared.
-#[derive(Clone)]
-struct Statement {
-    key: StatementKey,
-    /// The body of its Parse message after the name.
-    text: Bytes,
+/// A statement that a Bind or a Describe can use on a server connection.
+struct UsableStatement {
+    server_name: Bytes,
     may_change_session: bool,
 }
 
@@ -46,9 +47,12 @@
 #[derive(Default)]
 pub(crate) struct PreparedStatements {
     /// The statements by the client's names.
-    by_name: HashMap<Bytes, Statement>,
-    /// The length of all texts together.
+    by_name: HashMap<Bytes, NamedStatement>,
+    /// The length of the texts of all named statements together.
     total_bytes: usize,
+    unnamed: UnnamedStatement,
+    /// Whether the unnamed statement on the server connection, if there is one, was prepared by this session.
+    owns_unnamed_on_server: bool,
     pending: PendingReplies,
     /// Whether the server connection may have session state that must not be visible to other clients.
     pub(crate) has_session_state: bool,
@@ -57,6 +61,7 @@
 impl PreparedStatements {
     /// Begins a transaction, which may use another server connection than the one before.
     pub(crate) fn begin_transaction(&mut self) {
+        self.begin_transaction_unnamed();
         self.pending.clear();
         self.has_session_state = false;
     }
@@ -96,20 +101,25 @@
         let Some(header) = header(direction.from)? else { return Ok(false) };
         let available = &direction.from[HEADER_BYTES..direction.from.len().min(HEADER_BYTES + header.length)];
         let is_complete = available.len() == header.length;
-        let names_statement = available.first() == Some(&b'S') && header.length > 2;
+        if available.is_empty() && header.length > 0 {
+            return Ok(false); // the first byte of the body tells how to forward the message
+        }
+        let concerns_statement = available.first() == Some(&b'S');
         match header.kind {
             b'X' => return Err(SessionEnd::ClientLeft),
             b'P' if available.first().is_some_and(|byte| *byte != 0) => {
                 return self.forward_parse(direction, header);
             }
+            b'P' => return self.forward_parse_unnamed(direction, header),
             b'B' => return self.forward_bind(direction, header),
-            b'D' if names_statement => return self.forward_describe(direction, header),
-            b'C' if names_statement => return self.forward_close(direction, header),
-            // A text that has not arrived completely is assumed to change the session.
-            b'Q' => self.has_session_state |= !is_complete || may_change_session(available),
-            b'P' => {
-                self.has_session_state |=
-                    !is_complete || may_change_session(available.get(1..).unwrap_or_default())
+            b'D' if concerns_statement => return self.forward_describe(direction, header),
+            b'C' if concerns_statement => return self.forward_close(direction, header),
+            // These can fail, upon which the server ignores all messages up to the next Sync.
+            b'D' | b'C' | b'E' => self.claim_unnamed(direction)?,
+            b'Q' => {
+                // A text that has not arrived completely is assumed to change the session.
+                self.has_session_state |= !is_complete || may_change_session(available);
+                self.drop_unnamed(direction);
             }
             _ => {}
         }
@@ -124,7 +134,7 @@
         let was_copying = direction.tracker.is_copying();
         direction.tracker.message_sent(kind);
         match kind {
-            b'P' => self.push_pending(PendingReply::ParsedUnnamed)?,
+            b'P' => self.push_pending(PendingReply::ParsedUnnamed(UnnamedParse::ByClient))?,
             b'C' => self.push_pending(PendingReply::Closed(Completion::Closed))?,
             b'Q' | b'F' => self.push_pending(PendingReply::Ready)?,
             b'S' if !was_copying => self.push_pending(PendingReply::Ready)?,
@@ -143,11 +153,11 @@
         let client_name = text.split_to(name_end);
         text.advance(1);
         let key = StatementKey::of(&text);
-        let may_change_session = may_change_session(&text);
         self.total_bytes += text.len();
         if self.total_bytes > MAX_SESSION_BYTES || client_name.len() > MAX_NAME_BYTES {
             return Err(SessionEnd::LimitExceeded);
         }
+        self.claim_unnamed(direction)?;
         if self.needs_parse(&key, direction)? {
             put(direction.to, b'P', &[key.server_name().as_bytes(), b"\0", &text].concat());
             self.push_pending(PendingReply::Parsed { key, by_proxy: false })?;
@@ -157,15 +167,16 @@
             put(direction.to, b'C', CLOSE_NONEXISTENT);
             self.push_pending(PendingReply::Closed(Completion::Parsed))?;
         }
-        let previous = self.by_name.insert(client_name, Statement { key, text, may_change_session });
-        self.total_bytes -= previous.map_or(0, |previous| previous.text.len());
+        let statement = NamedStatement { key, text: StatementText::new(text) };
+        let previous = self.by_name.insert(client_name, statement);
+        self.total_bytes -= previous.map_or(0, |previous| previous.text.bytes.len());
         direction.tracker.message_sent(b'P');
         Ok(true)
     }
 
     /// Forwards a Bind, with the client's statement name replaced by the server's.
     fn forward_bind(&mut self, direction: &mut Direction<'_>, header: Header) -> Result<bool, SessionEnd> {
-        let Header { kind, length } = header;
+        let Header { length, .. } = header;
         let available = &direction.from[HEADER_BYTES..direction.from.len().min(HEADER_BYTES + length)];
         let portal_end = text_end(available, 0);
         let name_end = portal_end.and_then(|portal_end| text_end(available, portal_end + 1));
@@ -174,54 +185,69 @@
             return if is_invalid { Err(SessionEnd::InvalidMessage) } else { Ok(false) };
         };
         let name_start = portal_end + 1;
-        let Some(statement) = self.by_name.get(&available[name_start..name_end]).cloned() else {
-            return self.forward_unchanged(direction, kind);
-        };
-        self.ensure_prepared(&statement, direction)?;
-        self.has_session_state |= statement.may_change_session;
-        let server_name = statement.key.server_name();
+        let client_name = Bytes::copy_from_slice(&available[name_start..name_end]);
+        let usable = self.prepare_for_use(&client_name, direction)?;
+        self.has_session_state |= usable.may_change_session;
         direction.to.put_u8(b'B');
-        direction.to.put_u32((length + 4 + server_name.len() - (name_end - name_start)) as u32);
+        direction.to.put_u32((length + 4 + usable.server_name.len() - client_name.len()) as u32);
         direction.to.put_slice(&direction.from[HEADER_BYTES..HEADER_BYTES + name_start]);
-        direction.to.put_slice(server_name.as_bytes());
+        direction.to.put_slice(&usable.server_name);
         direction.from.advance(HEADER_BYTES + name_end);
         direction.forwarder.continue_message(length - name_end);
         direction.tracker.message_sent(b'B');
         Ok(true)
     }
 
-    /// Forwards a Describe of a named statement, with the client's name replaced by the server's.
+    /// Forwards a Describe of a statement, with the client's name replaced by the server's.
     fn forward_describe(
         &mut self, direction: &mut Direction<'_>, header: Header,
     ) -> Result<bool, SessionEnd> {
         let Some(body) = take_statement_message(direction, header)? else { return Ok(false) };
-        match self.by_name.get(statement_name(&body)?).cloned() {
-            Some(statement) => {
-                self.ensure_prepared(&statement, direction)?;
-                put(direction.to, b'D', format!("S{}\0", statement.key.server_name()).as_bytes());
-            }
-            None => put(direction.to, b'D', &body),
-        }
+        let client_name = body.slice_ref(statement_name(&body)?);
+        let usable = self.prepare_for_use(&client_name, direction)?;
+        put(direction.to, b'D', &[b"S", usable.server_name.as_ref(), b"\0"].concat());
         direction.tracker.message_sent(b'D');
         Ok(true)
     }
 
-    /// Forwards a Close of a named statement under the client's name, which the server does not know. The text stays
-    /// prepared, as other clients may use it.
+    /// Forwards a Close of a statement under the client's name, which the server does not know. The text stays prepared,
+    /// as other clients may use it.
     fn forward_close(&mut self, direction: &mut Direction<'_>, header: Header) -> Result<bool, SessionEnd> {
         let Some(body) = take_statement_message(direction, header)? else { return Ok(false) };
-        let removed = self.by_name.remove(statement_name(&body)?);
-        self.total_bytes -= removed.map_or(0, |removed| removed.text.len());
+        let client_name = statement_name(&body)?;
+        self.claim_unnamed(direction)?;
+        if client_name.is_empty() {
+            self.close_unnamed(direction);
+        }
+        let removed = self.by_name.remove(client_name);
+        self.total_bytes -= removed.map_or(0, |removed| removed.text.bytes.len());
         put(direction.to, b'C', &body);
         direction.tracker.message_sent(b'C');
         self.push_pending(PendingReply::Closed(Completion::Closed))?;
         Ok(true)
     }
 
+    /// Makes a statement of the client usable on the server connection.
+    fn prepare_for_use(
+        &mut self, client_name: &Bytes, direction: &mut Direction<'_>,
+    ) -> Result<UsableStatement, SessionEnd> {
+        if client_name.is_empty() {
+            return self.prepare_unnamed(direction);
+        }
+        self.claim_unnamed(direction)?;
+        let Some(statement) = self.by_name.get(client_name).cloned() else {
+            let server_name = client_name.clone();
+            return Ok(UsableStatement { server_name, may_change_session: false });
+        };
+        self.ensure_prepared(&statement, direction)?;
+        let server_name = Bytes::from(statement.key.server_name());
+        Ok(UsableStatement { server_name, may_change_session: statement.text.may_change_session })
+    }
+
     /// Returns whether the text has to be sent to the server. If an earlier part of the pipeline sends it but may still
     /// fail, appends a Close first, so that the text can be sent again.
     fn needs_parse(&mut self, key: &StatementKey, direction: &mut Direction<'_>) -> Result<bool, SessionEnd> {
-        if direction.prepared.insert(*key) {
+        if direction.server.named.insert(*key) {
             return Ok(true);
         }
         if !self.pending.may_fail_to_prepare(key) {
@@ -234,11 +260,11 @@
 
     /// Prepares a statement on the server connection if it is not prepared there yet.
     fn ensure_prepared(
-        &mut self, statement: &Statement, direction: &mut Direction<'_>,
+        &mut self, statement: &NamedStatement, direction: &mut Direction<'_>,
     ) -> Result<(), SessionEnd> {
         let key = statement.key;
         if self.needs_parse(&key, direction)? {
-            put(direction.to, b'P', &[key.server_name().as_bytes(), b"\0", &statement.text].concat());
+            put(direction.to, b'P', &[key.server_name().as_bytes(), b"\0", &statement.text.bytes].concat());
             self.push_pending(PendingReply::Parsed { key, by_proxy: true })?;
         }
         Ok(())
@@ -265,7 +291,7 @@
             direction.tracker.message_received(kind, first_byte);
             // After an error the server ignores everything up to the next Sync.
             if matches!(kind, b'E' | b'Z') {
-                self.pending.drop_until_ready(direction.prepared);
+                self.drop_replies_until_ready(direction);
             }
             if kind == b'Z' {
                 self.pending.pop();
@@ -277,10 +303,11 @@
     fn translate_completion(&mut self, direction: &mut Direction<'_>, kind: u8) -> bool {
         let pending = self.pending.front();
         if let (b'1', Some(PendingReply::Parsed { key, .. })) = (kind, pending) {
-            direction.prepared.insert(key);
+            direction.server.named.insert(key);
         }
         let completion = match (kind, pending) {
             (b'1', Some(PendingReply::Parsed { by_proxy: true, .. })) => Completion::Suppressed,
+            (b'1', Some(PendingReply::ParsedUnnamed(UnnamedParse::ByProxy))) => Completion::Suppressed,
             (b'1', _) => Completion::Parsed,
             (_, Some(PendingReply::Closed(completion))) => completion,
             _ => Completion::Closed,
@@ -307,5 +334,7 @@
     Ok(direction.take_message(MAX_NAME_BYTES)?)
 }
 
+#[cfg(test)]
+mod model_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/postgres/src/statements/direction.rs
+++ b/crates/postgres/src/statements/direction.rs
@@ -1,6 +1,6 @@
 //! The buffers and the state of one direction between a client and a server connection.
 
-use super::key::PreparedKeys;
+use super::server_statements::ServerStatements;
 use crate::track::ConnectionTracker;
 use crate::wire::{message, Forwarder, Header, Message, WireError};
 use bytes::{Bytes, BytesMut};
@@ -15,8 +15,8 @@
     pub(crate) from: &'a mut BytesMut,
     /// Bytes to be sent.
     pub(crate) to: &'a mut BytesMut,
-    /// The texts prepared on the server connection.
-    pub(crate) prepared: &'a mut PreparedKeys,
+    /// The statements prepared on the server connection.
+    pub(crate) server: &'a mut ServerStatements,
 }
 
 impl Direction<'_> {
--- a/crates/postgres/src/statements/pending.rs
+++ b/crates/postgres/src/statements/pending.rs
@@ -1,6 +1,7 @@
 //! The pending replies of a server that the proxy has to recognize, in order.
 
-use super::key::{PreparedKeys, StatementKey};
+use super::key::StatementKey;
+use super::server_statements::ServerStatements;
 use std::collections::VecDeque;
 
 /// A reply that the server has yet to send.
@@ -14,7 +15,7 @@
         by_proxy: bool,
     },
     /// ParseComplete for the unnamed statement.
-    ParsedUnnamed,
+    ParsedUnnamed(UnnamedParse),
     /// CloseComplete, and what the client receives for it.
     Closed(Completion),
     /// ReadyForQuery.
@@ -32,18 +33,27 @@
     Suppressed,
 }
 
+/// Who sent a Parse of the unnamed statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum UnnamedParse {
+    ByClient,
+    /// The proxy inserted it, and the client does not expect the reply.
+    ByProxy,
+}
+
 /// The pending replies of a server, in order.
 #[derive(Default)]
 pub(super) struct PendingReplies {
     replies: VecDeque<PendingReply>,
     /// Number of ParseCompletes for named statements among them.
     pending_parses: usize,
+    /// Number of ParseCompletes for the unnamed statement among them.
+    pending_unnamed_parses: usize,
 }
 
 impl PendingReplies {
     pub(super) fn clear(&mut self) {
-        self.replies.clear();
-        self.pending_parses = 0;
+        *self = PendingReplies::default();
     }
 
     pub(super) fn len(&self) -> usize {
@@ -51,7 +61,11 @@
     }
 
     pub(super) fn push(&mut self, reply: PendingReply) {
-        self.pending_parses += usize::from(matches!(reply, PendingReply::Parsed { .. }));
+        match reply {
+            PendingReply::Parsed { .. } => self.pending_parses += 1,
+            PendingReply::ParsedUnnamed(_) => self.pending_unnamed_parses += 1,
+            PendingReply::Closed(_) | PendingReply::Ready => {}
+        }
         self.replies.push_back(reply);
     }
 
@@ -61,19 +75,47 @@
 
     /// Removes the next reply, which has arrived or will not be sent.
     pub(super) fn pop(&mut self) {
-        let reply = self.replies.pop_front();
-        self.pending_parses -= usize::from(matches!(reply, Some(PendingReply::Parsed { .. })));
+        match self.replies.pop_front() {
+            Some(PendingReply::Parsed { .. }) => self.pending_parses -= 1,
+            Some(PendingReply::ParsedUnnamed(_)) => self.pending_unnamed_parses -= 1,
+            Some(PendingReply::Closed(_) | PendingReply::Ready) | None => {}
+        }
     }
 
     /// Removes the replies before the next ReadyForQuery, which the server does not send after an error, and removes
-    /// their texts from `prepared`.
-    pub(super) fn drop_until_ready(&mut self, prepared: &mut PreparedKeys) {
+    /// their texts from those prepared on the server. Returns who sent the last Parse of the unnamed statement, if its
+    /// reply is among the removed ones.
+    pub(super) fn drop_until_ready(&mut self, server: &mut ServerStatements) -> Option<UnnamedParse> {
+        let mut last_unnamed = None;
         while let Some(reply) = self.front().filter(|reply| *reply != PendingReply::Ready) {
-            if let PendingReply::Parsed { key, .. } = reply {
-                prepared.remove(&key);
+            match reply {
+                PendingReply::Parsed { key, .. } => drop(server.named.remove(&key)),
+                PendingReply::ParsedUnnamed(_) => last_unnamed = unnamed_parse(&reply),
+                PendingReply::Closed(_) | PendingReply::Ready => {}
             }
             self.pop();
         }
+        last_unnamed.filter(|_| self.pending_unnamed_parses == 0)
+    }
+
+    /// Returns who sent the last pending Parse of the unnamed statement.
+    pub(super) fn last_unnamed_parse(&self) -> Option<UnnamedParse> {
+        self.last_unnamed_parse_index().and_then(|index| unnamed_parse(&self.replies[index]))
+    }
+
+    /// Returns whether the last Parse of the unnamed statement was inserted by the proxy into an earlier part of the
+    /// pipeline, before a Sync, and may still fail: the present part is executed even then.
+    pub(super) fn may_fail_to_prepare_unnamed(&self) -> bool {
+        let Some(index) = self.last_unnamed_parse_index() else { return false };
+        unnamed_parse(&self.replies[index]) == Some(UnnamedParse::ByProxy)
+            && self.replies.iter().skip(index).any(|reply| *reply == PendingReply::Ready)
+    }
+
+    fn last_unnamed_parse_index(&self) -> Option<usize> {
+        if self.pending_unnamed_parses == 0 {
+            return None;
+        }
+        self.replies.iter().rposition(|reply| unnamed_parse(reply).is_some())
     }
 
     /// Returns whether an earlier part of the pipeline, before a Sync, prepares this text and may still fail: the
@@ -88,3 +130,11 @@
         self.replies.iter().skip(last_parse).any(|reply| *reply == PendingReply::Ready)
     }
 }
+
+/// Returns who sent the Parse of the unnamed statement that `reply` answers, if it answers one.
+fn unnamed_parse(reply: &PendingReply) -> Option<UnnamedParse> {
+    match reply {
+        PendingReply::ParsedUnnamed(parse) => Some(*parse),
+        PendingReply::Parsed { .. } | PendingReply::Closed(_) | PendingReply::Ready => None,
+    }
+}
--- a/crates/postgres/src/statements/tests.rs
+++ b/crates/postgres/src/statements/tests.rs
@@ -3,6 +3,9 @@
 use crate::wire::{message, Forwarder, Message};
 use bytes::BytesMut;
 
+/// Maximum length of a message in these tests, bytes.
+const MAX_MESSAGE_BYTES: usize = 2 * MAX_STATEMENT_BYTES;
+
 /// The statements of a session and the state of a server connection, without sockets.
 #[derive(Default)]
 struct Pipeline {
@@ -10,7 +13,7 @@
     tracker: ConnectionTracker,
     to_server: Forwarder,
     to_client: Forwarder,
-    prepared: PreparedKeys,
+    server: ServerStatements,
 }
 
 impl Pipeline {
@@ -20,7 +23,7 @@
             tracker: &mut self.tracker,
             from,
             to,
-            prepared: &mut self.prepared,
+            server: &mut self.server,
         })
     }
 
@@ -30,7 +33,7 @@
             tracker: &mut self.tracker,
             from,
             to,
-            prepared: &mut self.prepared,
+            server: &mut self.server,
         })
     }
 
@@ -44,7 +47,7 @@
             self.forward_to_server(&mut from, &mut to).unwrap();
         }
         assert!(from.is_empty());
-        std::iter::from_fn(|| message(&mut to, 1 << 20).unwrap()).collect()
+        std::iter::from_fn(|| message(&mut to, MAX_MESSAGE_BYTES).unwrap()).collect()
     }
 
     fn server_sends(&mut self, messages: &[(u8, &[u8])]) -> String {
@@ -55,7 +58,7 @@
             from.put_u8(byte);
             self.forward_to_client(&mut from, &mut to).unwrap();
         }
-        std::iter::from_fn(|| message(&mut to, 1 << 20).unwrap())
+        std::iter::from_fn(|| message(&mut to, MAX_MESSAGE_BYTES).unwrap())
             .map(|message| char::from(message.kind))
             .collect()
     }
@@ -86,7 +89,7 @@
     );
     assert_eq!(pipeline.server_sends(&[(b'2', b""), READY]), "2Z");
     // On another server the proxy inserts a Parse, and removes its reply.
-    pipeline.prepared.clear();
+    pipeline.server = ServerStatements::default();
     assert_eq!(kinds(&pipeline.client_sends(&[BIND, SYNC])), "PBS");
     assert_eq!(pipeline.server_sends(&[(b'1', b""), (b'2', b""), READY]), "2Z");
     // The same text under another name is already prepared.
@@ -96,7 +99,7 @@
     let sent = pipeline.client_sends(&[(b'C', b"Ss0\0"), SYNC]);
     assert_eq!(sent[0].body, &b"Ss0\0"[..]);
     assert_eq!(pipeline.server_sends(&[(b'3', b""), READY]), "3Z");
-    assert!(pipeline.tracker.is_idle() && pipeline.prepared.len() == 1);
+    assert!(pipeline.tracker.is_idle() && pipeline.server.named_count() == 1);
 }
 
 /// A text that failed to parse does not count as prepared, even if the next Parse was sent before the error arrived.
@@ -113,7 +116,7 @@
         "the error had not arrived"
     );
     assert_eq!(pipeline.server_sends(&[(b'E', b"\0"), READY, (b'3', b""), (b'1', b""), READY]), "EZ1Z");
-    assert_eq!(pipeline.prepared.len(), 1);
+    assert_eq!(pipeline.server.named_count(), 1);
 }
 
 #[test]
@@ -136,3 +139,140 @@
         assert_eq!(may_change_session(text.as_bytes()), expected, "{text}");
     }
 }
+
+const PARSE_UNNAMED: (u8, &[u8]) = (b'P', b"\0select 1\0\0\0");
+const BIND_UNNAMED: (u8, &[u8]) = (b'B', b"\0\0\0\0\0\0\0\0");
+const DESCRIBE_UNNAMED: (u8, &[u8]) = (b'D', b"S\0");
+const CLOSE_UNNAMED: (u8, &[u8]) = (b'C', b"S\0");
+
+impl Pipeline {
+    /// Begins a transaction on a connection that another client has used since, with this text as its unnamed statement.
+    fn begin_after_another_client(&mut self, text: &'static [u8]) {
+        self.server.unnamed = server_statements::UnnamedOnServer::Text(Bytes::from_static(text));
+        self.statements.begin_transaction();
+    }
+
+    /// Parses the unnamed statement in a transaction of its own.
+    fn prepare_unnamed(&mut self) {
+        self.statements.begin_transaction();
+        assert_eq!(kinds(&self.client_sends(&[PARSE_UNNAMED, SYNC])), "PS");
+        assert_eq!(self.server_sends(&[(b'1', b""), READY]), "1Z");
+    }
+}
+
+/// Guards against a Bind or Describe that reaches another client's unnamed statement.
+#[test]
+fn an_unnamed_statement_is_parsed_again_on_a_connection_that_another_client_used() {
+    for (message, reply) in [(BIND_UNNAMED, b'2'), (DESCRIBE_UNNAMED, b'n')] {
+        let mut pipeline = Pipeline::default();
+        pipeline.prepare_unnamed();
+        pipeline.begin_after_another_client(b"insert\0\0\0");
+        let sent = pipeline.client_sends(&[message, SYNC]);
+        assert!(kinds(&sent) == format!("P{}S", char::from(message.0)) && sent[0].body == PARSE_UNNAMED.1);
+        let replies = pipeline.server_sends(&[(b'1', b""), (reply, b""), READY]);
+        assert_eq!(replies, format!("{}Z", char::from(reply)), "the reply to the proxy's Parse is removed");
+        // The connection has it now.
+        pipeline.statements.begin_transaction();
+        assert_eq!(pipeline.client_sends(&[message, SYNC])[0].body, message.1);
+    }
+}
+
+/// Guards against a Bind that reaches another client's unnamed statement, as the session has none of its own.
+#[test]
+fn a_session_without_an_unnamed_statement_binds_none() {
+    let ends: [&dyn Fn(&mut Pipeline); 4] = [
+        &|_| {},
+        &|pipeline| {
+            pipeline.prepare_unnamed();
+            pipeline.client_sends(&[(b'Q', b"select 2\0")]);
+            pipeline.server_sends(&[READY]);
+        },
+        &|pipeline| {
+            pipeline.prepare_unnamed();
+            pipeline.client_sends(&[CLOSE_UNNAMED, SYNC]);
+            assert_eq!(pipeline.server_sends(&[(b'3', b""), READY]), "3Z");
+        },
+        &|pipeline| {
+            pipeline.prepare_unnamed();
+            pipeline.client_sends(&[PARSE_UNNAMED, SYNC]);
+            pipeline.server_sends(&[(b'E', b"\0"), READY]);
+        },
+    ];
+    for (number, end) in ends.into_iter().enumerate() {
+        let mut pipeline = Pipeline::default();
+        end(&mut pipeline);
+        pipeline.begin_after_another_client(b"insert\0\0\0");
+        let sent = pipeline.client_sends(&[BIND_UNNAMED, SYNC]);
+        // The other client's statement is closed first, so that the server reports that there is none.
+        assert_eq!((kinds(&sent).as_str(), &sent[0].body[..]), ("CBS", CLOSE_UNNAMED.1), "end {number}");
+    }
+}
+
+/// Guards against a Bind behind a failed part of a pipeline: the Parse in that part was ignored, and the connection
+/// would still have another client's statement.
+#[test]
+fn another_clients_unnamed_statement_is_closed_before_a_part_that_may_fail() {
+    let first_messages: [(u8, &[u8]); 5] = [
+        (b'B', b"\0none\0\0\0\0\0\0\0"),
+        (b'D', b"Pnone\0"),
+        (b'E', b"none\0\0\0\0\0"),
+        (b'C', b"Ss0\0"),
+        PARSE,
+    ];
+    for first in first_messages {
+        let mut pipeline = Pipeline::default();
+        pipeline.begin_after_another_client(b"insert\0\0\0");
+        let sent = pipeline.client_sends(&[first, PARSE_UNNAMED, SYNC, BIND_UNNAMED, SYNC]);
+        assert_eq!(kinds(&sent), format!("C{}PSBS", char::from(first.0)));
+        assert_eq!(sent[0].body, CLOSE_UNNAMED.1);
+        let replies = pipeline.server_sends(&[(b'3', b""), (b'E', b"\0"), READY, (b'E', b"\0"), READY]);
+        assert_eq!(replies, "EZEZ");
+        // It is not known whether the Parse was ignored or failed.
+        pipeline.statements.begin_transaction();
+        let sent = pipeline.client_sends(&[BIND_UNNAMED, SYNC]);
+        assert!(kinds(&sent) == "CBS" && sent[0].body == CLOSE_UNNAMED.1);
+    }
+}
+
+/// A Parse that the proxy inserted may be ignored with its part; the next part has it inserted again.
+#[test]
+fn an_unnamed_statement_that_the_proxy_parses_survives_a_failed_part() {
+    let mut pipeline = Pipeline::default();
+    pipeline.prepare_unnamed();
+    pipeline.begin_after_another_client(b"insert\0\0\0");
+    let failing: (u8, &[u8]) = (b'B', b"\0none\0\0\0\0\0\0\0");
+    let sent = pipeline.client_sends(&[failing, BIND_UNNAMED, SYNC, BIND_UNNAMED, SYNC]);
+    assert_eq!(kinds(&sent), "CBPBSPBS");
+    let replies =
+        pipeline.server_sends(&[(b'3', b""), (b'E', b"\0"), READY, (b'1', b""), (b'2', b""), READY]);
+    assert_eq!(replies, "EZ2Z");
+    assert_eq!(kinds(&pipeline.client_sends(&[BIND_UNNAMED, SYNC])), "BS");
+}
+
+/// The unnamed statement counts as a change of the session wherever it is bound, not only where it was parsed.
+#[test]
+fn a_setting_in_the_unnamed_statement_changes_each_connection_that_runs_it() {
+    let mut pipeline = Pipeline::default();
+    pipeline.statements.begin_transaction();
+    pipeline.client_sends(&[(b'P', b"\0set x = 1\0\0\0"), SYNC]);
+    pipeline.server_sends(&[(b'1', b""), READY]);
+    pipeline.server = ServerStatements::default();
+    pipeline.statements.begin_transaction();
+    assert!(!pipeline.statements.has_session_state);
+    assert_eq!(kinds(&pipeline.client_sends(&[BIND_UNNAMED, SYNC])), "PBS");
+    assert!(pipeline.statements.has_session_state);
+}
+
+/// A text that is too long to be kept can be used in its own transaction, and does not exist in the next one.
+#[test]
+fn a_long_unnamed_statement_lasts_for_its_transaction() {
+    let mut pipeline = Pipeline::default();
+    pipeline.statements.begin_transaction();
+    let body = [b"\0".as_ref(), &vec![b'x'; MAX_STATEMENT_BYTES]].concat();
+    assert_eq!(kinds(&pipeline.client_sends(&[(b'P', &body), BIND_UNNAMED, SYNC])), "PBS");
+    assert_eq!(pipeline.server_sends(&[(b'1', b""), (b'2', b""), READY]), "12Z");
+    assert!(pipeline.statements.has_session_state);
+    pipeline.statements.begin_transaction();
+    let sent = pipeline.client_sends(&[BIND_UNNAMED, SYNC]);
+    assert!(kinds(&sent) == "CBS" && sent[0].body == CLOSE_UNNAMED.1);
+}
--- a/crates/postgres/src/upstream.rs
+++ b/crates/postgres/src/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to servers: establishing them, logging in, and the pool of idle ones.
 
 use crate::io::{drain, fill};
-use crate::statements::PreparedKeys;
+use crate::statements::ServerStatements;
 use crate::wire::{message, put, CancelKey, Message, Parameter, WireError};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use lotusdeck_core::{to_duration, ConnectionPools};
@@ -60,8 +60,8 @@
     pub output: RefCell<BytesMut>,
     /// The key of a CancelRequest for this connection.
     pub cancel_key: CancelKey,
-    /// The texts that are prepared on this connection.
-    pub prepared: RefCell<PreparedKeys>,
+    /// The statements that are prepared on this connection.
+    pub statements: RefCell<ServerStatements>,
     /// When the connection became idle, or was established.
     idle_since: Instant,
     _slot: Slot,
@@ -183,14 +183,13 @@
         match login {
             Ok(Ok((tcp, input, key))) => {
                 let (input, output) = (RefCell::new(input), RefCell::default());
-                let prepared = RefCell::default();
                 Ok(Upstream {
                     tcp,
                     address,
                     input,
                     output,
                     cancel_key: key,
-                    prepared,
+                    statements: RefCell::default(),
                     idle_since: Instant::now(),
                     _slot: slot,
                 })
--- a/crates/postgres/tests/rig/mod.rs
+++ b/crates/postgres/tests/rig/mod.rs
@@ -120,10 +120,18 @@
         };
         let second_text = |b: &[u8]| first_text(&b[first_text(b).len() + 1..]);
         match kind {
-            b'Q' => text = first_text(&body),
+            b'Q' => {
+                named.remove("");
+                text = first_text(&body);
+            }
             b'P' => match (first_text(&body), second_text(&body)) {
                 (name, _) if !name.is_empty() && named.contains_key(&name) => put_error(&mut out, "42P05"),
-                (_, new) if new == "nonsense" => put_error(&mut out, "42601"),
+                (name, new) if new == "nonsense" => {
+                    if name.is_empty() {
+                        named.remove(&name);
+                    }
+                    put_error(&mut out, "42601");
+                }
                 (name, new) => {
                     seen.parsed.borrow_mut().push(new.clone());
                     named.insert(name, new);
@@ -145,7 +153,12 @@
                 false => put_error(&mut out, "26000"),
             },
             b'D' => put(&mut out, b'T', &one_column()),
-            b'C' => put(&mut out, b'3', b""),
+            b'C' => {
+                if body[0] == b'S' {
+                    named.remove(&first_text(&body[1..]));
+                }
+                put(&mut out, b'3', b"");
+            }
             b'd' => *seen.copied_bytes.borrow_mut() += body.len(),
             b'c' => {
                 put(&mut out, b'C', b"COPY 1\0");
