PostgreSQL: a valid Parse is no longer refused with 42P05 after a failed part

What callers saw: a client that prepared a named statement got 42P05 for a name that it had never used, and so did each later client that prepared the same text on that server connection.

Cause: where a pipeline parses a text in two parts and the first Parse is not answered yet, the front closes the text before the second Parse. Where an earlier message of the second part fails, the server ignores both, and the text of the first part stays. PendingReplies::drop_until_ready took each Parse without an answer for a text that is not there.

Change: such a text counts as unknown, and its next Parse follows a Close, which succeeds whether or not the text is there. So does a text while a later part of the pipeline has Parses on their way. The sans-IO key type needs no own collection any more.

Evidence: found by the model of shared connections, once it had named statements, and shrunk by it to two transactions.

--- a/crates/postgres/src/statements.rs
+++ b/crates/postgres/src/statements.rs
@@ -17,6 +17,7 @@
 use key::{may_change_session, StatementKey};
 use names::{statement_name, text_end};
 use pending::{Completion, PendingReplies, PendingReply, UnnamedParse};
+use server_statements::NamedOnServer;
 use statement::{NamedStatement, StatementText, UnnamedStatement};
 use std::collections::HashMap;
 
@@ -158,16 +159,13 @@
             return Err(SessionEnd::LimitExceeded);
         }
         self.claim_unnamed(direction)?;
-        if self.needs_parse(&key, direction)? {
-            put(direction.to, b'P', &[key.server_name().as_bytes(), b"\0", &text].concat());
-            self.push_pending(PendingReply::Parsed { key, by_proxy: false })?;
-        } else {
+        let statement = NamedStatement { key, text: StatementText::new(text) };
+        if !self.parse_where_needed(&statement, false, direction)? {
             // The text is already prepared. A Close without effect is sent instead: its reply is as long as a
             // ParseComplete and takes the place of one.
             put(direction.to, b'C', CLOSE_NONEXISTENT);
             self.push_pending(PendingReply::Closed(Completion::Parsed))?;
         }
-        let statement = NamedStatement { key, text: StatementText::new(text) };
         let previous = self.by_name.insert(client_name, statement);
         self.total_bytes -= previous.map_or(0, |previous| previous.text.bytes.len());
         direction.tracker.message_sent(b'P');
@@ -239,35 +237,31 @@
             let server_name = client_name.clone();
             return Ok(UsableStatement { server_name, may_change_session: false });
         };
-        self.ensure_prepared(&statement, direction)?;
+        self.parse_where_needed(&statement, true, direction)?;
         let server_name = Bytes::from(statement.key.server_name());
         Ok(UsableStatement { server_name, may_change_session: statement.text.may_change_session })
     }
 
-    /// Returns whether the text has to be sent to the server. If an earlier part of the pipeline sends it but may still
-    /// fail, appends a Close first, so that the text can be sent again.
-    fn needs_parse(&mut self, key: &StatementKey, direction: &mut Direction<'_>) -> Result<bool, SessionEnd> {
-        if direction.server.named.insert(*key) {
-            return Ok(true);
-        }
-        if !self.pending.may_fail_to_prepare(key) {
+    /// Prepares a statement on the server connection if it is not prepared there yet; returns whether a Parse was sent.
+    /// Where the text may be prepared, appends a Close first: a Parse of an existing name fails.
+    fn parse_where_needed(
+        &mut self, statement: &NamedStatement, by_proxy: bool, direction: &mut Direction<'_>,
+    ) -> Result<bool, SessionEnd> {
+        let key = statement.key;
+        let before = direction.server.named.insert(key, NamedOnServer::Prepared);
+        // An earlier part of the pipeline that sends the text may still fail.
+        if before == Some(NamedOnServer::Prepared) && !self.pending.may_fail_to_prepare(&key) {
             return Ok(false);
         }
-        put(direction.to, b'C', format!("S{}\0", key.server_name()).as_bytes());
-        self.push_pending(PendingReply::Closed(Completion::Suppressed))?;
-        Ok(true)
-    }
-
-    /// Prepares a statement on the server connection if it is not prepared there yet.
-    fn ensure_prepared(
-        &mut self, statement: &NamedStatement, direction: &mut Direction<'_>,
-    ) -> Result<(), SessionEnd> {
-        let key = statement.key;
-        if self.needs_parse(&key, direction)? {
-            put(direction.to, b'P', &[key.server_name().as_bytes(), b"\0", &statement.text.bytes].concat());
-            self.push_pending(PendingReply::Parsed { key, by_proxy: true })?;
+        let server_name = key.server_name();
+        let follows_close = before.is_some();
+        if follows_close {
+            put(direction.to, b'C', format!("S{server_name}\0").as_bytes());
+            self.push_pending(PendingReply::Closed(Completion::Suppressed))?;
         }
-        Ok(())
+        put(direction.to, b'P', &[server_name.as_bytes(), b"\0", &statement.text.bytes].concat());
+        self.push_pending(PendingReply::Parsed { key, by_proxy, follows_close })?;
+        Ok(true)
     }
 
     /// Forwards the messages received from the server, except the replies that the client does not expect.
@@ -303,7 +297,7 @@
     fn translate_completion(&mut self, direction: &mut Direction<'_>, kind: u8) -> bool {
         let pending = self.pending.front();
         if let (b'1', Some(PendingReply::Parsed { key, .. })) = (kind, pending) {
-            direction.server.named.insert(key);
+            direction.server.named.insert(key, NamedOnServer::Prepared);
         }
         let completion = match (kind, pending) {
             (b'1', Some(PendingReply::Parsed { by_proxy: true, .. })) => Completion::Suppressed,
--- a/crates/postgres/src/statements/key.rs
+++ b/crates/postgres/src/statements/key.rs
@@ -1,7 +1,6 @@
 //! Identifies statement texts on server connections, and detects texts that change the state of their session.
 
 use sha2::{Digest, Sha256};
-use std::collections::HashSet;
 
 /// Bytes of a SHA-256 hash that identify a text. Clients share the statements prepared on a connection, so it must be
 /// infeasible to construct a text with the same key as another client's.
@@ -9,10 +8,7 @@
 
 /// Identifies a text and its parameter types.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct StatementKey([u8; KEY_BYTES]);
-
-/// The texts prepared on a server connection.
-pub(crate) type PreparedKeys = HashSet<StatementKey>;
+pub(super) struct StatementKey([u8; KEY_BYTES]);
 
 impl StatementKey {
     /// Computes the key of the part of a Parse message after the statement's name.
--- a/crates/postgres/src/statements/model_tests.rs
+++ b/crates/postgres/src/statements/model_tests.rs
@@ -21,6 +21,8 @@
     Run,
     Describe,
     Close,
+    /// Parses, binds, executes and closes a named statement.
+    RunNamed(&'static str),
     /// Binds a statement that does not exist.
     Fail,
 }
@@ -56,6 +58,10 @@
             Step::Run => messages.extend([bind(""), execute.clone()]),
             Step::Describe => messages.push((b'D', b"S\0".to_vec())),
             Step::Close => messages.push((b'C', b"S\0".to_vec())),
+            Step::RunNamed(text) => {
+                let parse = (b'P', [b"named\0", text.as_bytes(), b"\0\0\0"].concat());
+                messages.extend([parse, bind("named"), execute.clone(), (b'C', b"Snamed\0".to_vec())]);
+            }
             Step::Fail => messages.push(bind("none")),
         }
     }
@@ -216,6 +222,7 @@
         5 => Just(Step::Run),
         1 => Just(Step::Describe),
         1 => Just(Step::Close),
+        3 => prop::sample::select(&["named 0", "named 1", INVALID_TEXT][..]).prop_map(Step::RunNamed),
         1 => Just(Step::Fail),
     ]
 }
--- a/crates/postgres/src/statements/pending.rs
+++ b/crates/postgres/src/statements/pending.rs
@@ -1,7 +1,7 @@
 //! The pending replies of a server that the proxy has to recognize, in order.
 
 use super::key::StatementKey;
-use super::server_statements::ServerStatements;
+use super::server_statements::{NamedOnServer, ServerStatements};
 use std::collections::VecDeque;
 
 /// A reply that the server has yet to send.
@@ -13,6 +13,8 @@
         key: StatementKey,
         /// Whether the proxy inserted the Parse, so that the client does not expect the reply.
         by_proxy: bool,
+        /// Whether the text may have been prepared before, and was closed for that reason.
+        follows_close: bool,
     },
     /// ParseComplete for the unnamed statement.
     ParsedUnnamed(UnnamedParse),
@@ -82,19 +84,27 @@
         }
     }
 
-    /// Removes the replies before the next ReadyForQuery, which the server does not send after an error, and removes
-    /// their texts from those prepared on the server. Returns who sent the last Parse of the unnamed statement, if its
-    /// reply is among the removed ones.
+    /// Removes the replies before the next ReadyForQuery, which the server does not send after an error, and corrects
+    /// what is known of their texts on the server. Returns who sent the last Parse of the unnamed statement, if its reply
+    /// is among the removed ones.
     pub(super) fn drop_until_ready(&mut self, server: &mut ServerStatements) -> Option<UnnamedParse> {
         let mut last_unnamed = None;
+        let mut removed_parses = Vec::new();
         while let Some(reply) = self.front().filter(|reply| *reply != PendingReply::Ready) {
             match reply {
-                PendingReply::Parsed { key, .. } => drop(server.named.remove(&key)),
+                PendingReply::Parsed { key, follows_close, .. } => removed_parses.push((key, follows_close)),
                 PendingReply::ParsedUnnamed(_) => last_unnamed = unnamed_parse(&reply),
                 PendingReply::Closed(_) | PendingReply::Ready => {}
             }
             self.pop();
         }
+        for (key, follows_close) in removed_parses {
+            if follows_close || self.pending_parses > 0 {
+                server.named.insert(key, NamedOnServer::Unknown);
+            } else {
+                server.named.remove(&key);
+            }
+        }
         last_unnamed.filter(|_| self.pending_unnamed_parses == 0)
     }
 
--- a/crates/postgres/src/statements/tests.rs
+++ b/crates/postgres/src/statements/tests.rs
@@ -119,6 +119,20 @@
     assert_eq!(pipeline.server.named_count(), 1);
 }
 
+/// Guards against a text that is prepared and counts as not prepared: its next Parse, of any client, would fail with
+/// 42P05. The second part of the pipeline closes the text and parses it again, and is ignored from its first message on.
+#[test]
+fn a_text_whose_close_the_server_ignored_is_closed_again() {
+    let mut pipeline = Pipeline::default();
+    let failing: (u8, &[u8]) = (b'B', b"\0none\0\0\0\0\0\0\0");
+    assert_eq!(kinds(&pipeline.client_sends(&[PARSE, SYNC, failing, PARSE, SYNC])), "PSBCPS");
+    assert_eq!(pipeline.server_sends(&[(b'1', b""), READY, (b'E', b"\0"), READY]), "1ZEZ");
+    pipeline.statements.begin_transaction();
+    assert_eq!(kinds(&pipeline.client_sends(&[PARSE, SYNC])), "CPS");
+    assert_eq!(pipeline.server_sends(&[(b'3', b""), (b'1', b""), READY]), "1Z");
+    assert_eq!(kinds(&pipeline.client_sends(&[PARSE, SYNC])), "CS", "it is certain now");
+}
+
 #[test]
 fn long_statements_and_session_changes_are_detected() {
     let mut pipeline = Pipeline::default();
