PostgreSQL: no client closes a shared statement by its name on the server

What callers could see: 26000 for a statement that they had prepared, after another client had sent a Close of the name that the text has on servers. The name is drawn from the text, so a client that knows the text knows the name.

Cause: Bind, Describe and Close of a name that the session does not know went on under the client's name, as servers name it in their error. The front went on counting the text as prepared on that connection.

Change: a name that begins as the front's names do is replaced by one that never exists. All others stay.

--- a/crates/postgres/src/statements.rs
+++ b/crates/postgres/src/statements.rs
@@ -14,7 +14,7 @@
 
 use crate::wire::{header, put, Header, WireError, HEADER_BYTES};
 use bytes::{Buf, BufMut, Bytes};
-use key::{may_change_session, StatementKey};
+use key::{may_change_session, StatementKey, SERVER_NAME_PREFIX};
 use names::{statement_name, text_end};
 use pending::{Completion, PendingReplies, PendingReply, UnnamedParse};
 use server_statements::NamedOnServer;
@@ -35,6 +35,8 @@
 const MAX_PENDING_REPLIES: usize = 100_000;
 /// Maximum number of statements prepared on a connection: one with more is closed after its transaction.
 pub(crate) const MAX_PREPARED_STATEMENTS: usize = 1000;
+/// The name of a statement that never exists on a server.
+const NONEXISTENT_NAME: &[u8] = b"ld_none";
 /// The body of a Close for a statement that never exists.
 const CLOSE_NONEXISTENT: &[u8] = b"Sld_none\0";
 
@@ -219,7 +221,8 @@
         }
         let removed = self.by_name.remove(client_name);
         self.total_bytes -= removed.map_or(0, |removed| removed.text.bytes.len());
-        put(direction.to, b'C', &body);
+        let server_name = unknown_name(&body.slice_ref(client_name));
+        put(direction.to, b'C', &[b"S", server_name.as_ref(), b"\0"].concat());
         direction.tracker.message_sent(b'C');
         self.push_pending(PendingReply::Closed(Completion::Closed))?;
         Ok(true)
@@ -234,7 +237,7 @@
         }
         self.claim_unnamed(direction)?;
         let Some(statement) = self.by_name.get(client_name).cloned() else {
-            let server_name = client_name.clone();
+            let server_name = unknown_name(client_name);
             return Ok(UsableStatement { server_name, may_change_session: false });
         };
         self.parse_where_needed(&statement, true, direction)?;
@@ -318,6 +321,16 @@
     }
 }
 
+/// Returns the name under which a server is asked for a statement that it does not know: the client's own, which the
+/// server names in its error, unless that could be the name of a text that clients share.
+fn unknown_name(client_name: &Bytes) -> Bytes {
+    if client_name.starts_with(SERVER_NAME_PREFIX.as_bytes()) {
+        Bytes::from_static(NONEXISTENT_NAME)
+    } else {
+        client_name.clone()
+    }
+}
+
 /// Takes a Describe or Close of a named statement; returns `None` if it is not complete yet.
 fn take_statement_message(
     direction: &mut Direction<'_>, header: Header,
--- a/crates/postgres/src/statements/key.rs
+++ b/crates/postgres/src/statements/key.rs
@@ -6,6 +6,9 @@
 /// infeasible to construct a text with the same key as another client's.
 const KEY_BYTES: usize = 24;
 
+/// The beginning of the names of statements on server connections.
+pub(super) const SERVER_NAME_PREFIX: &str = "ld_";
+
 /// Identifies a text and its parameter types.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) struct StatementKey([u8; KEY_BYTES]);
@@ -20,7 +23,7 @@
 
     /// Returns the statement's name on server connections, which is within PostgreSQL's limit of 63 bytes.
     pub(super) fn server_name(&self) -> String {
-        self.0.iter().fold("ld_".into(), |name, byte| format!("{name}{byte:02x}"))
+        self.0.iter().fold(SERVER_NAME_PREFIX.into(), |name, byte| format!("{name}{byte:02x}"))
     }
 }
 
--- a/crates/postgres/src/statements/tests.rs
+++ b/crates/postgres/src/statements/tests.rs
@@ -133,6 +133,23 @@
     assert_eq!(kinds(&pipeline.client_sends(&[PARSE, SYNC])), "CS", "it is certain now");
 }
 
+/// Guards against a client that closes, describes or binds a text which clients share, by its name on the server: a Close
+/// would make the Bind of every other client fail with 26000.
+#[test]
+fn clients_cannot_reach_shared_statements_by_their_names_on_the_server() {
+    let mut pipeline = Pipeline::default();
+    let body = pipeline.client_sends(&[PARSE, SYNC])[0].body.clone();
+    assert_eq!(pipeline.server_sends(&[(b'1', b""), READY]), "1Z");
+    let server_name = [&body[..text_end(&body, 0).unwrap()], b"\0"].concat();
+    let of_statement = [b"S", &server_name[..]].concat();
+    let bind = [b"\0", &server_name[..], &BIND.1[4..]].concat();
+    pipeline.statements = PreparedStatements::default(); // another client
+    let sent = pipeline.client_sends(&[(b'C', &of_statement), (b'D', &of_statement), (b'B', &bind), SYNC]);
+    assert_eq!(kinds(&sent), "CDBS");
+    assert_eq!((&sent[0].body[..], &sent[1].body[..]), (&b"Sld_none\0"[..], &b"Sld_none\0"[..]));
+    assert!(sent[2].body.starts_with(b"\0ld_none\0") && sent[2].body.ends_with(&BIND.1[4..]));
+}
+
 #[test]
 fn long_statements_and_session_changes_are_detected() {
     let mut pipeline = Pipeline::default();
