PostgreSQL: a statement sent ahead is not reported as never done when its server is lost

What callers could see: 08006, "the server was lost before anything was done", for a statement that was executed and perhaps committed; a client that repeats it then writes twice.

Cause: ConnectionTracker took a ReadyForQuery with no other one pending for the answer to all statements sent so far. One that was sent before that answer came, as the beginning of the next part of a pipeline, was forgotten, and the Sync behind it does not count as a statement.

Change: while a part without its Sync is on its way, its statements stay unanswered. That holds in the other direction, too: with no such part the ReadyForQuery answers all, as before.

Two new tests failed before (08006 through the front; the tracker by itself) and pass.

--- a/crates/postgres/src/track.rs
+++ b/crates/postgres/src/track.rs
@@ -60,7 +60,8 @@
             b'Z' => {
                 self.pending_ready = self.pending_ready.saturating_sub(1);
                 self.transaction_status = first_byte.unwrap_or(STATUS_IDLE);
-                self.is_running &= self.pending_ready > 0;
+                // A part without its Sync may have statements already.
+                self.is_running &= self.pending_ready > 0 || self.needs_sync;
                 self.is_copying = false;
             }
             b'G' | b'W' => self.is_copying = true,
--- a/crates/postgres/src/track/tests.rs
+++ b/crates/postgres/src/track/tests.rs
@@ -53,3 +53,17 @@
     tracker.message_received(b'Z', Some(b'I'));
     assert!(!tracker.is_result_unknown());
 }
+
+/// Guards against a statement that is reported as not executed although its server may have committed it: it was sent
+/// before the answer to the part in front of it arrived, and its Sync after that.
+#[test]
+fn result_is_unknown_where_a_statement_was_sent_before_the_answer_to_the_part_in_front() {
+    let mut tracker = ConnectionTracker::default();
+    "ESE".bytes().for_each(|kind| tracker.message_sent(kind));
+    tracker.message_received(b'Z', Some(b'I'));
+    assert!(tracker.is_result_unknown());
+    tracker.message_sent(b'S');
+    assert!(tracker.is_result_unknown());
+    tracker.message_received(b'Z', Some(b'I'));
+    assert!(!tracker.is_result_unknown());
+}
--- a/crates/postgres/tests/raw.rs
+++ b/crates/postgres/tests/raw.rs
@@ -242,3 +242,27 @@
     })
     .await;
 }
+
+/// Guards against "nothing was done" for a statement that a lost server may have executed: the statement was sent
+/// before the answer to the part of the pipeline in front of it arrived.
+#[tokio::test]
+async fn a_statement_that_was_sent_ahead_is_reported_as_unknown_when_its_server_is_lost() {
+    run_local(async {
+        let (address, seen) = stand_in().await;
+        let rig = Rig::start(&[address], 4, LONG_DEADLINE).await;
+        let mut raw = RawClient::log_in(&rig).await;
+        let bind: (u8, &[u8]) = (b'B', b"\0\0\0\0\0\0\0\0");
+        let execute: (u8, &[u8]) = (b'E', b"\0\0\0\0\0");
+        let parse = |text: &'static [u8]| (b'P', text);
+        let parts =
+            [parse(b"\0select 1\0\0\0"), bind, execute, (b'S', b""), parse(b"\0halt\0\0\0"), bind, execute];
+        raw.send(&parts).await;
+        assert_eq!(raw.receive_until(b'Z').await, "12DCZ");
+        assert_eq!(raw.receive_until(b'E').await, "12DCE(08007)");
+        raw.send(&[(b'S', b""), (b'Q', b"select 2\0")]).await;
+        assert_eq!(raw.receive_until(b'Z').await, "Z");
+        assert_eq!(raw.receive_until(b'Z').await, "TDCZ");
+        assert_eq!(*seen.statements.borrow(), ["select 1", "halt", "select 2"]);
+    })
+    .await;
+}
