PostgreSQL: the error that ends a session reaches a client that still sends

What callers saw: "connection reset" or "broken pipe" in place of the FATAL error, where the front ended the session of a client that had sent ahead (08P01, 54000, 57014, 53300).

Cause: the front closed the connection over bytes that it had not read. The kernel then resets it, and what the client had not read yet can be lost with it.

Change: behind its last message the front ends its own direction alone, and discards what the client sends until that closes, for the 2 s that the last messages have had before. That is why no close meets unread bytes of a client that listens.

Evidence: the new test failed before at the client's first write behind the error (broken pipe), and passes.

--- a/crates/postgres/src/front.rs
+++ b/crates/postgres/src/front.rs
@@ -3,7 +3,7 @@
 use crate::bridge::Client;
 use crate::classes::{ClientIdentity, Rule};
 use crate::error::ClientError;
-use crate::io::drain;
+use crate::io::{close_after_last_message, drain};
 use crate::login::{random_bytes, LoginError, NewConnection, SessionStart};
 use crate::scram::Verifier;
 use crate::session::Session;
@@ -24,7 +24,8 @@
 const LOGIN_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum number of clients above the limit that are accepted in order to send them an error.
 pub const MAX_EXCESS_CLIENTS: usize = 16;
-/// Time for writing the last messages to a client, and for connecting to a server to send it a CancelRequest.
+/// Time for the last messages to a client and the end of its connection, and for connecting to a server to send it a
+/// CancelRequest.
 const FINAL_IO_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A role that may log in.
@@ -132,15 +133,14 @@
             Ok(None) | Err(LoginError::Disconnected) => {}
             Err(LoginError::Rejected(error)) => {
                 error.put(&mut connection.output.borrow_mut());
-                let _ =
-                    tokio::time::timeout(FINAL_IO_TIMEOUT, drain(&connection.output, &connection.tcp)).await;
+                send_last_messages(&connection.output, &connection.tcp).await;
             }
             Ok(Some((key, identity))) => {
                 let client = Client::new(connection.tcp, connection.input.into_inner());
                 self.sessions.borrow_mut().insert(key, Rc::downgrade(&client));
                 self.new_session(&client, identity).serve().await;
                 self.sessions.borrow_mut().remove(&key);
-                let _ = tokio::time::timeout(FINAL_IO_TIMEOUT, drain(&client.output, &client.tcp)).await;
+                send_last_messages(&client.output, &client.tcp).await;
             }
         }
     }
@@ -224,3 +224,15 @@
         }
     }
 }
+
+/// Sends a client the last messages of its session, if there are any, and ends the connection.
+async fn send_last_messages(output: &RefCell<BytesMut>, tcp: &TcpStream) {
+    if output.borrow().is_empty() {
+        return;
+    }
+    let sent = async {
+        drain(output, tcp).await?;
+        close_after_last_message(tcp).await
+    };
+    let _ = tokio::time::timeout(FINAL_IO_TIMEOUT, sent).await; // the connection ends whether or not they were read
+}
--- a/crates/postgres/src/io.rs
+++ b/crates/postgres/src/io.rs
@@ -33,3 +33,14 @@
     }
     Ok(())
 }
+
+/// Ends a connection after its last message: reads and discards what the peer still sends until the peer closes. A
+/// close over unread bytes would reset the connection, and the peer could lose the message.
+pub(crate) async fn close_after_last_message(tcp: &TcpStream) -> std::io::Result<()> {
+    socket2::SockRef::from(tcp).shutdown(std::net::Shutdown::Write)?;
+    let discarded = RefCell::<BytesMut>::default();
+    while fill(tcp, &discarded).await? > 0 {
+        discarded.borrow_mut().clear();
+    }
+    Ok(())
+}
--- a/crates/postgres/tests/raw.rs
+++ b/crates/postgres/tests/raw.rs
@@ -266,3 +266,23 @@
     })
     .await;
 }
+
+/// Guards against an error that a client cannot read, as the front closed its connection over bytes that the client had
+/// sent ahead, which resets the connection.
+#[tokio::test]
+async fn a_client_that_sends_ahead_can_read_the_error_that_ends_its_session() {
+    run_local(async {
+        let (address, _seen) = stand_in().await;
+        let rig = Rig::start(&[address], 4, LONG_DEADLINE).await;
+        let mut raw = RawClient::log_in(&rig).await;
+        raw.write(&[b'Q', 0, 0, 0, 2]).await; // an impossible length
+        assert_eq!(raw.receive_until(b'E').await, "E(08P01)");
+        let query = vec![b'r'; 100_000];
+        for _ in 0..10 {
+            raw.send(&[(b'Q', &query)]).await; // fails if the connection was reset
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(raw.receive_until(b'Z').await, ".");
+    })
+    .await;
+}
