--- a/crates/postgres/src/statements/model_tests.rs
+++ b/crates/postgres/src/statements/model_tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::track::ConnectionTracker;
-use crate::wire::{message, Forwarder, Message};
+use crate::wire::{message, put, Forwarder, Message};
 use bytes::BytesMut;
 use proptest::prelude::*;
 
--- a/crates/postgres/src/statements/tests.rs
+++ b/crates/postgres/src/statements/tests.rs
@@ -1,7 +1,7 @@
+use super::names::text_end;
 use super::*;
-use crate::track::ConnectionTracker;
-use crate::wire::{message, Forwarder, Message};
-use bytes::BytesMut;
+use crate::wire::{message, put, Forwarder, Message, WireError};
+use bytes::{BufMut, BytesMut};
 
 /// Maximum length of a message in these tests, bytes.
 const MAX_MESSAGE_BYTES: usize = 2 * MAX_STATEMENT_BYTES;
