PostgreSQL: a complete and an incomplete part of a pipeline each get their answer

What callers saw: a client that had sent one part of a pipeline whole and the next one up to its Sync waited forever when their server was lost. For two parts it got one ReadyForQuery, and that only behind the Sync of the second.

Cause: Session::report_error counted the ReadyForQuery messages that the server owed, and the part without its Sync only where none was owed; the first one was sent behind the rest of the incomplete part.

Change: each complete part gets its error and ReadyForQuery at once, then the incomplete one its error, and its ReadyForQuery at its Sync. That is one answer for each part, and none waits for a message that its client may hold back.

Evidence: found by reading. The new test failed before (the answer to the next Query stood in place of the second part's) and passes; where all parts are complete, or none, the messages are as before.

--- a/crates/postgres/src/session/failure.rs
+++ b/crates/postgres/src/session/failure.rs
@@ -57,37 +57,45 @@
             self.put_errors_of_block(error, &tracker);
             return false;
         }
-        error.put(&mut self.client.output.borrow_mut());
-        // The client may wait for the error before it sends more messages.
-        if drain(&self.client.output, &self.client.tcp).await.is_err() {
+        self.put_error_for_each_complete_part(&error, &tracker);
+        if is_part_incomplete && !self.fail_incomplete_part(error).await {
             return false;
         }
-        if is_part_incomplete {
-            match self.skip_part().await {
-                Ok(skipped) if skipped.may_begin_block => {
-                    self.put_fatal(error);
-                    return false;
-                }
-                Ok(_) => {}
-                Err(_) => return false,
-            }
-        }
-        self.put_ready_for_each_part(&error, &tracker);
         self.client.tracker.set(ConnectionTracker::default());
         drain(&self.client.output, &self.client.tcp).await.is_ok()
     }
 
-    /// Appends the ReadyForQuery of the part of a pipeline that got the error, and both for the pending parts behind
-    /// it: a ReadyForQuery alone would mean an empty result.
-    fn put_ready_for_each_part(&self, error: &ClientError, tracker: &ConnectionTracker) {
+    /// Appends the error and the ReadyForQuery of each pending part that the client has completed: a ReadyForQuery
+    /// alone would mean an empty result.
+    fn put_error_for_each_complete_part(&self, error: &ClientError, tracker: &ConnectionTracker) {
         let mut output = self.client.output.borrow_mut();
-        put_ready(&mut output);
-        for _ in 1..tracker.pending_ready() {
+        for _ in 0..tracker.pending_ready() {
             error.put(&mut output);
             put_ready(&mut output);
         }
     }
 
+    /// Sends the error of the part that the client has not completed, and appends its ReadyForQuery once the rest of
+    /// it has arrived; returns whether the session continues.
+    async fn fail_incomplete_part(&self, error: ClientError) -> bool {
+        error.put(&mut self.client.output.borrow_mut());
+        // The client may wait for the error before it sends more messages.
+        if drain(&self.client.output, &self.client.tcp).await.is_err() {
+            return false;
+        }
+        match self.skip_part().await {
+            Ok(skipped) if skipped.may_begin_block => {
+                self.put_fatal(error);
+                false
+            }
+            Ok(_) => {
+                put_ready(&mut self.client.output.borrow_mut());
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Appends the error for each pending part of a transaction block; the last one ends the session.
     fn put_errors_of_block(&self, error: ClientError, tracker: &ConnectionTracker) {
         let pending_parts = tracker.pending_ready() + u32::from(tracker.needs_sync());
--- a/crates/postgres/tests/raw.rs
+++ b/crates/postgres/tests/raw.rs
@@ -286,3 +286,27 @@
     })
     .await;
 }
+
+/// Guards against a client that waits forever: each part of a pipeline gets its own ReadyForQuery when their server is
+/// lost, and a complete part gets it before the client has sent the Sync of the next one.
+#[tokio::test]
+async fn a_complete_and_an_incomplete_part_each_get_their_answer_when_their_server_is_lost() {
+    run_local(async {
+        let (address, _seen) = stand_in().await;
+        let rig = Rig::start(&[address], 4, LONG_DEADLINE).await;
+        let mut raw = RawClient::log_in(&rig).await;
+        let bind: (u8, &[u8]) = (b'B', b"\0\0\0\0\0\0\0\0");
+        let execute: (u8, &[u8]) = (b'E', b"\0\0\0\0\0");
+        raw.send(&[(b'Q', b"die\0"), (b'P', b"\0select 1\0\0\0"), bind, execute]).await;
+        assert_eq!(raw.receive_until(b'E').await, "E(08007)");
+        // A client that waits for the ReadyForQuery of the first part is not left waiting; the others send on.
+        raw.send(&[(b'S', b""), (b'Q', b"select 2\0")]).await;
+        for answer in ["Z", "E(08007)Z", "TDCZ"] {
+            assert_eq!(raw.receive_until(b'Z').await, answer);
+        }
+        raw.send(&[(b'Q', b"die\0"), (b'P', b"\0select 1\0\0\0"), bind, execute]).await;
+        assert_eq!(raw.receive_until(b'Z').await, "E(08007)Z");
+        assert_eq!(raw.receive_until(b'E').await, "E(08007)");
+    })
+    .await;
+}
