PostgreSQL: a Bind of a long unnamed statement compares no text that is the same

Need: each Bind of the unnamed statement compares its text, up to 1 MB, with the connection's; a pipeline of thousands would hold the event loop. Change: session and connection share one allocation from the first Parse or Bind on, and the same allocation is not compared.

--- a/crates/postgres/src/statements/unnamed.rs
+++ b/crates/postgres/src/statements/unnamed.rs
@@ -94,9 +94,9 @@
         let is_prepared = self.is_unnamed_on_server(&direction.server.unnamed);
         if !is_prepared || self.pending.may_fail_to_prepare_unnamed() {
             put(direction.to, b'P', &[b"\0", text.bytes.as_ref()].concat());
-            direction.server.unnamed = UnnamedOnServer::Text(text.bytes.clone());
             self.push_pending(PendingReply::ParsedUnnamed(UnnamedParse::ByProxy))?;
         }
+        direction.server.unnamed = UnnamedOnServer::Text(text.bytes);
         self.owns_unnamed_on_server = true;
         Ok(usable)
     }
@@ -114,7 +114,11 @@
     /// Returns whether the session's unnamed statement is the one on the server connection.
     fn is_unnamed_on_server(&self, on_server: &UnnamedOnServer) -> bool {
         match (&self.unnamed, on_server) {
-            (UnnamedStatement::Kept(text), UnnamedOnServer::Text(bytes)) => text.bytes == *bytes,
+            (UnnamedStatement::Kept(text), UnnamedOnServer::Text(bytes)) => {
+                // As a rule both share one allocation, which makes the comparison of a long text unnecessary.
+                let is_shared = text.bytes.as_ptr() == bytes.as_ptr() && text.bytes.len() == bytes.len();
+                is_shared || text.bytes == *bytes
+            }
             _ => false,
         }
     }
