Review case 6: a long answer that breaks off leaves its request with no byte

Cause: an answer that declares more than 64 KiB counts as served with its first bytes; where its connection is reset by then, the body ends with an error in the turn in which the head was to be written, and nothing is.

--- a/review/src-2/common.rs
+++ b/review/src-2/common.rs
@@ -107,6 +107,17 @@
     fn kill(pid: i32, signal: i32) -> i32;
     fn listen(socket: i32, backlog: i32) -> i32;
     fn prctl(option: i32, value: u64) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+}
+
+/// Makes the close of a connection reset it (SO_LINGER with no time).
+pub fn set_linger_zero(stream: &std::net::TcpStream) {
+    use std::os::fd::AsRawFd;
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    let linger = [1i32, 0];
+    // SAFETY: the value is a `struct linger` of two ints, which outlives the call.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) };
 }
 
 /// prctl(2): the signal that a process gets when its parent ends.
--- a/review/src-2/http.rs
+++ b/review/src-2/http.rs
@@ -88,8 +88,10 @@
     Serve(Duration),
     /// Runs it and never answers; the connection stays open.
     Hang,
-    /// Runs it, and the connection breaks after this time.
-    Reset(Duration),
+    /// Answers 200 with a body of this length, in one write.
+    Large(usize),
+    /// Begins the same answer; the connection is reset behind the first bytes of the body.
+    LargeThenReset { length: usize, sent: usize },
 }
 
 /// A request that began at a backend.
@@ -217,8 +219,13 @@
                 let _ = reader.read(&mut [0; 1]);
                 return Ok(());
             }
-            Action::Reset(after) => {
-                std::thread::sleep(after);
+            Action::Large(length) => {
+                let _ = stream.write_all(&large_answer(length, length));
+            }
+            Action::LargeThenReset { length, sent } => {
+                stream.write_all(&large_answer(length, sent))?;
+                note!("{name}: the connection of {id} is reset after {sent} of {length} bytes");
+                crate::common::set_linger_zero(&stream);
                 return Ok(());
             }
         }
@@ -226,6 +233,13 @@
     Ok(())
 }
 
+/// Returns an answer of `length` bytes, with only the first `sent` of its body.
+fn large_answer(length: usize, sent: usize) -> Vec<u8> {
+    let mut answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n").into_bytes();
+    answer.extend((0..sent).map(|position| b'a' + (position % 26) as u8));
+    answer
+}
+
 /// Discovery: one list, which only grows newer.
 pub struct Discovery {
     pub address: SocketAddr,
@@ -350,6 +364,9 @@
     Silence,
 }
 
+/// How a connection has ended that was closed with no byte of an answer.
+pub const NO_BYTE: &str = "closed with no byte of an answer";
+
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 pub fn next_id() -> String {
@@ -389,7 +406,7 @@
                 let body = String::from_utf8_lossy(&message.body).into_owned();
                 Answer::Whole { status: message.status(), body }
             }
-            Ok(None) => Answer::Ended("closed".into()),
+            Ok(None) => Answer::Ended(NO_BYTE.into()),
             Err(error) if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
                 Answer::Silence
             }
@@ -399,7 +416,9 @@
             self.connection = None;
         }
         if self.is_recorded {
-            note!("client: {id} after {:.3} s: {answer:?}", sent.elapsed().as_secs_f64());
+            let text = format!("{answer:.120?}");
+            let text: String = text.chars().take(160).collect();
+            note!("client: {id} after {:.3} s: {text}", sent.elapsed().as_secs_f64());
         }
         answer
     }
--- a/review/src-2/main.rs
+++ b/review/src-2/main.rs
@@ -7,6 +7,7 @@
 mod pg;
 
 mod copy_desync;
+mod broken_answer;
 mod comment_set;
 mod late_cancel;
 mod ledger_forgets;
@@ -26,6 +27,7 @@
         exit(2);
     };
     let run: fn() -> CaseResult = match name.as_str() {
+        "broken-answer" => broken_answer::run,
         "copy-desync" => copy_desync::run,
         "comment-set" => comment_set::run,
         "late-cancel" => late_cancel::run,
--- a/review/src-2/pg.rs
+++ b/review/src-2/pg.rs
@@ -189,6 +189,7 @@
             portal: String::new(),
         };
         let ended = session.run();
+        let _ = session.stream.shutdown(std::net::Shutdown::Both);
         note!("{server}: session {number} ends");
         ended
     }
