HTTP: the beginning of a long answer that breaks off reaches its client

What callers saw: where the backend's connection ended right behind the first bytes of an answer of over 64 KiB, the client's connection was closed with no byte, no status line and no head, for requests of every class.

Cause: StreamedAnswer returned the first frame and then the error of the relay in one turn of the event loop. hyper had buffered the head and the frame and not written them; when a body fails it ends the connection and drops its buffer.

Change: Stream counts the flushes of hyper, which flushes a stream once its own buffer is empty. The body returns its error only after a flush that follows the break, so that all that was received before is written.

A test of the body by itself, broken off before its first poll, and one through the whole proxy failed without the wait and pass with it.

--- a/crates/lotusdeck/tests/bodies.rs
+++ b/crates/lotusdeck/tests/bodies.rs
@@ -196,6 +196,24 @@
     }
 }
 
+/// Guards against a connection that is closed without a byte because the answer broke off right behind its first
+/// bytes: each client gets the beginning of the answer, or an error.
+#[test]
+fn a_large_answer_that_breaks_off_at_once_leaves_no_client_without_a_byte() {
+    let backend = BackendServer::start(|_| {
+        let head = "HTTP/1.1 200 X\r\nContent-Length: 100000\r\n\r\n";
+        Reply::PiecesAndClose(vec![head.to_string() + &sample_text(4_000)])
+    });
+    let proxy = proxy_for(&backend);
+    for number in 0..20 {
+        let mut client = proxy.client();
+        client.send(&post(&number.to_string(), 3.0, "Content-Length: 0\r\n"));
+        let mut received = Vec::new();
+        client.0.read_to_end(&mut received).unwrap();
+        assert!(received.starts_with(b"HTTP/1.1 "), "request {number} got {} bytes", received.len());
+    }
+}
+
 /// A large request whose connection was refused is sent to another backend. One that was rejected after its body was
 /// sent is refused, as its body is consumed and cannot be sent again.
 #[test]
--- a/crates/proxy/src/answer_body.rs
+++ b/crates/proxy/src/answer_body.rs
@@ -1,6 +1,7 @@
 //! The body of an answer to a client.
 
 use crate::body::BoxError;
+use crate::stream::Stream;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::{Response, StatusCode};
@@ -16,7 +17,16 @@
     first: Bytes, length: Option<u64>,
 ) -> (mpsc::Sender<Option<Bytes>>, StreamedAnswer) {
     let (sender, rest) = mpsc::channel(1);
-    (sender, StreamedAnswer { first: Some(first), rest, bytes_left: length })
+    (
+        sender,
+        StreamedAnswer {
+            first: Some(first),
+            rest,
+            bytes_left: length,
+            client: None,
+            flushes_before_error: None,
+        },
+    )
 }
 
 /// Creates an answer with a status and a text.
@@ -31,6 +41,10 @@
     first: Option<Bytes>,
     rest: mpsc::Receiver<Option<Bytes>>,
     bytes_left: Option<u64>,
+    /// The connection that the answer is written to, once it is known.
+    client: Option<Stream>,
+    /// The number of flushes of that connection when the answer was found to have broken off.
+    flushes_before_error: Option<u64>,
 }
 
 impl StreamedAnswer {
@@ -40,12 +54,23 @@
             None => match ready!(self.rest.poll_recv(cx)) {
                 Some(Some(data)) => data,
                 Some(None) => return Poll::Ready(None),
-                None => return Poll::Ready(Some(Err("the backend's answer broke off".into()))),
+                None => {
+                    ready!(self.poll_written(cx));
+                    return Poll::Ready(Some(Err("the backend's answer broke off".into())));
+                }
             },
         };
         self.bytes_left = self.bytes_left.map(|left| left.saturating_sub(data.len() as u64));
         Poll::Ready(Some(Ok(Frame::data(data))))
     }
+
+    /// Polls until the head and the frames returned so far are written to the client. When the body fails, hyper
+    /// closes the connection and drops what it still buffers, which may be all of the answer.
+    fn poll_written(&mut self, cx: &Context<'_>) -> Poll<()> {
+        let Some(client) = &self.client else { return Poll::Ready(()) };
+        let flushes = *self.flushes_before_error.get_or_insert_with(|| client.flush_count());
+        client.poll_flushed(flushes, cx)
+    }
 }
 
 /// The body of an answer to a client.
@@ -62,6 +87,14 @@
 }
 
 impl AnswerBody {
+    /// Sets the connection that the answer is written to. If the answer breaks off, the connection ends only after
+    /// everything received before has been written.
+    pub(crate) fn set_client(&mut self, client: &Stream) {
+        if let AnswerBody::Streamed { answer, .. } = self {
+            answer.client = Some(client.clone());
+        }
+    }
+
     /// Keeps a resource of the request until the end of the answer if that is streamed; otherwise drops it.
     pub(crate) fn hold_until_end(&mut self, guard: impl Any) {
         if let AnswerBody::Streamed { guards, .. } = self {
@@ -101,3 +134,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/proxy/src/client_connection.rs
+++ b/crates/proxy/src/client_connection.rs
@@ -101,6 +101,7 @@
 ) -> Response<AnswerBody> {
     client.is_busy.set(true);
     let mut answer = handler.handle(client, request).await;
+    answer.body_mut().set_client(&client.stream);
     let busy = BusyConnection { front: front.clone(), client: client.clone() };
     answer.body_mut().hold_until_end(busy); // busy until the end of an answer that is streamed
     answer
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -1,11 +1,13 @@
 //! A TCP stream for hyper that can also be observed from outside: how much of a request was written, and whether
 //! the peer has closed or sent anything.
 
+mod flushes;
 mod head;
 mod incoming;
 mod outgoing;
 
 use crate::queueing_delay::QueueingDelay;
+use flushes::Flushes;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use incoming::IncomingMessage;
 use lotusdeck_core::socket_state;
@@ -31,6 +33,7 @@
     tcp: TcpStream,
     outgoing: OutgoingRequest,
     incoming: IncomingMessage,
+    flushes: Flushes,
     /// Tracks the earliest time at which unread bytes can have arrived.
     queueing_delay: QueueingDelay,
     /// The earliest time at which the bytes that were read last can have arrived.
@@ -50,6 +53,7 @@
             tcp,
             outgoing: OutgoingRequest::new(),
             incoming: IncomingMessage::new(),
+            flushes: Flushes::default(),
             queueing_delay: QueueingDelay::new(since),
             last_read_arrived_at: Cell::new(since),
         }))
@@ -87,6 +91,16 @@
         self.0.outgoing.total_bytes()
     }
 
+    /// Returns how often all bytes that hyper buffered had been written.
+    pub(crate) fn flush_count(&self) -> u64 {
+        self.0.flushes.count()
+    }
+
+    /// Polls until all bytes that hyper buffered have been written more than `count` times.
+    pub(crate) fn poll_flushed(&self, count: u64, cx: &Context<'_>) -> Poll<()> {
+        self.0.flushes.poll_more_than(count, cx)
+    }
+
     /// Returns when something was last read.
     pub(crate) fn last_read_at(&self) -> Instant {
         self.0.incoming.last_read_at()
@@ -185,6 +199,7 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.flushes.record();
         Poll::Ready(Ok(()))
     }
 
