A retry behind a withdrawn attempt keeps its idempotency window

What callers saw: orders of a guarded class were sent again 1.37 to 1.57 s after their first attempt, with a window of 1.2 s, where their backend hung, parallel_tries was false and the connection of the retry came up late. Backends discard no duplicate by then.

Cause: Host::cancel_attempt did not record in the request that the attempt which the balancer withdraws may have run; Host::close_attempt did for every other end. Host::may_send, asked right before the first byte, then knew of no window.

There is one place left that takes an attempt out of those in flight.

The new test of the host failed before (a retry with a window of 0 was allowed) and passes.

--- a/crates/core/src/host/attempts.rs
+++ b/crates/core/src/host/attempts.rs
@@ -88,16 +88,11 @@
     pub(super) fn close_attempt(
         &self, state: &mut State, key: AttemptKey, outcome: Outcome,
     ) -> Option<AttemptEnd> {
-        let open = state.attempts.remove(&key)?;
-        open.task.abort(); // closes its connection, if it still has one
+        let open = self.remove_attempt(state, key, outcome)?;
         state.counts.count_attempt_end(outcome);
-        self.journal_end(key, outcome, &open);
         if outcome == Outcome::TimedOut {
             self.notify_unanswered(&open);
         }
-        if !outcome.never_ran() {
-            state.record_possible_run(key.request, open.sent_at);
-        }
         if outcome == Outcome::Success && state.requests.contains_key(&key.request) {
             state.counts.served += 1;
             self.finish(state, key.request, Answer::Served(key.attempt));
@@ -118,13 +113,23 @@
     /// Gives up an attempt that the balancer cancels, without counting its end; returns `None` if it is not in
     /// flight.
     pub(super) fn cancel_attempt(&self, state: &mut State, now: Time, key: AttemptKey) -> Option<AttemptEnd> {
-        let open = state.attempts.remove(&key)?;
-        open.task.abort();
-        self.journal_end(key, Outcome::Cancelled, &open);
+        let open = self.remove_attempt(state, key, Outcome::Cancelled)?;
         self.notify_unanswered(&open);
         Some(state.attempt_end(key, Outcome::Cancelled, now - open.latency_from))
     }
 
+    /// Removes an attempt from those in flight and closes its connection, if it still has one. Records its end in the
+    /// journal and, if it may have run, in its request. Returns `None` if it is not in flight.
+    fn remove_attempt(&self, state: &mut State, key: AttemptKey, outcome: Outcome) -> Option<OpenAttempt> {
+        let open = state.attempts.remove(&key)?;
+        open.task.abort();
+        self.journal_end(key, outcome, &open);
+        if !outcome.never_ran() {
+            state.record_possible_run(key.request, open.sent_at);
+        }
+        Some(open)
+    }
+
     /// Notifies the journal of the end of an attempt that is recorded there.
     fn journal_end(&self, key: AttemptKey, outcome: Outcome, open: &OpenAttempt) {
         if let (Some(journal), Some(exchange)) = (&self.services.journal, &open.journaled) {
--- a/crates/core/src/host/tests.rs
+++ b/crates/core/src/host/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the checks before the first byte of an attempt, and of the cleanup after requests and backends.
 
 use super::attempts::SendCondition;
+use super::state::AttemptKey;
 use super::{Answer, Host, OptionalServices};
 use crate::cordon::Cordon;
 use crate::exchange::{AttemptContext, AttemptFuture, Exchange};
@@ -8,9 +9,10 @@
 use crate::Clock;
 use lotusdeck_policy::settings::{EndpointRecord, Names, NetworkSettings, Settings};
 use lotusdeck_policy::{
-    Arrival, AttemptNo, Backend, BackendId, BackendState, Balancer, ClassId, Config, ListUpdate, Micros,
-    RequestId, SideEffects, Time,
+    Arrival, AttemptNo, Backend, BackendId, BackendState, Balancer, ClassId, Config, KeyScope, ListUpdate,
+    Micros, RequestId, SideEffects, Time,
 };
+use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -31,6 +33,23 @@
     }
 }
 
+/// An exchange that keeps the contexts of its attempts, which stay in flight until they are given up.
+#[derive(Default)]
+struct KeepsContexts(RefCell<Vec<AttemptContext>>);
+
+impl Exchange for KeepsContexts {
+    fn send_attempt(self: Rc<Self>, context: AttemptContext) -> AttemptFuture {
+        self.0.borrow_mut().push(context);
+        Box::pin(std::future::pending())
+    }
+    fn body_consumed(&self) -> bool {
+        false
+    }
+    fn answer_status(&self, _: AttemptNo) -> Option<u16> {
+        None
+    }
+}
+
 const SECOND: Micros = Micros(1_000_000);
 const MINUTE: Micros = Micros(60_000_000);
 const PORT: u16 = 9;
@@ -66,6 +85,12 @@
 }
 
 fn submit(host: &Rc<Host>) -> (RequestId, Receiver<Answer>) {
+    submit_to(host, Rc::new(NeverAnswered), SideEffects::None)
+}
+
+fn submit_to(
+    host: &Rc<Host>, exchange: Rc<dyn Exchange>, side_effects: SideEffects,
+) -> (RequestId, Receiver<Answer>) {
     let arrival = Arrival {
         request: RequestId(0),
         class: ClassId(0),
@@ -75,7 +100,7 @@
         is_client_retry: false,
         body_incomplete: false,
     };
-    host.submit(arrival, Rc::new(NeverAnswered), SideEffects::None, || unreachable!())
+    host.submit(arrival, exchange, side_effects, || unreachable!())
 }
 
 /// Returns whether an attempt of this request may be sent to the backend at `PORT`.
@@ -113,6 +138,31 @@
     tokio::task::LocalSet::new().run_until(check).await;
 }
 
+/// Guards against a retry that is sent after the idempotency window, where it would run twice, because its earlier
+/// attempt was withdrawn by the balancer: that attempt may have run as much as one that ended by itself.
+#[tokio::test]
+async fn a_retry_after_a_withdrawn_attempt_is_sent_only_within_the_idempotency_window() {
+    let check = async {
+        for (window, is_within) in [(Micros(0), false), (MINUTE, true)] {
+            let host = host();
+            change_backend(&host, BackendState::Ready, PORT);
+            let exchange = Rc::new(KeepsContexts::default());
+            let side_effects = SideEffects::IdempotencyKey { scope: KeyScope::All, window };
+            let (request, _answer) = submit_to(&host, exchange.clone(), side_effects);
+            tokio::task::yield_now().await;
+            assert!(exchange.0.borrow()[0].may_send(), "no attempt was sent before the first");
+            let now = host.clock.now();
+            let withdrawn = AttemptKey { request, attempt: AttemptNo(0) };
+            let end = host.cancel_attempt(&mut host.state.borrow_mut(), now, withdrawn);
+            assert!(end.is_some(), "the attempt was in flight");
+            host.dispatch(&mut host.state.borrow_mut(), now, request, BackendId(0), Host::attempt_ended);
+            tokio::task::yield_now().await;
+            assert_eq!(exchange.0.borrow()[1].may_send(), is_within, "a window of {window:?}");
+        }
+    };
+    tokio::task::LocalSet::new().run_until(check).await;
+}
+
 /// Guards against a pause after a failed poll that ends at once because the balancer requested a watch during the
 /// poll.
 #[tokio::test]
