PostgreSQL: the attempt of a statement whose time is up ends with it

What callers saw, where limits.cancel is false: 57014 for a statement whose time was up, and its rows later, taken for the answer to the statement sent by then. Each statement from there on got the answer of the one before it.

Cause: the balancer cancels the attempt of a request that it gives up only where the settings allow it, and Host left the attempt's task running. For HTTP that is harmless; the task of a PostgreSQL transaction writes to the client's connection and shares the state of its session, which began the next transaction beside it.

Change: Exchange says whether an attempt in flight uses something of the client that its next request uses too. Host ends such an attempt before it gives the final answer, and the balancer is told. It says so of PostgreSQL transactions, and of HTTP attempts that still read the body from their client.

The new test failed before (the client got the late row description) and passes.

--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -29,6 +29,10 @@
     /// Returns whether part of the request's body is no longer available, so that no further attempt can send it.
     fn body_consumed(&self) -> bool;
 
+    /// Returns whether an attempt in flight uses something of the client that its next request uses as well, such as its
+    /// connection. Such an attempt ends with its request, even if the balancer may not cancel attempts.
+    fn attempt_uses_client(&self) -> bool;
+
     /// Returns the protocol's status of the answer to an attempt; `None` if there was no answer.
     fn answer_status(&self, attempt: AttemptNo) -> Option<u16>;
 }
--- a/crates/core/src/host/actions.rs
+++ b/crates/core/src/host/actions.rs
@@ -1,6 +1,6 @@
 //! Passes events to the balancer and carries out its actions: those of one event before the next event is handled.
 
-use super::state::{Answer, AttemptKey, State};
+use super::state::{Answer, AttemptKey, OpenRequest, State};
 use super::{Host, LOG_TARGET};
 use lotusdeck_policy::{Action, Event, Outcome, RequestId, Time};
 use std::rc::Rc;
@@ -26,21 +26,40 @@
             Action::Dispatch { request, backend } => {
                 self.dispatch(state, now, request, backend, Host::attempt_ended);
             }
-            Action::Reject { request, retry_after } => self.reject(state, request, retry_after),
+            Action::Reject { request, retry_after } => {
+                self.cancel_attempts_using_client(state, now, request);
+                self.reject(state, request, retry_after);
+            }
             Action::Fail { request } => {
+                self.cancel_attempts_using_client(state, now, request);
                 state.counts.failed += 1;
                 self.finish(state, request, Answer::Failed);
             }
-            Action::Cancel { request, attempt } => {
-                let end = self.cancel_attempt(state, now, AttemptKey { request, attempt });
-                state.events.extend(end.map(Event::AttemptEnded));
-            }
+            Action::Cancel { request, attempt } => self.cancel(state, now, AttemptKey { request, attempt }),
             Action::SetTimer { token, after } => self.timers.set(now + after, token),
             Action::WatchEndpoints => self.watch_request.notify_one(),
             Action::Log(text) => info!(target: LOG_TARGET, decision = %text, "balancer decision"),
         }
     }
 
+    /// Gives up an attempt, and has the balancer notified after the present event.
+    fn cancel(&self, state: &mut State, now: Time, key: AttemptKey) {
+        let end = self.cancel_attempt(state, now, key);
+        state.events.extend(end.map(Event::AttemptEnded));
+    }
+
+    /// Gives up the attempts in flight of a request that is about to get its final answer, if they use the client:
+    /// after the answer its next request does.
+    fn cancel_attempts_using_client(&self, state: &mut State, now: Time, id: RequestId) {
+        let uses_client = |request: &OpenRequest| request.exchange.attempt_uses_client();
+        if !state.requests.get(&id).is_some_and(uses_client) {
+            return;
+        }
+        for key in state.attempts_of(id) {
+            self.cancel(state, now, key);
+        }
+    }
+
     /// Closes an attempt and notifies the balancer, unless the attempt is not in flight.
     pub(super) fn attempt_ended(self: &Rc<Self>, key: AttemptKey, outcome: Outcome) {
         let end = self.close_attempt(&mut self.state.borrow_mut(), key, outcome);
--- a/crates/core/src/host/tests.rs
+++ b/crates/core/src/host/tests.rs
@@ -28,6 +28,9 @@
     fn body_consumed(&self) -> bool {
         false
     }
+    fn attempt_uses_client(&self) -> bool {
+        false
+    }
     fn answer_status(&self, _: AttemptNo) -> Option<u16> {
         None
     }
@@ -45,6 +48,9 @@
     fn body_consumed(&self) -> bool {
         false
     }
+    fn attempt_uses_client(&self) -> bool {
+        false
+    }
     fn answer_status(&self, _: AttemptNo) -> Option<u16> {
         None
     }
--- a/crates/postgres/src/bridge.rs
+++ b/crates/postgres/src/bridge.rs
@@ -278,6 +278,11 @@
         self.client.sent.get() && (self.client.answer_started.get() || self.client.replay.borrow().is_none())
     }
 
+    /// An attempt writes to the client's connection and updates the state of its session.
+    fn attempt_uses_client(&self) -> bool {
+        true
+    }
+
     fn answer_status(&self, _: AttemptNo) -> Option<u16> {
         None
     }
--- a/crates/postgres/tests/rig/mod.rs
+++ b/crates/postgres/tests/rig/mod.rs
@@ -40,6 +40,8 @@
     pub stalled: Notify,
     /// Makes the session in copy-in mode close its connection.
     pub close_copying_session: Notify,
+    /// Makes the session that runs `slow` answer it.
+    pub finish_slow: Notify,
     /// Notified when a connection has ended.
     pub ended: Notify,
     /// Process ids and secrets of the CancelRequests.
@@ -49,7 +51,7 @@
 }
 
 /// Starts a stand-in. On `die` it closes the connection without an answer, on `halt` after CommandComplete, and on
-/// `copy and die` at CopyDone; it never answers `stall`.
+/// `copy and die` at CopyDone; it never answers `stall`, and `slow` only once the test allows it.
 pub(crate) async fn stand_in() -> (SocketAddr, Rc<Seen>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let (address, seen) = (listener.local_addr().unwrap(), Rc::new(Seen::default()));
@@ -178,6 +180,7 @@
                 "die" => return,
                 text if text.ends_with("; die") => return,
                 "stall" => std::future::pending().await,
+                "slow" => seen.finish_slow.notified().await,
                 "copy" | "copy and die" => {
                     put(&mut out, b'G', &[0, 0, 0]);
                     copying_since = Some(kind);
@@ -263,9 +266,21 @@
         Rig::start_with_rules(addresses, max_connections, deadline, Vec::new()).await
     }
 
+    /// Starts a front whose balancer may not cancel attempts.
+    pub(crate) async fn start_without_cancel(addresses: &[SocketAddr], deadline: Micros) -> Rig {
+        Rig::start_with(addresses, 4, deadline, Vec::new(), false).await
+    }
+
     /// Starts a front with rules: transactions of class 0 may be repeated, those of class 1 may not.
     pub(crate) async fn start_with_rules(
         addresses: &[SocketAddr], max_connections: usize, deadline: Micros, rules: Vec<Rule>,
+    ) -> Rig {
+        Rig::start_with(addresses, max_connections, deadline, rules, true).await
+    }
+
+    async fn start_with(
+        addresses: &[SocketAddr], max_connections: usize, deadline: Micros, rules: Vec<Rule>,
+        allow_cancel: bool,
     ) -> Rig {
         let class = |effect| Class {
             side_effects: effect,
@@ -275,6 +290,7 @@
         let classes = vec![class(SideEffects::None), class(SideEffects::NonIdempotent)];
         let mut config = Config { proxy_count: 1, classes, ..Config::example() };
         config.attempts.allow_hedging = false;
+        config.attempts.allow_cancel = allow_cancel;
         let network = NetworkSettings {
             connect_timeout: Micros(1_000_000),
             idle_timeout: Micros(60_000_000),
--- a/crates/proxy/src/http_exchange.rs
+++ b/crates/proxy/src/http_exchange.rs
@@ -103,6 +103,11 @@
         self.request.body.is_consumed()
     }
 
+    /// An attempt has a connection of its own; it uses the client's while it still reads the request's body.
+    fn attempt_uses_client(&self) -> bool {
+        self.request.body.upload().is_some_and(|upload| !upload.is_complete())
+    }
+
     fn answer_status(&self, attempt: AttemptNo) -> Option<u16> {
         self.statuses.borrow().iter().find(|status| status.attempt == attempt).map(|status| status.status)
     }
