--- a/crates/postgres/tests/copy.rs
+++ b/crates/postgres/tests/copy.rs
@@ -9,27 +9,13 @@
 mod raw_client;
 mod rig;
 
-use lotusdeck_policy::Micros;
-use raw_client::RawClient;
-use rig::{stand_in, Rig};
-use std::future::Future;
-use tokio::task::LocalSet;
+use raw_client::{RawClient, RawMessage, BIND, EXECUTE, INSERT, SYNC};
+use rig::{run_local, stand_in, Rig, LONG_DEADLINE};
 
-type RawMessage = (u8, &'static [u8]);
-
-const LONG_DEADLINE: Micros = Micros(20_000_000);
 const PARSE_COPY: RawMessage = (b'P', b"\0copy\0\0\0");
 const PARSE_COPY_AND_DIE: RawMessage = (b'P', b"\0copy and die\0\0\0");
-const BIND: RawMessage = (b'B', b"\0\0\0\0\0\0\0\0");
-const EXECUTE: RawMessage = (b'E', b"\0\0\0\0\0");
 const ROW: RawMessage = (b'd', b"violin\n");
 const COPY_DONE: RawMessage = (b'c', b"");
-const SYNC: RawMessage = (b'S', b"");
-const INSERT: RawMessage = (b'Q', b"insert\0");
-
-async fn run_local(test: impl Future<Output = ()>) {
-    LocalSet::new().run_until(test).await;
-}
 
 /// Guards against a transaction that never ends because the server ignores a Sync that was sent ahead of its
 /// CopyInResponse, as drivers do: it held the only connection until its time was up.
--- a/crates/postgres/tests/deadlines.rs
+++ b/crates/postgres/tests/deadlines.rs
@@ -9,12 +9,8 @@
 mod raw_client;
 mod rig;
 
-use lotusdeck_policy::Micros;
-use raw_client::RawClient;
-use rig::{stand_in, Rig};
-use tokio::task::LocalSet;
-
-const SHORT_DEADLINE: Micros = Micros(1_000_000);
+use raw_client::{RawClient, INSERT};
+use rig::{run_local, stand_in, Rig, SHORT_DEADLINE};
 
 /// Guards against a late answer that its client takes for the answer to its next statement: where the settings do not
 /// allow to cancel attempts, the one whose time was up went on writing to the client.
@@ -31,12 +27,12 @@
             () = seen.ended.notified() => {} // the connection of the late answer was closed
             late = raw.receive() => panic!("the client got {late:?}"),
         }
-        raw.send(&[(b'Q', b"insert\0")]).await;
+        raw.send(&[INSERT]).await;
         assert_eq!(raw.receive().await.unwrap().0, b'T');
         let row = raw.receive().await.unwrap();
         assert!(row.1.ends_with(b"insert"), "{row:?}");
         assert_eq!(raw.receive_until(b'Z').await, "CZ");
         assert_eq!(rig.servers.open_connections(), 1, "the connection of the INSERT alone is kept");
     };
-    LocalSet::new().run_until(test).await;
+    run_local(test).await;
 }
--- a/crates/postgres/tests/open_transactions.rs
+++ b/crates/postgres/tests/open_transactions.rs
@@ -9,30 +9,13 @@
 mod raw_client;
 mod rig;
 
-use lotusdeck_policy::Micros;
-use raw_client::RawClient;
-use rig::{stand_in, Rig};
-use std::future::Future;
-use tokio::task::LocalSet;
-
-/// A message's type and body.
-type RawMessage = (u8, &'static [u8]);
-
-const LONG_DEADLINE: Micros = Micros(20_000_000);
-const SHORT_DEADLINE: Micros = Micros(1_000_000);
+use raw_client::{RawClient, RawMessage, BIND, EXECUTE, INSERT, SYNC};
+use rig::{run_local, stand_in, Rig, LONG_DEADLINE, SHORT_DEADLINE};
 
 const BEGIN: RawMessage = (b'Q', b"begin\0");
-const INSERT: RawMessage = (b'Q', b"insert\0");
 const COMMIT: RawMessage = (b'Q', b"commit\0");
 const DIE: RawMessage = (b'Q', b"die\0");
 const PARSE_BEGIN: RawMessage = (b'P', b"\0begin\0\0\0");
-const BIND: RawMessage = (b'B', b"\0\0\0\0\0\0\0\0");
-const EXECUTE: RawMessage = (b'E', b"\0\0\0\0\0");
-const SYNC: RawMessage = (b'S', b"");
-
-async fn run_local(test: impl Future<Output = ()>) {
-    LocalSet::new().run_until(test).await;
-}
 
 /// Guards against the rest of a transaction that is committed in parts, on another server, after the transaction's
 /// server was lost. The client reads the error late: what it sends until then belongs to the transaction.
--- a/crates/postgres/tests/raw.rs
+++ b/crates/postgres/tests/raw.rs
@@ -10,18 +10,9 @@
 mod rig;
 
 use bytes::BytesMut;
-use lotusdeck_policy::Micros;
 use lotusdeck_postgres::wire::put;
 use raw_client::RawClient;
-use rig::{stand_in, Rig};
-use std::future::Future;
-use tokio::task::LocalSet;
-
-const LONG_DEADLINE: Micros = Micros(20_000_000);
-
-async fn run_local(test: impl Future<Output = ()>) {
-    LocalSet::new().run_until(test).await;
-}
+use rig::{run_local, stand_in, Rig, LONG_DEADLINE};
 
 /// A session gets the same answers whether it is written byte by byte or in one piece.
 #[tokio::test]
--- a/crates/postgres/tests/raw_client/mod.rs
+++ b/crates/postgres/tests/raw_client/mod.rs
@@ -9,6 +9,16 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+/// The type and the body of a message.
+pub(crate) type RawMessage = (u8, &'static [u8]);
+
+/// Binds the unnamed statement to the unnamed portal.
+pub(crate) const BIND: RawMessage = (b'B', b"\0\0\0\0\0\0\0\0");
+/// Executes the unnamed portal.
+pub(crate) const EXECUTE: RawMessage = (b'E', b"\0\0\0\0\0");
+pub(crate) const SYNC: RawMessage = (b'S', b"");
+pub(crate) const INSERT: RawMessage = (b'Q', b"insert\0");
+
 /// A client that sends scripted messages.
 pub(crate) struct RawClient {
     pub tcp: TcpStream,
--- a/crates/postgres/tests/rig/mod.rs
+++ b/crates/postgres/tests/rig/mod.rs
@@ -13,11 +13,23 @@
 use lotusdeck_postgres::{Front, FrontSettings, Login, Servers, User};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::task::LocalSet;
+
+/// The time of a transaction that no test lets expire.
+pub(crate) const LONG_DEADLINE: Micros = Micros(20_000_000);
+/// The time of a transaction that expires in a test.
+pub(crate) const SHORT_DEADLINE: Micros = Micros(1_000_000);
+
+/// Runs a test whose tasks stay on one thread.
+pub(crate) async fn run_local(test: impl Future<Output = ()>) {
+    LocalSet::new().run_until(test).await;
+}
 
 thread_local! {
     /// Whether one of this test's stand-ins has received `die once` and closed the connection.
--- a/crates/postgres/tests/transactions.rs
+++ b/crates/postgres/tests/transactions.rs
@@ -10,15 +10,7 @@
 
 use lotusdeck_policy::{BackendState, ClassId, Micros};
 use lotusdeck_postgres::classes::Rule;
-use rig::{code, stand_in, value, Rig};
-use std::future::Future;
-use tokio::task::LocalSet;
-
-const LONG_DEADLINE: Micros = Micros(20_000_000);
-
-async fn run_local(test: impl Future<Output = ()>) {
-    LocalSet::new().run_until(test).await;
-}
+use rig::{code, run_local, stand_in, value, Rig, LONG_DEADLINE};
 
 /// Simple and extended queries and transactions of a driver, with more clients than server connections.
 #[tokio::test]
--- a/crates/postgres/tests/unnamed.rs
+++ b/crates/postgres/tests/unnamed.rs
@@ -9,19 +9,13 @@
 mod raw_client;
 mod rig;
 
-use lotusdeck_policy::{BackendState, Micros};
-use raw_client::RawClient;
-use rig::{stand_in, Rig};
-use tokio::task::LocalSet;
-
-const LONG_DEADLINE: Micros = Micros(20_000_000);
+use lotusdeck_policy::BackendState;
+use raw_client::{RawClient, BIND, EXECUTE, SYNC};
+use rig::{run_local, stand_in, Rig, LONG_DEADLINE};
 
 const PARSE_SELECT: (u8, &[u8]) = (b'P', b"\0select title\0\0\0");
 const PARSE_INSERT: (u8, &[u8]) = (b'P', b"\0insert order\0\0\0");
 const DESCRIBE: (u8, &[u8]) = (b'D', b"S\0");
-const BIND: (u8, &[u8]) = (b'B', b"\0\0\0\0\0\0\0\0");
-const EXECUTE: (u8, &[u8]) = (b'E', b"\0\0\0\0\0");
-const SYNC: (u8, &[u8]) = (b'S', b"");
 
 /// Guards against a Bind of the unnamed statement that runs the statement which another client has sent since on the
 /// same server connection.
@@ -45,7 +39,7 @@
         }
         assert_eq!(*seen.logins.borrow(), 1, "both clients use one connection");
     };
-    LocalSet::new().run_until(test).await;
+    run_local(test).await;
 }
 
 /// Guards against a Bind that meets a server which lacks the client's unnamed statement.
@@ -65,7 +59,7 @@
         assert!(first.statements.borrow().is_empty());
         assert_eq!(*second.statements.borrow(), ["select title"]);
     };
-    LocalSet::new().run_until(test).await;
+    run_local(test).await;
 }
 
 /// Guards against a client without an unnamed statement that runs another client's.
@@ -88,5 +82,5 @@
         }
         assert_eq!(*seen.statements.borrow(), ["insert order", "select 1"]);
     };
-    LocalSet::new().run_until(test).await;
+    run_local(test).await;
 }
