PostgreSQL: the login to servers and the transaction have modules of their own

The login is server_login.rs (Login::log_in returns a ServerSession; LoginFailure gives the outcome of the attempt); bridge.rs is client.rs and transaction.rs. No message, log text or order of events changes; the warnings of failed logins name the new module as their target. The 49 tests of the crate pass.

--- a/crates/postgres/src/bridge.rs
+++ b/crates/postgres/src/client.rs
@@ -1,14 +1,14 @@
-//! One transaction: forwards messages in both directions between a client and the server that the core chose, until the
-//! server connection is idle.
+//! A client's connection and the state of its current transaction: forwards messages in both directions between the
+//! client and a server.
 
 use crate::io::{drain, fill};
 use crate::statements::{Direction, Interrupted, PreparedStatements, SessionEnd, MAX_PREPARED_STATEMENTS};
 use crate::track::ConnectionTracker;
-use crate::upstream::{Servers, Upstream};
+use crate::upstream::Upstream;
 use crate::wire::{CancelKey, Forwarder, WireError};
 use bytes::{BufMut, Bytes, BytesMut};
-use lotusdeck_core::{socket_state, AttemptContext, AttemptFuture, Exchange};
-use lotusdeck_policy::{AttemptNo, Outcome};
+use lotusdeck_core::socket_state;
+use lotusdeck_policy::Outcome;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -49,7 +49,7 @@
     /// Number of bytes of the current transaction that were taken from the input.
     taken_bytes: Cell<usize>,
     /// Whether part of an answer was forwarded to the client.
-    answer_started: Cell<bool>,
+    pub answer_started: Cell<bool>,
     /// Why the session ends.
     pub session_end: Cell<Option<SessionEnd>>,
     /// Notified when `session_end` is set while a transaction is in flight.
@@ -83,7 +83,7 @@
     /// Returns whether the client has disconnected, and ends its session then. Called right before the first byte of a
     /// transaction is sent: nothing is read from a client while it waits for a server, and the end of its stream may
     /// follow unread bytes.
-    fn has_disconnected(&self) -> bool {
+    pub(crate) fn has_disconnected(&self) -> bool {
         let has_disconnected = socket_state::is_closed_by_peer(&self.tcp);
         if has_disconnected {
             self.end_session(SessionEnd::ClientLeft);
@@ -153,7 +153,7 @@
 
     /// Puts the transaction's message back in front of the input if it was sent to a server that was lost and may be
     /// sent again.
-    fn rewind(&self) {
+    pub(crate) fn rewind(&self) {
         let message = self.replay.borrow().clone().filter(|_| self.sent.get() && !self.answer_started.get());
         if let Some(message) = message {
             let rest = self.input.take();
@@ -170,7 +170,7 @@
     }
 
     /// Returns whether another client may use the server connection.
-    fn is_reusable(&self, upstream: &Upstream) -> bool {
+    pub(crate) fn is_reusable(&self, upstream: &Upstream) -> bool {
         !self.statements.borrow().has_session_state
             && upstream.statements.borrow().named_count() <= MAX_PREPARED_STATEMENTS
     }
@@ -185,7 +185,7 @@
     }
 
     /// Forwards the client's messages to the server; never returns.
-    async fn forward_requests(&self, upstream: &Upstream) -> Outcome {
+    pub(crate) async fn forward_requests(&self, upstream: &Upstream) -> Outcome {
         loop {
             let reason = self.forward_to_server(upstream);
             if drain(&upstream.output, &upstream.tcp).await.is_err() {
@@ -211,7 +211,7 @@
 
     /// Forwards the server's messages to the client; returns the outcome once the transaction ends or the server is
     /// lost.
-    async fn forward_answers(&self, upstream: &Upstream) -> Outcome {
+    pub(crate) async fn forward_answers(&self, upstream: &Upstream) -> Outcome {
         loop {
             if !matches!(fill(&upstream.tcp, &upstream.input).await, Ok(1..)) {
                 self.server_lost.set(true);
@@ -235,55 +235,3 @@
         }
     }
 }
-
-/// A transaction in flight.
-pub(crate) struct Transaction {
-    pub client: Rc<Client>,
-    pub servers: Rc<Servers>,
-}
-
-impl Exchange for Transaction {
-    fn send_attempt(self: Rc<Self>, context: AttemptContext) -> AttemptFuture {
-        Box::pin(async move {
-            self.client.rewind();
-            let upstream = match self.servers.acquire(context.backend, context.address).await {
-                Ok(upstream) => upstream,
-                Err(outcome) => return outcome,
-            };
-            let may_send = context.journaled().await && !self.client.sent.get() && context.may_send();
-            if !may_send || self.client.has_disconnected() {
-                self.servers.release(context.backend, upstream);
-                return Outcome::NeverSent;
-            }
-            self.client
-                .cancel_target
-                .set(Some(CancelTarget { server: upstream.address, key: upstream.cancel_key }));
-            self.client.statements.borrow_mut().begin_transaction();
-            let outcome = tokio::select! {
-                biased;
-                outcome = self.client.forward_answers(&upstream) => outcome,
-                outcome = self.client.forward_requests(&upstream) => outcome,
-            };
-            self.client.cancel_target.set(None);
-            if outcome == Outcome::Success && self.client.is_reusable(&upstream) {
-                self.servers.release(context.backend, upstream);
-            }
-            outcome
-        })
-    }
-
-    /// Returns whether bytes were sent that are not kept for another attempt. Only a single statement of a class
-    /// without side effects is kept, until part of its answer was forwarded.
-    fn body_consumed(&self) -> bool {
-        self.client.sent.get() && (self.client.answer_started.get() || self.client.replay.borrow().is_none())
-    }
-
-    /// An attempt writes to the client's connection and updates the state of its session.
-    fn attempt_uses_client(&self) -> bool {
-        true
-    }
-
-    fn answer_status(&self, _: AttemptNo) -> Option<u16> {
-        None
-    }
-}
--- a/crates/postgres/src/front.rs
+++ b/crates/postgres/src/front.rs
@@ -1,7 +1,7 @@
 //! The listener for the clients of one address: their logins, their sessions and their CancelRequests.
 
-use crate::bridge::Client;
 use crate::classes::{ClientIdentity, Rule};
+use crate::client::Client;
 use crate::error::ClientError;
 use crate::io::{close_after_last_message, drain};
 use crate::login::{random_bytes, LoginError, NewConnection, SessionStart};
--- a/crates/postgres/src/lib.rs
+++ b/crates/postgres/src/lib.rs
@@ -14,18 +14,21 @@
     reason = "not all code meets these lints yet"
 )]
 
-mod bridge;
 pub mod classes;
+mod client;
 mod error;
 mod front;
 mod io;
 mod login;
 pub mod scram;
+mod server_login;
 mod session;
 mod statements;
 pub mod track;
+mod transaction;
 mod upstream;
 pub mod wire;
 
 pub use front::{Front, FrontSettings, User, MAX_EXCESS_CLIENTS};
-pub use upstream::{Login, Servers};
+pub use server_login::Login;
+pub use upstream::Servers;
--- a/crates/postgres/src/session.rs
+++ b/crates/postgres/src/session.rs
@@ -3,11 +3,12 @@
 mod failure;
 mod skip;
 
-use crate::bridge::{Client, Transaction};
 use crate::classes::{classify, is_repeatable, statement_text, ClientIdentity, Rule};
+use crate::client::Client;
 use crate::error::ClientError;
 use crate::io::fill;
 use crate::statements::SessionEnd;
+use crate::transaction::Transaction;
 use crate::upstream::Servers;
 use crate::wire::{header, Header, HEADER_BYTES};
 use bytes::Bytes;
