PostgreSQL: the model of sessions counts the answers owed at any point

What a client gets at the loss of its server is one error and ReadyForQuery for each answer that is owed. The model's server has a file of its own.

--- a/crates/postgres/src/statements/model_tests.rs
+++ b/crates/postgres/src/statements/model_tests.rs
@@ -1,18 +1,17 @@
 //! Random sessions that share server connections, compared with sessions that have a server of their own.
 
+mod server;
+
 use super::*;
 use crate::track::ConnectionTracker;
 use crate::wire::{message, put, Forwarder, Message};
 use bytes::BytesMut;
 use proptest::prelude::*;
+use server::{ModelServer, COPY_TEXT, INVALID_TEXT};
 
 const MAX_MESSAGE_BYTES: usize = 1024;
 const SESSIONS: usize = 3;
 const CONNECTIONS: usize = 2;
-/// A text that a server cannot parse.
-const INVALID_TEXT: &str = "invalid";
-/// A text that copies rows from the client.
-const COPY_TEXT: &str = "copy";
 
 /// Messages of the extended protocol that a client sends as one step.
 #[derive(Clone, Debug)]
@@ -124,99 +123,6 @@
     messages
 }
 
-/// A server as PostgreSQL's documentation describes it ("Message Flow"), without transaction blocks.
-#[derive(Default)]
-struct ModelServer {
-    by_name: HashMap<Vec<u8>, Vec<u8>>,
-    portal: Vec<u8>,
-    skips_to_sync: bool,
-    /// The message that began the COPY which is in progress.
-    copying_since: Option<u8>,
-}
-
-impl ModelServer {
-    fn answer(&mut self, kind: u8, body: &[u8], out: &mut BytesMut) {
-        if self.skips_to_sync && kind != b'S' {
-            return;
-        }
-        if let Some(begun_by) = self.copying_since {
-            return self.answer_in_copy(kind, begun_by, out);
-        }
-        let texts: Vec<&[u8]> = body.split(|byte| *byte == 0).collect();
-        match kind {
-            b'P' => {
-                if texts[0].is_empty() {
-                    self.by_name.remove(texts[0]); // also where the new text is invalid
-                }
-                if texts[1] == INVALID_TEXT.as_bytes() || self.by_name.contains_key(texts[0]) {
-                    return self.fail(out);
-                }
-                self.by_name.insert(texts[0].to_vec(), texts[1].to_vec());
-                put(out, b'1', b"");
-            }
-            b'B' => match self.by_name.get(texts[1]) {
-                Some(text) => {
-                    self.portal.clone_from(text);
-                    put(out, b'2', b"");
-                }
-                None => self.fail(out),
-            },
-            b'D' => match self.by_name.get(&texts[0][1..]) {
-                Some(text) => put(out, b'T', text),
-                None => self.fail(out),
-            },
-            b'E' if self.portal == COPY_TEXT.as_bytes() => self.begin_copy(kind, out),
-            b'E' => {
-                put(out, b'D', &self.portal);
-                put(out, b'C', b"\0");
-            }
-            b'C' => {
-                self.by_name.remove(&texts[0][1..]);
-                put(out, b'3', b"");
-            }
-            b'Q' => {
-                self.by_name.remove(b"".as_ref());
-                if texts[0] == COPY_TEXT.as_bytes() {
-                    return self.begin_copy(kind, out);
-                }
-                put(out, b'D', texts[0]);
-                put(out, b'C', b"\0");
-                put(out, b'Z', b"I");
-            }
-            b'd' | b'c' | b'f' | b'H' => {}
-            _ => {
-                self.skips_to_sync = false;
-                put(out, b'Z', b"I");
-            }
-        }
-    }
-
-    fn begin_copy(&mut self, kind: u8, out: &mut BytesMut) {
-        self.copying_since = Some(kind);
-        put(out, b'G', &[0; 3]);
-    }
-
-    /// In copy-in mode Flush and Sync are ignored, and any other message than those of a COPY is an error.
-    fn answer_in_copy(&mut self, kind: u8, begun_by: u8, out: &mut BytesMut) {
-        if matches!(kind, b'd' | b'H' | b'S') {
-            return;
-        }
-        self.copying_since = None;
-        let is_done = kind == b'c';
-        put(out, if is_done { b'C' } else { b'E' }, b"\0");
-        if begun_by == b'Q' {
-            put(out, b'Z', b"I");
-        } else if !is_done {
-            self.skips_to_sync = true;
-        }
-    }
-
-    fn fail(&mut self, out: &mut BytesMut) {
-        self.skips_to_sync = true;
-        put(out, b'E', b"\0");
-    }
-}
-
 #[derive(Default)]
 struct Connection {
     statements: ServerStatements,
@@ -249,6 +155,13 @@
         };
         self.statements.forward_to_server(&mut direction).unwrap();
         assert!(from.is_empty());
+        self.check_pending_ready(connection);
+    }
+
+    /// Checks the number of answers that the client would get if its server were lost now.
+    fn check_pending_ready(&self, connection: &Connection) {
+        let owed = connection.server.owed_ready(connection.requests.clone());
+        assert_eq!(self.tracker.pending_ready(), owed, "before {:?}", connection.requests);
     }
 
     fn receive(&mut self, connection: &mut Connection) -> Vec<Message> {
@@ -265,6 +178,7 @@
             server: &mut connection.statements,
         };
         self.statements.forward_to_client(&mut direction).unwrap();
+        self.check_pending_ready(connection);
         std::iter::from_fn(|| message(&mut to, MAX_MESSAGE_BYTES).unwrap()).collect()
     }
 
