PostgreSQL: the model executes behind a COPY, and its portals end with their part

The model did not send a second Execute behind one that begins a COPY, so that a mutant which took back the Sync behind that second one passed. It does now, and finds it; four other mutants of the mend were found before.

--- a/crates/postgres/src/statements/model_tests.rs
+++ b/crates/postgres/src/statements/model_tests.rs
@@ -38,8 +38,10 @@
 enum CopyEnd {
     Done,
     Fail,
-    /// With a message that is an error in copy-in mode.
-    Unexpected,
+    /// With a Describe, which is an error in copy-in mode.
+    Describe,
+    /// With another Execute, which is an error in copy-in mode.
+    Execute,
 }
 
 /// A part of a pipeline, which one ReadyForQuery answers.
@@ -79,7 +81,8 @@
     let end = match end {
         CopyEnd::Done => (b'c', Vec::new()),
         CopyEnd::Fail => (b'f', b"\0".to_vec()),
-        CopyEnd::Unexpected => (b'D', b"S\0".to_vec()),
+        CopyEnd::Describe => (b'D', b"S\0".to_vec()),
+        CopyEnd::Execute => (b'E', vec![0; 5]),
     };
     let row = (b'd', b"row".to_vec());
     [vec![(b'S', Vec::new()); syncs], vec![row, (b'H', Vec::new()), end]].concat()
@@ -243,7 +246,12 @@
 }
 
 fn copy_end() -> impl Strategy<Value = CopyEnd> {
-    prop_oneof![3 => Just(CopyEnd::Done), 1 => Just(CopyEnd::Fail), 1 => Just(CopyEnd::Unexpected)]
+    prop_oneof![
+        3 => Just(CopyEnd::Done),
+        1 => Just(CopyEnd::Fail),
+        1 => Just(CopyEnd::Describe),
+        1 => Just(CopyEnd::Execute),
+    ]
 }
 
 fn part() -> impl Strategy<Value = Part> {
--- a/crates/postgres/src/statements/model_tests/server.rs
+++ b/crates/postgres/src/statements/model_tests/server.rs
@@ -14,7 +14,8 @@
 #[derive(Default)]
 pub(super) struct ModelServer {
     by_name: HashMap<Vec<u8>, Vec<u8>>,
-    portal: Vec<u8>,
+    /// The text of the unnamed portal, which ends with the part of the pipeline.
+    portal: Option<Vec<u8>>,
     skips_to_sync: bool,
     /// The message that began the COPY which is in progress.
     copying_since: Option<u8>,
@@ -43,7 +44,7 @@
             }
             b'B' => match self.by_name.get(texts[1]) {
                 Some(text) => {
-                    self.portal.clone_from(text);
+                    self.portal = Some(text.clone());
                     put(out, b'2', b"");
                 }
                 None => self.fail(out),
@@ -52,17 +53,21 @@
                 Some(text) => put(out, b'T', text),
                 None => self.fail(out),
             },
-            b'E' if self.portal == COPY_TEXT.as_bytes() => self.begin_copy(kind, out),
-            b'E' => {
-                put(out, b'D', &self.portal);
-                put(out, b'C', b"\0");
-            }
+            b'E' => match &self.portal {
+                Some(text) if text == COPY_TEXT.as_bytes() => self.begin_copy(kind, out),
+                Some(text) => {
+                    put(out, b'D', text);
+                    put(out, b'C', b"\0");
+                }
+                None => self.fail(out),
+            },
             b'C' => {
                 self.by_name.remove(&texts[0][1..]);
                 put(out, b'3', b"");
             }
             b'Q' => {
                 self.by_name.remove(b"".as_ref());
+                self.portal = None;
                 if texts[0] == COPY_TEXT.as_bytes() {
                     return self.begin_copy(kind, out);
                 }
@@ -73,6 +78,7 @@
             b'd' | b'c' | b'f' | b'H' => {}
             _ => {
                 self.skips_to_sync = false;
+                self.portal = None;
                 put(out, b'Z', b"I");
             }
         }
