Discovery: polls, lists and failures in the log and the status document

Nothing in the log or the status told whether a proxy still polled discovery, which poll an applied list answered, and how old the last answer was; a proxy that had stopped polling looked like one whose lists do not change.

Change: polls have numbers. The status document and a line every 5 s tell discovery's address, what its client is doing, the age of the last poll and list, and counts of polls, failures and moves, also for the clients of the PostgreSQL fronts. Each list with an entry has a line with its poll, version, entries, departures and which poll it answers. At debug level there are lines for each poll, failure and pause, for requests accepted (with the client's id), rejected as invalid and ended, for attempts started, and for connections that are closed, with what was decided.

The test of the status document compares all older keys as before and the keys of the new object exactly.

--- a/crates/core/src/host/answers.rs
+++ b/crates/core/src/host/answers.rs
@@ -1,14 +1,16 @@
 //! The final answer to a request.
 
 use super::state::{Answer, OpenRequest, State};
-use super::Host;
+use super::{Host, LOG_TARGET};
 use lotusdeck_policy::{Micros, RequestId};
+use tracing::debug;
 
 impl Host {
     /// Gives a request its final answer, unless the request is over already.
     pub(super) fn finish(&self, state: &mut State, id: RequestId, answer: Answer) {
         let Some(request) = state.requests.remove(&id) else { return };
         self.release_request(id, &request);
+        debug!(target: LOG_TARGET, request = id.0, attempts = request.attempts, ?answer, "request ended");
         // Fails if the client has disconnected, as the receiver is dropped then.
         let _ = request.answer.send(answer);
     }
--- a/crates/core/src/host/attempts.rs
+++ b/crates/core/src/host/attempts.rs
@@ -36,6 +36,7 @@
         let exchange = request.exchange.clone();
         let journaled = request.journaled.then(|| exchange.clone());
         let Some(context) = self.attempt_context(state, key, backend) else { return };
+        debug!(target: LOG_TARGET, request = id.0, attempt = key.attempt.0, backend = backend.0, "attempt started");
         let host = self.clone();
         let task = tokio::task::spawn_local(async move {
             let outcome = exchange.send_attempt(context).await;
--- a/crates/core/src/host/request.rs
+++ b/crates/core/src/host/request.rs
@@ -7,7 +7,7 @@
 use lotusdeck_policy::{Arrival, Event, Micros, Outcome, RequestId, SideEffects};
 use std::rc::Rc;
 use tokio::sync::oneshot;
-use tracing::warn;
+use tracing::{debug, warn};
 
 impl Host {
     /// Accepts a request and assigns `arrival.request`; the returned receiver gets the final answer. `labels`
@@ -67,6 +67,7 @@
             let Some(request) = state.requests.remove(&id) else { return };
             self.release_request(id, &request);
             state.counts.client_disconnects += 1;
+            debug!(target: LOG_TARGET, request = id.0, attempts = request.attempts, "client disconnected");
         }
         self.handle_event(Event::ClientDisconnected { request: id });
         self.cancel_orphaned_attempts(id);
--- a/crates/lotusdeck/src/admin/table.rs
+++ b/crates/lotusdeck/src/admin/table.rs
@@ -12,13 +12,17 @@
 const SINGLE_KEYS: [&str; 6] =
     ["accepting", "clients", "open_requests", "open_attempts", "timer_lag_us", "settings_generation"];
 
-/// Formats the document: a table of backends, one of kinds, and a line for each other key.
+/// Formats the document: a table of backends, one of kinds, a line of counts and one of discovery, and a line for
+/// each other key.
 pub(super) fn render(document: &Value) -> String {
     let mut out = rows(&document["backends"], &BACKEND_COLUMNS);
     out.push_str(&rows(&document["kinds"], &KIND_COLUMNS));
-    if let Some(counts) = document["counts"].as_object() {
-        let fields: Vec<String> = counts.iter().map(|(name, count)| format!("{name} {count}")).collect();
-        let _ = writeln!(out, "since the start: {}", fields.join(", "));
+    for (title, key) in [("since the start", "counts"), ("discovery", "discovery")] {
+        if let Some(object) = document[key].as_object() {
+            let fields: Vec<String> =
+                object.iter().map(|(name, value)| format!("{name} {}", cell(value))).collect();
+            let _ = writeln!(out, "{title}: {}", fields.join(", "));
+        }
     }
     for key in SINGLE_KEYS {
         let _ = writeln!(out, "{key}: {}", cell(&document[key]));
--- a/crates/lotusdeck/src/postgres.rs
+++ b/crates/lotusdeck/src/postgres.rs
@@ -10,7 +10,7 @@
 };
 use lotusdeck_postgres::classes::Rule;
 use lotusdeck_postgres::{Front, FrontSettings, Login, Servers, User, MAX_EXCESS_CLIENTS};
-use lotusdeck_proxy::discovery;
+use lotusdeck_proxy::discovery::{self, DiscoveryMonitor};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -55,6 +55,8 @@
     front: Rc<Front>,
     host: Rc<Host>,
     servers: Rc<Servers>,
+    /// The monitor of the client of discovery, if the servers are listed by discovery.
+    discovery: Option<Rc<DiscoveryMonitor>>,
 }
 
 impl RunningFront {
@@ -63,6 +65,9 @@
         info_span!("postgres", at = %self.address).in_scope(|| {
             self.host.log_counts();
             info!(clients = self.front.clients(), servers = self.servers.open_connections(), "sessions");
+            if let Some(discovery) = &self.discovery {
+                discovery.log_status();
+            }
         });
     }
 
@@ -101,18 +106,19 @@
     let listening = ListeningFront::open(section, &host, &servers)?;
     spawn_local(host.clone().run_timers());
     spawn_local(host.clone().follow_cordon_file());
-    match section.discovery {
-        Some(address) => follow_discovery(&host, address, discovery_mode),
+    let discovery = match section.discovery {
+        Some(address) => Some(follow_discovery(&host, address, discovery_mode)),
         None => {
             let endpoints: Vec<Endpoint> = section.servers.iter().map(endpoint).collect();
             host.update_endpoints(ListUpdate::Full, endpoints);
+            None
         }
-    }
+    };
     let ListeningFront { listener, address, front } = listening;
     spawn_local(front.clone().run(listener));
     let server_count = section.servers.len();
     info!(%address, servers = server_count, users = section.users.len(), "postgres listening");
-    Ok(RunningFront { address, front, host, servers })
+    Ok(RunningFront { address, front, host, servers, discovery })
 }
 
 /// A front, and the listener whose clients it will serve.
@@ -144,13 +150,17 @@
     }
 }
 
-fn follow_discovery(host: &Rc<Host>, address: SocketAddr, mode: DiscoveryMode) {
+/// Starts to follow discovery, and returns the monitor of its client.
+fn follow_discovery(host: &Rc<Host>, address: SocketAddr, mode: DiscoveryMode) -> Rc<DiscoveryMonitor> {
     let (sender, receiver) = watch::channel((address, mode));
     let host = host.clone();
+    let monitor = Rc::new(DiscoveryMonitor::default());
+    let watch_monitor = monitor.clone();
     spawn_local(async move {
         let _sender = sender; // keeps the channel open; the address does not change
-        discovery::watch(host, receiver, 0, None).await;
+        discovery::watch(host, watch_monitor, receiver, 0, None).await;
     });
+    monitor
 }
 
 fn login(section: &PostgresSection) -> Result<Login, PostgresError> {
--- a/crates/lotusdeck/src/serve/mod.rs
+++ b/crates/lotusdeck/src/serve/mod.rs
@@ -20,6 +20,7 @@
 use lotusdeck_policy::DiscoveryMode;
 use lotusdeck_proxy::admin::Admin;
 use lotusdeck_proxy::config::NodeConfig;
+use lotusdeck_proxy::discovery::DiscoveryMonitor;
 use lotusdeck_proxy::server::Server;
 use lotusdeck_proxy::{discovery, listener_handover, queueing_delay};
 use reload::{Reloader, StartupSections};
@@ -94,14 +95,16 @@
     let (discovery_sender, discovery_receiver) = watch::channel(discovery_target);
     let on_list = start_state_writer(&mut parts);
     let list_version = parts.initial_list.version;
-    let discovery = discovery::watch(parts.host.clone(), discovery_receiver, list_version, on_list);
+    let monitor = Rc::new(DiscoveryMonitor::default());
+    let discovery =
+        discovery::watch(parts.host.clone(), monitor.clone(), discovery_receiver, list_version, on_list);
     if let Some(fleet) = parts.fleet.take() {
         spawn_local(fleet.run(operator.fleet.listen, parts.host.clone()));
     }
     let source_status = start_reloader(&parts, operator, args.operator, discovery_sender, reload)?;
     let ledger = parts.ledger.clone();
     let fronts = parts.fronts.clone();
-    let server = start_server(parts, listeners.operators, source_status);
+    let server = start_server(parts, listeners.operators, source_status, monitor);
 
     let stop_requested = shutdown::requested(stop, fronts);
     // The event loop polls these two futures before each batch of other tasks. Discovery is polled first, so that
@@ -162,6 +165,7 @@
 /// runs the server.
 fn start_server(
     parts: Parts, operators: Option<TcpListener>, source_status: Arc<SourceStatus>,
+    discovery: Rc<DiscoveryMonitor>,
 ) -> Rc<Server> {
     let Parts { node, host, pool, body_budget, slot, ledger, fronts, descriptors, .. } = parts;
     let server = Server::new(host.clone(), pool.clone(), body_budget);
@@ -176,7 +180,7 @@
         let address = listener.local_addr().ok().or(node.admin);
         info!(address = address.map(tracing::field::display), "listening for operators");
         let configuration = Box::new(move || source_status.current());
-        spawn_local(Admin::new(host.clone(), server.clone(), configuration).run(listener));
+        spawn_local(Admin::new(host.clone(), server.clone(), configuration, discovery.clone()).run(listener));
     }
     spawn_local(host.clone().follow_cordon_file());
     let reported_server = server.clone();
@@ -185,6 +189,7 @@
             tokio::time::sleep(REPORT_INTERVAL).await;
             host.log_counts();
             reported_server.log_counts();
+            discovery.log_status();
             if let Some(ledger) = &ledger {
                 ledger.report();
             }
--- a/crates/lotusdeck/tests/compatibility.rs
+++ b/crates/lotusdeck/tests/compatibility.rs
@@ -19,7 +19,7 @@
 use rig::sockets::wait_until;
 use rig::{entry, ok, pay, read, BackendServer, Proxy};
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
@@ -198,7 +198,23 @@
     let (mut shape_before, mut shape_now) = (BTreeMap::new(), BTreeMap::new());
     shape(&before, "", &mut shape_before);
     shape(&now, "", &mut shape_now);
-    assert_eq!(shape_now, shape_before);
+    let keys_of_discovery: BTreeSet<String> =
+        shape_now.keys().filter(|path| path.starts_with(".discovery")).cloned().collect();
+    shape_now.retain(|path, _| !keys_of_discovery.contains(path));
+    assert_eq!(shape_now, shape_before, "apart from .discovery, which is newer");
+    let keys = [
+        "",
+        ".address",
+        ".consecutive_failures",
+        ".failed_polls",
+        ".last_list_age_ms",
+        ".last_poll_age_ms",
+        ".moves",
+        ".phase",
+        ".polls",
+        ".version",
+    ];
+    assert_eq!(keys_of_discovery, BTreeSet::from(keys.map(|key| format!(".discovery{key}"))));
     assert_eq!(now["counts"]["served"], 2);
     assert!(now["fleet"]["shares"][0]["admitted"].as_u64().unwrap() >= 2);
     assert!(now["ledger"]["records"].as_u64().unwrap() >= 3);
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -1,6 +1,7 @@
 //! The operators' calls: HTTP/1.1 on an address of their own, one call per connection.
 
 use crate::answer_body::{plain_answer, AnswerBody};
+use crate::discovery::{DiscoveryMonitor, DiscoveryStatus};
 use crate::server::Server;
 use crate::stream::Stream;
 use crate::timer::Timer;
@@ -93,6 +94,7 @@
     host: Rc<Host>,
     server: Rc<Server>,
     configuration: ConfigurationStatusSource,
+    discovery: Rc<DiscoveryMonitor>,
     /// The calls in flight, the oldest first.
     calls: RefCell<VecDeque<CallInFlight>>,
 }
@@ -105,9 +107,12 @@
 
 impl Admin {
     /// Creates the handler of calls about `host` and `server`; `configuration` returns the status of the
-    /// configuration source.
-    pub fn new(host: Rc<Host>, server: Rc<Server>, configuration: ConfigurationStatusSource) -> Rc<Admin> {
-        Rc::new(Admin { host, server, configuration, calls: RefCell::default() })
+    /// configuration source, and `discovery` that of the client of discovery.
+    pub fn new(
+        host: Rc<Host>, server: Rc<Server>, configuration: ConfigurationStatusSource,
+        discovery: Rc<DiscoveryMonitor>,
+    ) -> Rc<Admin> {
+        Rc::new(Admin { host, server, configuration, discovery, calls: RefCell::default() })
     }
 
     /// Accepts and answers calls until the program ends.
@@ -167,6 +172,7 @@
             accepting: bool,
             clients: usize,
             configuration: Option<ConfigurationStatus>,
+            discovery: DiscoveryStatus,
             #[serde(flatten)]
             core: lotusdeck_core::Status,
         }
@@ -174,6 +180,7 @@
             accepting: self.server.is_accepting(),
             clients: self.server.client_count(),
             configuration: (self.configuration)(),
+            discovery: self.discovery.status(),
             core: self.host.status(),
         };
         let text = serde_json::to_vec_pretty(&document).map_err(|_| RejectedCall::Path)?;
--- a/crates/proxy/src/client_connection.rs
+++ b/crates/proxy/src/client_connection.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
+use tracing::debug;
 
 /// The largest head of a request, in bytes: hyper limits the buffer of a connection to it.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -29,6 +30,7 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What to do with a connection whose timer has expired.
+#[derive(Debug)]
 enum TimerAction {
     Cut,
     CheckAgainAt(Instant),
@@ -47,8 +49,16 @@
 }
 
 impl SendProgress {
-    /// Returns what to do with a connection whose timer has expired.
+    /// Returns what to do with a connection whose timer has expired, and logs it if the connection is to close.
     fn check(&mut self, client: &Client) -> TimerAction {
+        let action = self.timer_action(client);
+        if !matches!(action, TimerAction::CheckAgainAt(_)) {
+            debug!(client = client.id.0, ?action, "connection timed out");
+        }
+        action
+    }
+
+    fn timer_action(&mut self, client: &Client) -> TimerAction {
         let now = Instant::now();
         let times_out_at = client.times_out_at(now);
         let bytes_sent = client.stream.bytes_sent();
@@ -76,6 +86,7 @@
 }
 
 /// What to do with a connection that is asked to close.
+#[derive(Debug)]
 enum CloseAction {
     Cut,
     CloseGracefully,
@@ -83,7 +94,14 @@
     AwaitAnswer,
 }
 
+/// Returns what to do with a connection that is asked to close, and logs it.
 fn close_action(client: &Client) -> CloseAction {
+    let action = choose_close_action(client);
+    debug!(client = client.id.0, evicted = client.is_closing(), ?action, "connection is to close");
+    action
+}
+
+fn choose_close_action(client: &Client) -> CloseAction {
     // A connection without any request is cut at once. A first request that arrives meanwhile goes unanswered,
     // which is why new connections are given time before they are closed. Unread bytes may be a request.
     let has_nothing_to_answer = client.is_closing() && !client.has_sent_request() && !client.is_busy.get();
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -21,6 +21,7 @@
 //! queue order; docs/crossings.md lists the times for fleets of 1 to 900 proxies.
 
 mod dialer;
+mod monitor;
 mod pacing;
 mod poll;
 mod polls;
@@ -32,6 +33,7 @@
 use dialer::Dialer;
 use lotusdeck_core::Host;
 use lotusdeck_policy::DiscoveryMode;
+pub use monitor::{DiscoveryMonitor, DiscoveryStatus, Phase};
 use polls::DiscoveryPolls;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -48,25 +50,28 @@
 /// Where lists are polled, the new address is first asked for the changes since the current version, and later for the
 /// full list. All proxies move at the same time: when hundreds of them requested the full list at once, some received
 /// it only after 9 s, while a change counts as notified after 4 s (docs/scale.md). Every list applied is passed to
-/// `sink`, if there is one.
+/// `sink`, if there is one, and what happens is recorded in `monitor`.
 pub async fn watch(
-    host: Rc<Host>, mut address_and_mode: Receiver<(SocketAddr, DiscoveryMode)>, known_version: u64,
+    host: Rc<Host>, monitor: Rc<DiscoveryMonitor>,
+    mut address_and_mode: Receiver<(SocketAddr, DiscoveryMode)>, known_version: u64,
     sink: Option<EndpointListSink>,
 ) {
     // A full list is cheap where a local agent pushes lists, so start with one.
     let is_polled = address_and_mode.borrow().1 != DiscoveryMode::Push;
-    let watcher = Rc::new(EndpointWatcher::new(host, is_polled.then_some(known_version), sink));
+    let watcher =
+        Rc::new(EndpointWatcher::new(host, monitor.clone(), is_polled.then_some(known_version), sink));
     let dialer = Rc::new(Dialer::default());
     dialer.refill();
     let mut first_poll_requested = false;
     loop {
         let (address, mode) = *address_and_mode.borrow_and_update();
+        monitor.record_address(address);
         if let DiscoveryMode::Subscribe { .. } = mode {
             if !std::mem::replace(&mut first_poll_requested, true) {
                 watcher.poll_requested().await;
             }
         }
-        let mut polls = DiscoveryPolls::new(address, dialer.clone());
+        let mut polls = DiscoveryPolls::new(address, dialer.clone(), monitor.clone());
         tokio::select! {
             () = watcher.follow(mode, &mut polls) => {}
             Ok(()) = address_and_mode.changed() => {
--- a/crates/proxy/src/discovery/poll.rs
+++ b/crates/proxy/src/discovery/poll.rs
@@ -1,6 +1,7 @@
 //! One poll of discovery: its request, its answer, and when either is given up.
 
 use super::dialer::{Dialer, IdleConnection};
+use super::monitor::PollNumber;
 use super::progress::Progress;
 use super::schedule::PollProgress;
 use crate::endpoint_list::{EndpointList, ParsedEndpointList};
@@ -74,6 +75,7 @@
 
 /// The result of a poll.
 pub(super) struct CompletedPoll {
+    pub number: PollNumber,
     pub request: PollRequest,
     /// The connection, if it can be reused.
     pub connection: Option<IdleConnection>,
@@ -90,7 +92,8 @@
 
 impl DiscoveryPoll {
     pub(super) fn open(
-        connection: Option<IdleConnection>, dialer: Rc<Dialer>, address: SocketAddr, request: PollRequest,
+        number: PollNumber, connection: Option<IdleConnection>, dialer: Rc<Dialer>, address: SocketAddr,
+        request: PollRequest,
     ) -> DiscoveryPoll {
         let progress = Rc::new(Progress::new(request.answer_delay()));
         let shared_progress = progress.clone();
@@ -105,7 +108,7 @@
                 drop(connection.take());
                 dialer.refill();
             }
-            CompletedPoll { request, connection, answer }
+            CompletedPoll { number, request, connection, answer }
         });
         DiscoveryPoll { request, progress, completion }
     }
--- a/crates/proxy/src/discovery/polls.rs
+++ b/crates/proxy/src/discovery/polls.rs
@@ -1,6 +1,7 @@
 //! The polls in flight at one address of discovery.
 
 use super::dialer::{Dialer, IdleConnection};
+use super::monitor::DiscoveryMonitor;
 use super::pacing::EXTRA_POLL_DELAY;
 use super::poll::{CompletedPoll, DiscoveryPoll, PollRequest};
 use super::schedule::{extra_poll_at, superseded, PollProgress};
@@ -17,6 +18,7 @@
 pub(super) struct DiscoveryPolls {
     address: SocketAddr,
     dialer: Rc<Dialer>,
+    monitor: Rc<DiscoveryMonitor>,
     /// Oldest first.
     in_flight: Vec<DiscoveryPoll>,
     /// When the newest poll was opened.
@@ -24,8 +26,10 @@
 }
 
 impl DiscoveryPolls {
-    pub(super) fn new(address: SocketAddr, dialer: Rc<Dialer>) -> DiscoveryPolls {
-        DiscoveryPolls { address, dialer, in_flight: Vec::new(), last_opened_at: Instant::now() }
+    pub(super) fn new(
+        address: SocketAddr, dialer: Rc<Dialer>, monitor: Rc<DiscoveryMonitor>,
+    ) -> DiscoveryPolls {
+        DiscoveryPolls { address, dialer, monitor, in_flight: Vec::new(), last_opened_at: Instant::now() }
     }
 
     pub(super) fn is_empty(&self) -> bool {
@@ -48,7 +52,8 @@
 
     pub(super) fn open(&mut self, connection: Option<IdleConnection>, request: PollRequest) {
         self.last_opened_at = Instant::now();
-        let poll = DiscoveryPoll::open(connection, self.dialer.clone(), self.address, request);
+        let number = self.monitor.record_poll(&request);
+        let poll = DiscoveryPoll::open(number, connection, self.dialer.clone(), self.address, request);
         self.in_flight.push(poll);
     }
 
--- a/crates/proxy/src/discovery/watcher.rs
+++ b/crates/proxy/src/discovery/watcher.rs
@@ -1,5 +1,6 @@
 //! Polls discovery and applies its answers to the current list.
 
+use super::monitor::{DiscoveryMonitor, ListSource};
 use super::pacing::{backoff, evenly_spread, LONG_POLL_WAIT};
 use super::poll::{CompletedPoll, DiscoveryPoll, PollRequest};
 use super::polls::DiscoveryPolls;
@@ -11,11 +12,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
-use tracing::{info, warn};
+use tracing::warn;
 
 /// Keeps the current list up to date, also when discovery moves to another address.
 pub(super) struct EndpointWatcher {
     host: Rc<Host>,
+    monitor: Rc<DiscoveryMonitor>,
     /// The version of the current list; `None` if the full list has to be requested.
     version: Cell<Option<u64>>,
     /// When the full list is requested to replace the current one: discovery may number its versions differently at its
@@ -33,10 +35,11 @@
 
 impl EndpointWatcher {
     pub(super) fn new(
-        host: Rc<Host>, version: Option<u64>, sink: Option<EndpointListSink>,
+        host: Rc<Host>, monitor: Rc<DiscoveryMonitor>, version: Option<u64>, sink: Option<EndpointListSink>,
     ) -> EndpointWatcher {
         EndpointWatcher {
             host,
+            monitor,
             version: Cell::new(version),
             full_list_due: Cell::default(),
             version_at_move: Cell::default(),
@@ -85,12 +88,11 @@
             if polls.is_empty() {
                 polls.open(idle_connection.take(), self.next_request(max_wait));
             }
-            let CompletedPoll { request, connection, answer } = polls.next_completed(&self.version).await;
+            let CompletedPoll { number, request, connection, answer } =
+                polls.next_completed(&self.version).await;
             match answer {
                 Ok(received) => {
-                    if failures > 0 {
-                        info!(version = received.list.version, "discovery is back");
-                    }
+                    self.monitor.record_list(number, ListSource::Poll, &received);
                     failures = 0;
                     max_wait = LONG_POLL_WAIT;
                     idle_connection = connection;
@@ -101,10 +103,8 @@
                     self.apply_or_back_off(request, received).await;
                 }
                 Err(error) => {
+                    self.monitor.record_failure(number, &error);
                     failures += 1;
-                    if failures == 1 {
-                        warn!(%error, "discovery failed");
-                    }
                     self.reschedule_full_list(request.full, false, mode);
                     max_wait = Duration::ZERO;
                     if polls.is_empty() {
@@ -141,8 +141,13 @@
     /// Waits for the backoff after a failed poll, with no other poll in flight.
     async fn wait_after_failure(&self, mode: DiscoveryMode, failures: u32) {
         match mode {
-            DiscoveryMode::Push => tokio::time::sleep(backoff(failures)).await,
+            DiscoveryMode::Push => {
+                let pause = backoff(failures);
+                self.monitor.record_back_off(Some(pause));
+                tokio::time::sleep(pause).await;
+            }
             DiscoveryMode::Subscribe { .. } => {
+                self.monitor.record_back_off(None);
                 self.host.discard_watch_request(); // the policy may have requested another while the poll was silent
                 self.host.update_endpoints(ListUpdate::Failed, Vec::new());
                 self.host.watch_requested().await; // the policy decides when to poll again
@@ -199,14 +204,16 @@
         let watcher = self.clone();
         let moves = self.moves.get();
         tokio::task::spawn_local(async move {
-            let CompletedPoll { request, connection: _connection, answer: Ok(received) } =
+            let CompletedPoll { number, request, connection: _connection, answer: Ok(received) } =
                 poll.completion.await
             else {
                 return;
             };
             if moves == watcher.moves.get() {
+                watcher.monitor.record_list(number, ListSource::LatePoll, &received);
                 watcher.apply_late_answer(request, received);
             } else {
+                watcher.monitor.record_list(number, ListSource::EarlierAddress, &received);
                 watcher.apply_answer_of_old_address(received);
             }
         });
--- a/crates/proxy/src/endpoint_list.rs
+++ b/crates/proxy/src/endpoint_list.rs
@@ -181,6 +181,12 @@
 }
 
 impl ParsedEndpointList {
+    /// Returns the number of entries by which a backend departs.
+    pub(crate) fn departures(&self) -> usize {
+        let complete = self.update.complete.iter().filter(|endpoint| is_departing(endpoint.state)).count();
+        complete + self.update.partial.iter().filter(|entry| entry.state.is_some()).count()
+    }
+
     /// Returns only the departures: all that can be trusted of changes to a list other than the current one.
     pub fn into_departures(self) -> EndpointUpdate {
         let departure = |endpoint: Endpoint| {
--- a/crates/proxy/src/request_guards.rs
+++ b/crates/proxy/src/request_guards.rs
@@ -71,6 +71,11 @@
         }
         Some(OpenId { open_ids, id })
     }
+
+    /// Returns the reserved id.
+    pub(crate) fn id(&self) -> &HeaderValue {
+        &self.id
+    }
 }
 
 impl<Ids: Deref<Target = OpenIds>> Drop for OpenId<Ids> {
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -23,6 +23,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use tokio::sync::oneshot;
+use tracing::debug;
 
 /// Handles the requests of all clients.
 pub(crate) struct RequestHandler {
@@ -68,6 +69,7 @@
             "/-/ready" => plain_answer(StatusCode::OK, "ready\n"),
             _ => self.forward(client, request).await.unwrap_or_else(|fault| {
                 self.front.invalid_requests.set(self.front.invalid_requests.get() + 1);
+                debug!(client = client.id.0, ?fault, "request invalid");
                 is_invalid = true; // the next bytes may not begin a request
                 let (status, text) = fault.answer();
                 plain_answer(status, text)
@@ -133,6 +135,7 @@
         let open_id = OpenId::new(self.open_ids.clone(), valid.id).ok_or(InvalidRequest::IdInUse)?;
         client.record_valid_request();
         let (id, answer) = self.host.submit(arrival, exchange.clone(), side_effects, labels);
+        debug!(request = id.0, correlation_id = ?open_id.id(), client = client.id.0, "request accepted");
         let submitted = SubmittedRequest { id, answer, exchange: exchange.clone(), upload, time };
         let answer = self.wait_for_answer(submitted, client).await?;
         let mut response = to_response(answer, &exchange, settings.network.max_retry_after);
