--- a/crates/lotusdeck/tests/rig/discovery.rs
+++ b/crates/lotusdeck/tests/rig/discovery.rs
@@ -5,6 +5,7 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc;
+use std::time::Duration;
 
 /// A discovery service. Passes the request line of each call to the test, which sends back a status and a body. With
 /// status 0 the text is written unchanged, and further texts may follow for the same call.
@@ -49,6 +50,11 @@
 
     /// Waits for the next call; returns its request line and the sender for its answer.
     pub(crate) fn next_call(&self) -> (String, mpsc::Sender<(u16, String)>) {
-        self.calls.recv_timeout(TEST_TIMEOUT).expect("a call to discovery")
+        self.try_next_call(TEST_TIMEOUT).expect("a call to discovery")
+    }
+
+    /// Waits for the next call; returns `None` if there is none within `time`.
+    pub(crate) fn try_next_call(&self, time: Duration) -> Option<(String, mpsc::Sender<(u16, String)>)> {
+        self.calls.recv_timeout(time).ok()
     }
 }
--- a/crates/proxy/src/discovery/monitor.rs
+++ b/crates/proxy/src/discovery/monitor.rs
@@ -34,6 +34,16 @@
     BackingOff,
 }
 
+impl fmt::Display for Phase {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Phase::Starting => "starting",
+            Phase::Polling => "polling",
+            Phase::BackingOff => "backing_off",
+        })
+    }
+}
+
 /// Which poll an endpoint list answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ListSource {
@@ -123,7 +133,7 @@
         let status = self.status();
         info!(
             address = status.address.map(tracing::field::display),
-            phase = ?status.phase,
+            phase = %status.phase,
             version = status.version,
             last_poll_age_ms = status.last_poll_age_ms,
             last_list_age_ms = status.last_list_age_ms,
