A list that arrives in the pause after a failed poll no longer cancels the retry

Cause: DiscoveryPoll kept one time, the next subscription, and cleared it with any list that discovery had sent. After a failed poll the client of discovery waits for that subscription, and nothing else polls. A list that answers an older poll in this pause (50 ms to 1.2 s) cleared it: one that was open at the previous address when discovery moved, or one that had been silent beside another. From then on the proxy polled no more, without a line in the log. Where lists are pushed, the client keeps its own pause and was not affected.

Fix: the subscription is a state, active, requested or due. A list confirms one that is requested; one that is due after a failure stays due.

--- a/crates/policy/src/discovery_poll.rs
+++ b/crates/policy/src/discovery_poll.rs
@@ -8,11 +8,24 @@
 /// The longest pause before jitter, in seconds: after a silent poll and a slow answer, an update is still
 /// applied within the 6 s after which the proxy counts as notified.
 const MAX_BACKOFF_S: f64 = 0.8;
+/// The time after which a subscription without an answer is requested again, as a fraction of the time within
+/// which discovery has to be polled.
+const UNANSWERED_FRACTION: f64 = 0.5;
 
 /// The state of the subscription to the endpoint list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Subscription {
+    /// Confirmed by an update, or not needed, as updates arrive without one.
+    Active,
+    /// Requested. It is requested again at `retry_at` unless an update confirms it.
+    Requested { retry_at: Time },
+    /// Not requested yet, or failed: it is requested at `at`.
+    Due { at: Time },
+}
+
+/// Decides when to subscribe to the endpoint list.
 pub(crate) struct DiscoveryPoll {
-    /// When to subscribe next; `None` while subscribed, or if updates arrive without a subscription.
-    next_at: Option<Time>,
+    subscription: Subscription,
     /// The last pause, in seconds; 0 after a success.
     backoff_s: f64,
 }
@@ -20,17 +33,27 @@
 impl DiscoveryPoll {
     /// Creates the state, with a subscription due at `now` if updates require one.
     pub(crate) fn new(mode: DiscoveryMode, now: Time) -> DiscoveryPoll {
-        DiscoveryPoll { next_at: (mode != DiscoveryMode::Push).then_some(now), backoff_s: 0.0 }
+        let subscription = match mode {
+            DiscoveryMode::Push => Subscription::Active,
+            DiscoveryMode::Subscribe { .. } => Subscription::Due { at: now },
+        };
+        DiscoveryPoll { subscription, backoff_s: 0.0 }
     }
 
+    /// Returns when to subscribe next; `None` while subscribed.
     pub(crate) fn next_at(&self) -> Option<Time> {
-        self.next_at
+        match self.subscription {
+            Subscription::Active => None,
+            Subscription::Requested { retry_at: at } | Subscription::Due { at } => Some(at),
+        }
     }
 
-    /// Records an update; one that discovery sent confirms the subscription.
+    /// Records an update. One that discovery sent confirms a subscription that is requested. After a failure it can
+    /// only answer an older request, so the retry stays due.
     pub(crate) fn record_update(&mut self, update: ListUpdate) {
-        if matches!(update, ListUpdate::Changes | ListUpdate::Full) {
-            self.next_at = None;
+        let is_sent_by_discovery = matches!(update, ListUpdate::Changes | ListUpdate::Full);
+        if is_sent_by_discovery && !matches!(self.subscription, Subscription::Due { .. }) {
+            self.subscription = Subscription::Active;
             self.backoff_s = 0.0;
         }
     }
@@ -41,17 +64,19 @@
     pub(crate) fn record_failure(&mut self, now: Time, poll_within: Micros, rng: &mut Rng) {
         let max_backoff_s = (poll_within.secs() / 8.0).clamp(MIN_BACKOFF_S, MAX_BACKOFF_S);
         self.backoff_s = (self.backoff_s * 2.0).clamp(MIN_BACKOFF_S, max_backoff_s);
-        self.next_at = Some(now + Micros::from_secs(self.backoff_s * (0.5 + rng.unit())));
+        let pause = Micros::from_secs(self.backoff_s * (0.5 + rng.unit()));
+        self.subscription = Subscription::Due { at: now + pause };
     }
 
     /// Returns whether to subscribe now. Schedules the next subscription as well, in case this one is lost
     /// without an answer.
     pub(crate) fn take_if_due(&mut self, now: Time, mode: DiscoveryMode) -> bool {
         let DiscoveryMode::Subscribe { poll_within } = mode else { return false };
-        if self.next_at.is_none_or(|at| now < at) {
+        if self.next_at().is_none_or(|at| now < at) {
             return false;
         }
-        self.next_at = Some(now + poll_within.times(0.5));
+        self.subscription =
+            Subscription::Requested { retry_at: now + poll_within.times(UNANSWERED_FRACTION) };
         true
     }
 }
