Discovery is polled even if no poll is requested

Need: the client of discovery waited without a bound for a request from the policy, at the start and after each failure.

Change: the wait ends after 1.3 s, with a warning, and the poll is made. The policy's own pauses end after 1.2 s, so that it still decides when to poll.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -13,7 +13,8 @@
 //!   up and repeated starts at the end of the queue.
 //! - `pause`: after a failed poll (a refused or broken connection, an answer other than 200, an invalid answer) the
 //!   next one follows after a backoff that doubles with each consecutive failure, up to 1.2 s including jitter. Where
-//!   an older poll is still in flight, the next is opened 1 s after the failed one was opened.
+//!   an older poll is still in flight, the next is opened 1 s after the failed one was opened. Where the policy decides
+//!   on the backoff, the poll follows after 1.3 s even if the policy does not request it.
 //! - `answer`: each of the two newest polls has twice the silence timeout of 2 s before it is dropped in favor of
 //!   another one.
 //!
--- a/crates/proxy/src/discovery/pacing.rs
+++ b/crates/proxy/src/discovery/pacing.rs
@@ -28,6 +28,8 @@
 /// Time limit for establishing a connection. A lost segment is retransmitted only after 1 s, so a longer wait would
 /// hardly help.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time for which the policy is waited for to request a poll. Its own pauses end after 1.2 s.
+pub(super) const MAX_REQUEST_WAIT: Duration = Duration::from_millis(1_300);
 /// Half of the first backoff after a failed poll if lists are pushed; the backoff doubles with each consecutive
 /// failure, up to `MAX_BACKOFF`. Changes that the agent receives once discovery is back count as notified at once, so
 /// the longest backoff is well below the shortest grace period seen in settings (400 ms). If lists are polled, the
--- a/crates/proxy/src/discovery/watcher.rs
+++ b/crates/proxy/src/discovery/watcher.rs
@@ -1,7 +1,7 @@
 //! Polls discovery and applies its answers to the current list.
 
 use super::monitor::{DiscoveryMonitor, ListSource};
-use super::pacing::{backoff, evenly_spread, LONG_POLL_WAIT};
+use super::pacing::{backoff, evenly_spread, LONG_POLL_WAIT, MAX_REQUEST_WAIT};
 use super::poll::{CompletedPoll, DiscoveryPoll, PollRequest};
 use super::polls::DiscoveryPolls;
 use super::EndpointListSink;
@@ -49,9 +49,12 @@
         }
     }
 
-    /// Waits until the policy requests a poll of discovery.
+    /// Waits until the policy requests a poll of discovery, but no longer than `MAX_REQUEST_WAIT`: without a poll the
+    /// proxy would follow no further change.
     pub(super) async fn poll_requested(&self) {
-        self.host.watch_requested().await;
+        if tokio::time::timeout(MAX_REQUEST_WAIT, self.host.watch_requested()).await.is_err() {
+            warn!("no poll of discovery was requested in time, polling anyway");
+        }
     }
 
     /// Handles a change of discovery's address or of its mode.
@@ -150,7 +153,7 @@
                 self.monitor.record_back_off(None);
                 self.host.discard_watch_request(); // the policy may have requested another while the poll was silent
                 self.host.update_endpoints(ListUpdate::Failed, Vec::new());
-                self.host.watch_requested().await; // the policy decides when to poll again
+                self.poll_requested().await;
             }
         }
     }
