Testbed: soak runs of signals in series while discovery moves and fails

The testbed played pushed lists only, one address of discovery, and clients that leave a proxy that stops.

The judge sees clients, backends and discovery only (docs/testbed.md).

Six unit tests hold the judge.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod report;
 pub mod scale;
 pub mod session;
+pub mod soak;
 pub mod swings;
 pub mod virtual_time;
 pub mod world;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -19,7 +19,7 @@
 use lotusdeck_testbed::report::figures::Figures;
 use lotusdeck_testbed::session::{self, Options, SessionError};
 use lotusdeck_testbed::{
-    campaign, crowd_cost, duel, fault_proxy, fleet, ledger, overhead, paper, postgres, scale, swings,
+    campaign, crowd_cost, duel, fault_proxy, fleet, ledger, overhead, paper, postgres, scale, soak, swings,
 };
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -77,6 +77,8 @@
     LedgerBench(ledger::Bench),
     /// Play power losses and restarts of several proxy processes, blank and with kept lists (docs/recovery.md).
     Fleet(fleet::Args),
+    /// Reload, shut down and kill proxies in series while discovery moves and fails (docs/testbed.md).
+    Soak(soak::Args),
     /// Search for faults that break a rule: draw them from seeds, play them, and shrink those that break one.
     Campaign(campaign::Args),
     /// Relay connections and inject faults by a script (docs/fault-proxy.md); ends when its standard input is closed.
@@ -144,6 +146,7 @@
         Command::PgSoak(args) => postgres::main(&args),
         Command::PgOverhead(args) => postgres::cost(&args).map(|()| true),
         Command::LedgerBench(args) => ledger::bench(&args).map(|()| true),
+        Command::Soak(args) => soak::main(&args),
         Command::Campaign(args) => campaign::main(&args),
         Command::Fleet(args) => fleet::main(&args),
         Command::Scale(args) => scale::main(&args).map(|()| true).map_err(SessionError::from),
--- /dev/null
+++ b/crates/testbed/src/soak/tests.rs
@@ -0,0 +1,135 @@
+//! Tests of the judge on records that break one rule each, and of the plan.
+
+use super::judge::{judge, Rule};
+use super::plan::{ListChange, ListMode, ListedState, Move, SoakPlan};
+use super::records::*;
+use crate::record::TryId;
+use std::time::Duration;
+
+const PROCESS: ProcessId = ProcessId { proxy: 0, start: 0 };
+const ID: TryId = TryId { arrival: 1, no: 0 };
+
+fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+/// Returns a plan in which backend 0 drains at 1 s (version 41) and nothing else happens.
+fn plan(mode: ListMode) -> SoakPlan {
+    SoakPlan {
+        changes: vec![ListChange { at: ms(1_000), backend: 0, state: ListedState::Draining }],
+        moves: Vec::new(),
+        faults: Vec::new(),
+        signals: Vec::new(),
+        hangs: Vec::new(),
+        crowd_at: None,
+        read_deadline: ms(1_000),
+        order_deadline: ms(1_000),
+        ..SoakPlan::draw(1, mode, 1)
+    }
+}
+
+fn request(class: Class, sent_at: Duration, outcome: Outcome) -> ClientRecord {
+    ClientRecord { id: ID, proxy: 0, class, sent_at, reused: true, outcome }
+}
+
+fn served(at: Duration) -> Outcome {
+    Outcome::Answered { status: 200, at }
+}
+
+fn attempt(backend: usize, at: Duration) -> AttemptRecord {
+    AttemptRecord { id: ID, backend, at, turned_away: false }
+}
+
+fn event(at: Duration, event: ProcessEvent) -> ProcessRecord {
+    ProcessRecord { process: PROCESS, at, event }
+}
+
+/// Returns the broken rules of a request with these attempts, by a process that was started with version 40.
+fn broken(
+    plan: &SoakPlan, request: ClientRecord, attempts: &[AttemptRecord], events: &[ProcessRecord],
+) -> Vec<Rule> {
+    let mut processes = vec![event(Duration::ZERO, ProcessEvent::Started { version: 40 })];
+    processes.extend_from_slice(events);
+    let records =
+        Records { requests: vec![request], attempts: attempts.to_vec(), processes, lags: Vec::new() };
+    judge(plan, &records).into_iter().map(|violation| violation.rule).collect()
+}
+
+#[test]
+fn a_request_to_a_draining_backend_breaks_the_rule_once_its_change_counts_as_notified() {
+    let sent = |mode, at: u64, events: &[ProcessRecord]| {
+        let at = ms(at);
+        broken(&plan(mode), request(Class::Read, at, served(at + ms(9))), &[attempt(0, at)], events)
+    };
+    // 6 s after the change, and the grace of 0.5 s with the slack of 0.05 s.
+    assert_eq!(sent(ListMode::Polled, 7_540, &[]), []);
+    assert_eq!(sent(ListMode::Polled, 7_560, &[]), [Rule::Drain]);
+    let written = event(ms(1_001), ProcessEvent::Notified { version: 41 });
+    assert_eq!(sent(ListMode::Polled, 1_540, &[written]), []);
+    assert_eq!(sent(ListMode::Polled, 1_560, &[written]), [Rule::Drain]);
+    assert_eq!(sent(ListMode::Pushed, 1_540, &[]), []);
+    assert_eq!(sent(ListMode::Pushed, 1_560, &[]), [Rule::Drain]);
+    let silent = event(ms(900), ProcessEvent::Silenced { wait_ends_at: ms(9_000) });
+    assert_eq!(sent(ListMode::Polled, 11_540, &[silent]), []);
+    assert_eq!(sent(ListMode::Polled, 11_560, &[silent]), [Rule::Drain]);
+    let closed = event(ms(2_000), ProcessEvent::SilenceEnded { wait_ends_at: ms(9_000) });
+    assert_eq!(sent(ListMode::Polled, 8_560, &[silent, closed]), [Rule::Drain]);
+}
+
+#[test]
+fn a_span_in_which_discovery_refuses_all_calls_begins_the_time_anew() {
+    let refusing = Move { at: ms(4_000), refuses_for: ms(2_000), call_time: Duration::ZERO };
+    let plan = SoakPlan { moves: vec![refusing], ..plan(ListMode::Polled) };
+    let sent = |at: u64| {
+        let at = ms(at);
+        broken(&plan, request(Class::Read, at, served(at + ms(9))), &[attempt(0, at)], &[])
+    };
+    assert_eq!(sent(12_540), []);
+    assert_eq!(sent(12_560), [Rule::Drain]);
+}
+
+#[test]
+fn a_request_without_a_final_answer_in_time_is_lost() {
+    let plan = plan(ListMode::Polled);
+    let judge_one =
+        |outcome, attempts: &[_]| broken(&plan, request(Class::Read, ms(100), outcome), attempts, &[]);
+    let sent = [attempt(1, ms(101))];
+    assert_eq!(judge_one(served(ms(1_640)), &sent), []);
+    assert_eq!(judge_one(served(ms(1_660)), &sent), [Rule::Lost]);
+    assert_eq!(judge_one(Outcome::Unanswered, &sent), [Rule::Lost]);
+    assert_eq!(judge_one(Outcome::Closed { at: ms(150) }, &[]), [], "crossed the end of the connection");
+    assert_eq!(judge_one(Outcome::Closed { at: ms(150) }, &sent), [Rule::Lost], "it was read");
+    assert_eq!(judge_one(Outcome::Closed { at: ms(210) }, &[]), [Rule::Lost], "too late to have crossed");
+    assert_eq!(judge_one(Outcome::Left { at: ms(120) }, &[attempt(1, ms(260))]), []);
+    assert_eq!(judge_one(Outcome::Left { at: ms(120) }, &[attempt(1, ms(280))]), [Rule::Lost]);
+}
+
+#[test]
+fn an_order_that_runs_twice_or_is_refused_after_it_was_sent_is_a_duplicate() {
+    let plan = plan(ListMode::Polled);
+    let order =
+        |outcome, attempts: &[_]| broken(&plan, request(Class::Order, ms(100), outcome), attempts, &[]);
+    let (first, second) = (attempt(1, ms(101)), attempt(2, ms(150)));
+    let turned_away = AttemptRecord { turned_away: true, ..first };
+    let refused = Outcome::Answered { status: 503, at: ms(200) };
+    assert_eq!(order(served(ms(200)), &[turned_away, second]), []);
+    assert_eq!(order(served(ms(200)), &[first, second]), [Rule::Duplicate]);
+    assert_eq!(order(refused, &[turned_away]), []);
+    assert_eq!(order(refused, &[first]), [Rule::Duplicate]);
+}
+
+#[test]
+fn a_process_that_ends_by_itself_has_crashed() {
+    let plan = plan(ListMode::Polled);
+    let ended = |expected| event(ms(500), ProcessEvent::Ended { killed: false, expected });
+    let read = request(Class::Read, ms(100), served(ms(120)));
+    assert_eq!(broken(&plan, read, &[], &[ended(true)]), []);
+    assert_eq!(broken(&plan, read, &[], &[ended(false)]), [Rule::Crash]);
+}
+
+#[test]
+fn a_seed_draws_the_same_plan_each_time() {
+    let text = |seed| format!("{:?}", SoakPlan::draw(seed, ListMode::Polled, 35));
+    assert_eq!(text(7), text(7));
+    assert_ne!(text(7), text(8));
+}
