A discovery that lags behind undoes no drain by a second older list

The registry marked what drained at a move, and any complete entry took the mark away, also one of a list older than the move: one that says DRAINING itself, or a full list that leaves the backend out, which forgot it with its mark. The next older list made the backend ready.

Fix: the backends that drained at a move are remembered by name apart from the entries. One is forgotten by an entry, all are by a full list, that is not older than the move; one that was started again counts as another. There are at most as many as the list had backends.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 mod clock;
 pub mod cordon;
 mod counts;
+mod drains_at_move;
 mod estimates;
 mod exchange;
 mod fleet_limits;
--- a/crates/core/src/registry.rs
+++ b/crates/core/src/registry.rs
@@ -1,6 +1,7 @@
 //! The known backends: their names, ids, addresses and states, and which of them were last reported to the balancer
 //! as cordoned.
 
+use crate::drains_at_move::DrainsAtMove;
 use crate::retired::RetiredBackends;
 use lotusdeck_policy::settings::{EndpointRecord, Names};
 use lotusdeck_policy::{Backend, BackendId, BackendState, ListUpdate};
@@ -52,9 +53,6 @@
     pub(crate) name: String,
     pub(crate) address: SocketAddr,
     pub(crate) state: BackendState,
-    /// Whether the backend was draining when discovery moved. Cleared by the next complete entry, unless the backend
-    /// is kept draining in spite of that entry.
-    drained_at_move: bool,
     /// The entry that was last passed on to the balancer.
     notified: Backend,
 }
@@ -73,6 +71,7 @@
     ids: HashMap<String, BackendId>,
     /// Backends that were removed from the list, which operators may still name.
     retired: RetiredBackends,
+    drains_at_move: DrainsAtMove,
     /// The cordoned backends as of the last [`Registry::cordon_change`], sorted.
     cordoned: Vec<BackendId>,
     next_id: u32,
@@ -95,12 +94,16 @@
             self.backends.values_mut().for_each(|backend| backend.state = BackendState::Removed);
         }
         let mut notifications = Vec::with_capacity(complete.len());
+        if update == ListUpdate::Full && !predates_move {
+            self.drains_at_move.clear();
+        }
         for endpoint in complete {
             let mut entry = self.resolve(endpoint, update, names);
-            entry.drained_at_move = predates_move && self.keeps_draining(&entry);
-            if entry.drained_at_move {
-                entry.state = BackendState::Draining;
-                entry.notified.state = BackendState::Draining;
+            if predates_move {
+                entry.state = self.drains_at_move.state_by_older_entry(&entry.name, &entry.notified);
+                entry.notified.state = entry.state;
+            } else {
+                self.drains_at_move.forget(&entry.name);
             }
             notifications.push(entry.notified.clone());
             self.backends.insert(entry.notified.id, entry);
@@ -138,23 +141,14 @@
             debug!(backend = id.0, name = %name, %address, ?state, "backend listed");
         }
         let notified = names.resolve(&row, id);
-        KnownBackend { name, address, state, drained_at_move: false, notified }
-    }
-
-    /// Returns whether the entry reports a backend as ready that was draining when discovery moved and has not been
-    /// restarted since, so that it has to stay draining.
-    fn keeps_draining(&self, entry: &KnownBackend) -> bool {
-        let Some(known) = self.backends.get(&entry.notified.id) else { return false };
-        entry.state == BackendState::Ready
-            && known.drained_at_move
-            && known.notified.started_at == entry.notified.started_at
+        KnownBackend { name, address, state, notified }
     }
 
     /// Records that discovery moves to another address: an older list may report a backend as ready that is draining
     /// now.
     pub(crate) fn record_move(&mut self) {
-        for backend in self.backends.values_mut() {
-            backend.drained_at_move |= backend.state == BackendState::Draining;
+        for backend in self.backends.values().filter(|backend| backend.state == BackendState::Draining) {
+            self.drains_at_move.record(&backend.name, &backend.notified);
         }
     }
 
