A drain that the previous discovery reports late is not undone by an older list

Cause: of an answer of the previous address that comes after the new one has answered, the departures are applied. The version at the move was not raised, and the registry did not mark the backends as drained at the move, so that an older list of the new address made them ready.

Evidence: version 9 from the new address, then DRAINING in version 11 from the previous one, then SERVING in version 10 from the new one: 200 and one request at the backend before, 503 now, in both ways of discovery.

Lists from version 11 on are applied as before.

--- a/crates/lotusdeck/tests/discovery_moves.rs
+++ b/crates/lotusdeck/tests/discovery_moves.rs
@@ -60,3 +60,34 @@
         }
     });
 }
+
+/// Guards against a drain that the previous address reports after the new one has answered, and that an older list of the
+/// new one undoes.
+#[test]
+fn a_drain_that_the_previous_address_reports_late_outlasts_older_lists() {
+    for settings in [SETTINGS.to_string(), polling_settings()] {
+        let backend = BackendServer::start(|_| ok("x"));
+        let listed = |state| vec![entry("b0", backend.address, state)];
+        let proxy = start_with_list(backend.address, &settings);
+        let (_, old_watch) = proxy.discovery.next_call();
+        let lagging = DiscoveryServer::start();
+        proxy.move_discovery(lagging.address);
+        proxy.signal("HUP");
+        lagging.next_call().1.send((200, list(9, true, &listed("SERVING")))).unwrap();
+        let (_, watch) = lagging.next_call(); // the list has been applied by now
+        old_watch.send((200, list(11, false, &listed("DRAINING")))).unwrap();
+        let end = std::time::Instant::now() + TEST_TIMEOUT;
+        while proxy.ask(&read(3.0)).status() != 503 {
+            assert!(std::time::Instant::now() < end, "the drain was lost");
+        }
+        let served = backend.count();
+        watch.send((200, list(10, false, &listed("SERVING")))).unwrap();
+        let (target, watch) = lagging.next_call();
+        assert!(target.contains("after=10&"), "{target}");
+        assert_eq!((proxy.ask(&pay(3.0)).status(), backend.count()), (503, served));
+        watch.send((200, list(12, false, &listed("SERVING")))).unwrap();
+        let (target, _open_watch) = lagging.next_call();
+        assert!(target.contains("after=12&"), "{target}");
+        assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
+    }
+}
--- a/crates/proxy/src/discovery/watcher.rs
+++ b/crates/proxy/src/discovery/watcher.rs
@@ -252,6 +252,8 @@
         let follows = received.list.snapshot || known_version.is_none_or(|known| new_version >= known);
         if has_answered || !follows {
             self.host.update_endpoints(ListUpdate::Changes, received.into_departures());
+            // An older list of the present address does not undo them.
+            self.record_last_version(Some(new_version));
             return;
         }
         self.version.set(known_version.map(|_| new_version));
