--- a/crates/lotusdeck/tests/crossings.rs
+++ b/crates/lotusdeck/tests/crossings.rs
@@ -18,10 +18,6 @@
 /// (`rules.stop_sending_within_us` is 500 ms at the operators' site).
 const NOTIFIED_AFTER: Duration = Duration::from_secs(2);
 
-fn polling_settings() -> String {
-    SETTINGS.replace("\"automatic\"", "\"subscribe\"")
-}
-
 /// Returns the wait that a call requests.
 fn requested_wait(target: &str) -> Duration {
     let wait =
--- a/crates/lotusdeck/tests/discovery_faults.rs
+++ b/crates/lotusdeck/tests/discovery_faults.rs
@@ -10,7 +10,6 @@
 mod rig;
 
 use rig::*;
-use std::net::SocketAddr;
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
@@ -20,19 +19,6 @@
 /// The sender for the answer to a call of [`DiscoveryServer`].
 type Answer = mpsc::Sender<(u16, String)>;
 
-/// Returns settings under which the proxy polls discovery for lists.
-fn polling_settings() -> String {
-    SETTINGS.replace("\"automatic\"", "\"subscribe\"")
-}
-
-/// Starts a proxy that holds version 9 of the list, in which `b0` serves.
-fn start_with_list(backend: SocketAddr, settings: &str) -> Proxy {
-    let serving = [entry("b0", backend, "SERVING")];
-    let proxy = Proxy::with_settings(&serving, 1024, settings);
-    proxy.discovery.next_call().1.send((200, list(9, true, &serving))).unwrap();
-    proxy
-}
-
 /// Answers after `time`, like an overloaded discovery that handles one call at a time.
 fn answer_after(time: Duration, answer: Answer, text: String) {
     std::thread::spawn(move || {
@@ -47,7 +33,7 @@
 #[test]
 fn a_change_is_applied_in_time_after_refusals_silence_and_a_crowd() {
     let backend = BackendServer::start(|_| ok("x"));
-    let proxy = start_with_list(backend.address, &polling_settings());
+    let proxy = Proxy::with_list(backend.address, &polling_settings());
     drop(proxy.discovery.next_call()); // closes the watch's connection
     let down = Instant::now();
     let mut refused = 0;
@@ -80,7 +66,7 @@
 #[test]
 fn a_change_is_applied_in_time_after_a_refusal_and_a_silence() {
     let backend = BackendServer::start(|_| ok("x"));
-    let proxy = start_with_list(backend.address, &polling_settings());
+    let proxy = Proxy::with_list(backend.address, &polling_settings());
     drop(proxy.discovery.next_call()); // closes the watch's connection
     let down = Instant::now();
     while down.elapsed() < Duration::from_secs(3) {
@@ -318,29 +304,3 @@
         drop(clients);
     }
 }
-
-/// Guards against a discovery at a new address that lags behind the old one and undoes a drain that was already
-/// notified, although the backend has not been restarted since.
-#[test]
-fn a_drain_outlasts_a_move_to_a_discovery_that_lags_behind() {
-    for settings in [SETTINGS.to_string(), polling_settings()] {
-        let backend = BackendServer::start(|_| ok("x"));
-        let listed = |state| vec![entry("b0", backend.address, state)];
-        let proxy = start_with_list(backend.address, &settings);
-        proxy.discovery.next_call().1.send((200, list(10, false, &listed("DRAINING")))).unwrap();
-        let (watch, _open_watch) = proxy.discovery.next_call();
-        assert!(watch.contains("after=10&"), "{watch}");
-        assert_eq!(proxy.ask(&pay(3.0)).status(), 503, "the backend drains");
-        let lagging = DiscoveryServer::start();
-        proxy.move_discovery(lagging.address);
-        proxy.signal("HUP");
-        lagging.next_call().1.send((200, list(9, true, &listed("SERVING")))).unwrap();
-        let (watch, open_watch) = lagging.next_call(); // the list has been applied by now
-        assert_eq!((proxy.ask(&pay(3.0)).status(), backend.count()), (503, 0), "sent after {watch}");
-        // Once it has caught up, its lists are applied again.
-        open_watch.send((200, list(11, false, &listed("SERVING")))).unwrap();
-        let (watch, _open_watch) = lagging.next_call();
-        assert!(watch.contains("after=11&"), "{watch}");
-        assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
-    }
-}
--- a/crates/lotusdeck/tests/discovery_moves.rs
+++ b/crates/lotusdeck/tests/discovery_moves.rs
@@ -10,19 +10,32 @@
 mod rig;
 
 use rig::*;
-use std::net::SocketAddr;
+use std::time::Instant;
 
-/// Returns settings under which the proxy polls discovery for lists.
-fn polling_settings() -> String {
-    SETTINGS.replace("\"automatic\"", "\"subscribe\"")
-}
-
-/// Starts a proxy that holds version 9 of the list, in which `b0` serves.
-fn start_with_list(backend: SocketAddr, settings: &str) -> Proxy {
-    let serving = [entry("b0", backend, "SERVING")];
-    let proxy = Proxy::with_settings(&serving, 1024, settings);
-    proxy.discovery.next_call().1.send((200, list(9, true, &serving))).unwrap();
-    proxy
+/// Guards against a discovery at a new address that lags behind the old one and undoes a drain that was already
+/// notified, although the backend has not been restarted since.
+#[test]
+fn a_drain_outlasts_a_move_to_a_discovery_that_lags_behind() {
+    for settings in [SETTINGS.to_string(), polling_settings()] {
+        let backend = BackendServer::start(|_| ok("x"));
+        let listed = |state| vec![entry("b0", backend.address, state)];
+        let proxy = Proxy::with_list(backend.address, &settings);
+        proxy.discovery.next_call().1.send((200, list(10, false, &listed("DRAINING")))).unwrap();
+        let (watch, _open_watch) = proxy.discovery.next_call();
+        assert!(watch.contains("after=10&"), "{watch}");
+        assert_eq!(proxy.ask(&pay(3.0)).status(), 503, "the backend drains");
+        let lagging = DiscoveryServer::start();
+        proxy.move_discovery(lagging.address);
+        proxy.signal("HUP");
+        lagging.next_call().1.send((200, list(9, true, &listed("SERVING")))).unwrap();
+        let (watch, open_watch) = lagging.next_call(); // the list has been applied by now
+        assert_eq!((proxy.ask(&pay(3.0)).status(), backend.count()), (503, 0), "sent after {watch}");
+        // Once it has caught up, its lists are applied again.
+        open_watch.send((200, list(11, false, &listed("SERVING")))).unwrap();
+        let (watch, _open_watch) = lagging.next_call();
+        assert!(watch.contains("after=11&"), "{watch}");
+        assert_eq!(proxy.ask(&pay(3.0)).status(), 200);
+    }
 }
 
 /// Guards against older lists of a discovery that lags behind, of which the first one drains or leaves out a backend
@@ -36,7 +49,7 @@
                 scope.spawn(move || {
                     let backend = BackendServer::start(|_| ok("x"));
                     let listed = |state| vec![entry("b0", backend.address, state)];
-                    let proxy = start_with_list(backend.address, &settings);
+                    let proxy = Proxy::with_list(backend.address, &settings);
                     proxy.discovery.next_call().1.send((200, list(10, false, &listed("DRAINING")))).unwrap();
                     let (watch, _open_watch) = proxy.discovery.next_call();
                     assert!(watch.contains("after=10&"), "{watch}");
@@ -68,7 +81,7 @@
     for settings in [SETTINGS.to_string(), polling_settings()] {
         let backend = BackendServer::start(|_| ok("x"));
         let listed = |state| vec![entry("b0", backend.address, state)];
-        let proxy = start_with_list(backend.address, &settings);
+        let proxy = Proxy::with_list(backend.address, &settings);
         let (_, old_watch) = proxy.discovery.next_call();
         let lagging = DiscoveryServer::start();
         proxy.move_discovery(lagging.address);
@@ -76,9 +89,9 @@
         lagging.next_call().1.send((200, list(9, true, &listed("SERVING")))).unwrap();
         let (_, watch) = lagging.next_call(); // the list has been applied by now
         old_watch.send((200, list(11, false, &listed("DRAINING")))).unwrap();
-        let end = std::time::Instant::now() + TEST_TIMEOUT;
+        let end = Instant::now() + TEST_TIMEOUT;
         while proxy.ask(&read(3.0)).status() != 503 {
-            assert!(std::time::Instant::now() < end, "the drain was lost");
+            assert!(Instant::now() < end, "the drain was lost");
         }
         let served = backend.count();
         watch.send((200, list(10, false, &listed("SERVING")))).unwrap();
--- a/crates/lotusdeck/tests/discovery_retry.rs
+++ b/crates/lotusdeck/tests/discovery_retry.rs
@@ -23,7 +23,7 @@
 
 /// Both ways of discovery.
 fn settings_of_both_modes() -> [String; 2] {
-    [SETTINGS.to_string(), SETTINGS.replace("\"automatic\"", "\"subscribe\"")]
+    [SETTINGS.to_string(), polling_settings()]
 }
 
 /// Returns the state of the proxy's client of discovery.
@@ -75,9 +75,7 @@
 
 /// Starts a proxy that has version 9 of the list, and returns it with its open watch.
 fn start_with_watch(backend: &BackendServer, settings: &str) -> (Proxy, Answer) {
-    let serving = [entry("b0", backend.address, "SERVING")];
-    let proxy = Proxy::with_settings(&serving, 1024, settings);
-    proxy.discovery.next_call().1.send((200, list(9, true, &serving))).unwrap();
+    let proxy = Proxy::with_list(backend.address, settings);
     let (watch, answer) = proxy.discovery.next_call();
     assert!(watch.contains("after=9&"), "{watch}");
     (proxy, answer)
--- a/crates/lotusdeck/tests/rig/fixtures.rs
+++ b/crates/lotusdeck/tests/rig/fixtures.rs
@@ -25,6 +25,11 @@
 "gain":4.0,"late_worth":0.5}],
 "rules":{"cold_from":0.3,"fall_multiple":2.5,"must_ask_in_us":9000000,"ramp_time_us":9000000,"tip_after_us":2000000}}"#;
 
+/// Returns settings under which the proxy polls discovery for lists.
+pub(crate) fn polling_settings() -> String {
+    SETTINGS.replace("\"automatic\"", "\"subscribe\"")
+}
+
 fn next_id() -> String {
     format!("{:016x}", next_number())
 }
--- a/crates/lotusdeck/tests/rig/mod.rs
+++ b/crates/lotusdeck/tests/rig/mod.rs
@@ -13,7 +13,7 @@
 pub(crate) use backend::{ok, BackendEvent, BackendServer, Gate, RefusingPort, Reply};
 pub(crate) use client::Client;
 pub(crate) use discovery::DiscoveryServer;
-pub(crate) use fixtures::{entry, list, pay, read, vote, SETTINGS};
+pub(crate) use fixtures::{entry, list, pay, polling_settings, read, vote, SETTINGS};
 pub(crate) use message::Message;
 pub(crate) use proxy::{serve_command, Proxy};
 
--- a/crates/lotusdeck/tests/rig/proxy.rs
+++ b/crates/lotusdeck/tests/rig/proxy.rs
@@ -2,7 +2,7 @@
 
 use super::client::Client;
 use super::discovery::DiscoveryServer;
-use super::fixtures::{list, SETTINGS};
+use super::fixtures::{entry, list, SETTINGS};
 use super::message::Message;
 use super::{next_number, TEST_TIMEOUT};
 use std::io::{BufRead, BufReader};
@@ -37,6 +37,14 @@
         Launch { sockets, settings, ..Launch::new(known) }.run()
     }
 
+    /// Starts the program and has discovery send it version 9 of the list, in which `b0` serves.
+    pub(crate) fn with_list(backend: SocketAddr, settings: &str) -> Proxy {
+        let serving = [entry("b0", backend, "SERVING")];
+        let proxy = Proxy::with_settings(&serving, 1024, settings);
+        proxy.discovery.next_call().1.send((200, list(9, true, &serving))).unwrap();
+        proxy
+    }
+
     /// Starts the program with a limit on descriptors (`descriptors`) that may differ from the configured one
     /// (`sockets`).
     pub(crate) fn with_descriptor_limit(
