--- a/crates/testbed/src/soak/records.rs
+++ b/crates/testbed/src/soak/records.rs
@@ -142,7 +142,7 @@
     pub attempts: Vec<AttemptRecord>,
     /// Events of processes, by time.
     pub processes: Vec<ProcessRecord>,
-    /// Lags of the testbed over [`NOTABLE_LAG`], by time.
+    /// Lags of the testbed that are long enough to matter, by time.
     pub lags: Vec<LagRecord>,
 }
 
