--- a/crates/policy/src/discovery_poll.rs
+++ b/crates/policy/src/discovery_poll.rs
@@ -48,8 +48,8 @@
         }
     }
 
-    /// Records an update. One that discovery sent confirms a subscription that is requested. After a failure it can
-    /// only answer an older request, so the retry stays due.
+    /// Records an update. One that discovery sent confirms a subscription that is requested. After a failure
+    /// it can only answer an older request, so the retry stays due.
     pub(crate) fn record_update(&mut self, update: ListUpdate) {
         let is_sent_by_discovery = matches!(update, ListUpdate::Changes | ListUpdate::Full);
         if is_sent_by_discovery && !matches!(self.subscription, Subscription::Due { .. }) {
