Ledger: retention deletes a process's segments in the order they were written

What callers saw: the ledger listed a request as "never sent" although an attempt of it had gone to a backend, after a kill, a clock that was set back, and a later process with retention by age or size.

Cause: the segments of earlier processes were ordered by the newest time in their records. Settled requests have no time and a clock may be set back, so a later segment could be deleted before the earlier one, and alone. The intent in it was gone, and a killed process has no last record that would show the gap.

Evidence: segments_of_a_process_are_deleted_in_the_order_in_which_they_were_written failed before with NeverSent where PossiblySent is right. It passes now, as do the ledger's other tests.

Why this works: no segment counts as older than an earlier one of its process. The sort is stable, so the order of deletion in a process is that of its numbers, and the first segment that must stay keeps all later ones.

--- a/crates/ledger/src/retention.rs
+++ b/crates/ledger/src/retention.rs
@@ -113,7 +113,6 @@
             Some(inherited) => inherited,
             None => read_inherited(disk, own_prefix, now),
         };
-        inherited.sort_by_key(|segment| segment.newest_at);
         let mut total_bytes: u64 =
             inherited.iter().chain(self.own.values()).map(|segment| segment.bytes).sum();
         let mut surplus = Vec::new();
@@ -150,7 +149,8 @@
     }
 }
 
-/// Reads the segments of earlier generations, which may contain requests that will never finish.
+/// Reads the segments of earlier generations, which may contain requests that will never finish. Returns them in the
+/// order of their age.
 fn read_inherited<D: Disk>(disk: &D, own_prefix: &str, now: Millis) -> Vec<SealedSegment> {
     let mut names = disk.list().unwrap_or_default();
     names.retain(|name| name.ends_with(".seg") && !name.starts_with(own_prefix));
@@ -159,5 +159,26 @@
         let content = disk.read(&name).ok()?;
         Some(SealedSegment::inherited(name, &content, now))
     };
-    names.into_iter().filter_map(read).collect()
+    let mut inherited: Vec<SealedSegment> = names.into_iter().filter_map(read).collect();
+    order_times_by_number(&mut inherited);
+    inherited.sort_by_key(|segment| segment.newest_at); // stable: in a generation, the order is that of the numbers
+    inherited
+}
+
+/// Makes no segment appear older than an earlier one of its generation: its clock may have been set back, and not all
+/// records have a time. Without its later segments, an earlier one would show less than what happened. The segments are
+/// in the order of their names.
+fn order_times_by_number(segments: &mut [SealedSegment]) {
+    for position in 1..segments.len() {
+        let (earlier, later) = segments.split_at_mut(position);
+        let (previous, segment) = (&earlier[position - 1], &mut later[0]);
+        if generation_part(&previous.name) == generation_part(&segment.name) {
+            segment.newest_at = segment.newest_at.max(previous.newest_at);
+        }
+    }
+}
+
+/// Returns the part of a segment's file name before its number.
+fn generation_part(name: &str) -> Option<&str> {
+    name.rsplit_once('-').map(|(generation, _)| generation)
 }
--- a/crates/ledger/tests/crash/kept.rs
+++ b/crates/ledger/tests/crash/kept.rs
@@ -1,8 +1,8 @@
 //! Checks which segments are kept and which are deleted.
 
-use crate::scenario::{record, Step};
+use crate::scenario::{history, id, record, Step};
 use lotusdeck_ledger::memory_disk::MemoryDisk;
-use lotusdeck_ledger::{Disk, End, Mode, OnFailure, Options, Writer};
+use lotusdeck_ledger::{Disk, End, Mode, OnFailure, Options, SendState, Writer};
 
 /// Old segments are deleted, but a segment with an unresolved request only when its age reaches `keep_unresolved`.
 #[test]
@@ -49,3 +49,26 @@
     let dropped = next.take_deleted();
     assert!(!dropped.is_empty() && dropped.len() < kept, "{dropped:?}");
 }
+
+/// Guards against a request shown as never sent because a segment with its later attempt was deleted before the segment
+/// with its arrival, as the clock had been set back between them.
+#[test]
+fn segments_of_a_process_are_deleted_in_the_order_in_which_they_were_written() {
+    let disk = MemoryDisk::default();
+    let options =
+        Options { segment_bytes: 400, ..Options::new("n0", Mode::Process, OnFailure::RejectRequests) };
+    let (mut writer, _) = Writer::open(disk.clone(), options.clone(), 1, 1000);
+    let attempt =
+        |attempt, at| [record(Step::Send(7, attempt), at), record(Step::End(7, attempt, End::NeverSent), at)];
+    writer.append(9000, &[record(Step::Take(7), 9000)]).unwrap();
+    writer.append(9000, &attempt(0, 9000)).unwrap();
+    writer.append(2000, &[record(Step::Send(7, 1), 2000)]).unwrap();
+    drop(writer);
+    assert_eq!(disk.list().unwrap().iter().filter(|file| file.ends_with(".seg")).count(), 2);
+    let by_age = Options { keep: 5000, ..options };
+    let (mut next, _) = Writer::open(disk.clone(), by_age, 2, 10_000);
+    next.close(10_000).unwrap();
+    let shown = history(&disk).find(&id(7));
+    assert_eq!(shown[0].send_state(), SendState::PossiblySent, "{shown:?}");
+    assert!(next.take_deleted().is_empty());
+}
