Ledger: a manifest shows which segments are absent, so that no sent request is denied

`verify` said that nothing is damaged; `export`, JSON and CSV were silent.

Cause: a history counted as complete if every generation with a segment in the folder was. A generation without any segment, and the newest segments of a killed process, leave no trace. Retention by size or age, files deleted by hand, a copy in part and a file cut short at a frame all had the same effect.

Change: each folder has a manifest, replaced as a whole under a lock. A segment is listed before its first frame, and a deletion is recorded durably before it is done. Readers prove an absence only if everything listed is there and nothing was ever deleted. A folder without an intact manifest, or with records that none lists, proves nothing of requests without a record. All commands say so on the standard error stream; what they print of requests is as before. Room for the next manifest is reserved, so that retention works on a full disk.

--- a/crates/ledger/src/disk.rs
+++ b/crates/ledger/src/disk.rs
@@ -7,6 +7,8 @@
 pub trait Disk {
     /// An open file.
     type File;
+    /// Holds the lock until it is dropped.
+    type Lock;
     /// Returns the names of the files, in no particular order.
     ///
     /// # Errors
@@ -37,6 +39,18 @@
     /// # Errors
     /// The file cannot be read.
     fn read_at(&self, name: &str, offset: u64, length: usize) -> io::Result<Vec<u8>>;
+    /// Replaces the content of a file, or creates it. Once this returns, the new content survives a loss of power; at any
+    /// time before, the file has either its old content or the new one. Room is reserved for the next replacement, so that
+    /// it succeeds on a full disk.
+    ///
+    /// # Errors
+    /// The file could not be replaced, or it is unknown whether its new content survives a loss of power.
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+    /// Locks the folder against other processes that lock it.
+    ///
+    /// # Errors
+    /// Another process holds the lock for too long, or the folder cannot be locked.
+    fn lock(&mut self) -> io::Result<Self::Lock>;
     /// Deletes a file.
     ///
     /// # Errors
--- a/crates/ledger/src/folder.rs
+++ b/crates/ledger/src/folder.rs
@@ -1,10 +1,23 @@
 //! The disk of a ledger as a folder of the file system.
 
 use crate::disk::Disk;
-use std::fs::{File, OpenOptions};
+use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, Read, Seek, SeekFrom};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// The file whose lock the processes of a folder take.
+const LOCK_FILE: &str = "ledger.lock";
+/// The number of times that a lock held by another process is tried.
+const LOCK_ATTEMPTS: u32 = 20;
+/// The time between two attempts to take the lock.
+const LOCK_RETRY_INTERVAL: Duration = Duration::from_millis(5);
+
+/// The suffix of the file that becomes the next content of a file when it is replaced.
+const SPARE_SUFFIX: &str = ".tmp";
+/// The minimum size that is reserved for the next content of a file, bytes.
+const MIN_SPARE_BYTES: u64 = 4096;
 
 /// A folder of the file system.
 #[derive(Clone, Debug)]
@@ -28,10 +41,22 @@
         std::fs::read_dir(path)?;
         Ok(Folder(path.into()))
     }
+
+    /// Makes the names of created, renamed and deleted files survive a loss of power.
+    fn sync_names(&self) -> io::Result<()> {
+        File::open(&self.0)?.sync_all()
+    }
+}
+
+/// Creates a file of `length` zero bytes.
+fn reserve(path: &Path, length: u64) -> io::Result<()> {
+    let file = File::create(path)?;
+    Ok(rustix::fs::fallocate(&file, rustix::fs::FallocateFlags::empty(), 0, length)?)
 }
 
 impl Disk for Folder {
     type File = File;
+    type Lock = File;
 
     fn list(&self) -> io::Result<Vec<String>> {
         let entries = std::fs::read_dir(&self.0)?.collect::<io::Result<Vec<_>>>()?;
@@ -48,10 +73,37 @@
                 return Err(error.into());
             }
         }
-        File::open(&self.0)?.sync_all()?;
+        self.sync_names()?;
         Ok(file)
     }
 
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let path = self.0.join(name);
+        let spare = self.0.join(format!("{name}{SPARE_SUFFIX}"));
+        let file = OpenOptions::new().write(true).create(true).truncate(false).open(&spare)?;
+        file.write_all_at(bytes, 0)?;
+        file.set_len(bytes.len() as u64)?;
+        file.sync_all()?;
+        std::fs::rename(&spare, &path)?;
+        self.sync_names()?;
+        // An error is ignored: without a spare file, the next replacement needs room on the disk.
+        let _ = reserve(&spare, MIN_SPARE_BYTES.max(2 * bytes.len() as u64));
+        Ok(())
+    }
+
+    fn lock(&mut self) -> io::Result<File> {
+        let file =
+            OpenOptions::new().write(true).create(true).truncate(false).open(self.0.join(LOCK_FILE))?;
+        for _ in 0..LOCK_ATTEMPTS {
+            match file.try_lock() {
+                Ok(()) => return Ok(file),
+                Err(TryLockError::WouldBlock) => std::thread::sleep(LOCK_RETRY_INTERVAL),
+                Err(TryLockError::Error(error)) => return Err(error),
+            }
+        }
+        Err(io::Error::new(io::ErrorKind::TimedOut, "another process holds the lock of the folder"))
+    }
+
     fn write(&mut self, file: &mut File, offset: u64, bytes: &[u8]) -> io::Result<()> {
         file.write_all_at(bytes, offset)
     }
--- a/crates/ledger/src/index.rs
+++ b/crates/ledger/src/index.rs
@@ -13,11 +13,6 @@
 /// The length of a hash, bytes.
 const HASH_LEN: usize = 8;
 
-/// Returns the name of the index file of a segment.
-pub(crate) fn file_name(segment: &str) -> String {
-    segment.replace(".seg", ".idx")
-}
-
 /// Returns the hash of a correlation id.
 pub(crate) fn hash(id: &str) -> u64 {
     xxh3_64(id.as_bytes())
--- a/crates/ledger/src/memory_disk.rs
+++ b/crates/ledger/src/memory_disk.rs
@@ -6,6 +6,9 @@
 use std::io;
 use std::rc::Rc;
 
+/// The size that is reserved for the next content of a replaced file, bytes.
+const SPARE_BYTES: u64 = 512;
+
 /// A write that has not been synced.
 #[derive(Clone, Debug)]
 struct PendingWrite {
@@ -57,6 +60,12 @@
     pub failing_sync: Option<usize>,
     /// The first operation for which the disk is no longer full.
     pub recovers_at: Option<usize>,
+    /// The total size of all files in bytes beyond which the disk is full.
+    pub capacity: Option<usize>,
+    /// The operation during which the process is killed. Later ones fail without an effect.
+    pub killed_at: Option<usize>,
+    /// The number of bytes that the interrupted operation has written.
+    pub torn_length: usize,
 }
 
 /// A summary of the unsynced writes of a disk.
@@ -87,6 +96,13 @@
         disk
     }
 
+    /// Replaces the faults. Operations are numbered from 0 again.
+    pub fn set_faults(&self, faults: Faults) {
+        let mut state = self.0.borrow_mut();
+        state.operations = 0;
+        state.faults = faults;
+    }
+
     /// Returns the number of operations so far.
     pub fn operations(&self) -> usize {
         self.0.borrow().operations
@@ -133,14 +149,23 @@
         byte.map(|byte| *byte ^= 1 << (bit % 8)).is_some()
     }
 
+    /// Returns whether the process that uses the disk was killed.
+    pub fn is_killed(&self) -> bool {
+        let state = self.0.borrow();
+        state.faults.killed_at.is_some_and(|killed_at| state.operations > killed_at)
+    }
+
     /// Counts an operation and returns its number.
     ///
     /// # Errors
-    /// The disk is full.
+    /// The disk is full, or the process was killed.
     fn count_operation(&self) -> io::Result<usize> {
         let mut state = self.0.borrow_mut();
         let number = state.operations;
         state.operations += 1;
+        if state.faults.killed_at.is_some_and(|killed_at| number >= killed_at) {
+            return Err(io::ErrorKind::Interrupted.into());
+        }
         let is_full = state.faults.full_from.is_some_and(|first| number >= first);
         let has_recovered = state.faults.recovers_at.is_some_and(|first| number >= first);
         if is_full && !has_recovered {
@@ -148,10 +173,53 @@
         }
         Ok(number)
     }
+
+    /// Checks that the files may grow by this length.
+    ///
+    /// # Errors
+    /// The disk is full.
+    fn check_capacity(&self, growth: usize) -> io::Result<()> {
+        let state = self.0.borrow();
+        let used: usize = state.files.values().map(|file| file.content().len()).sum();
+        let is_full = state.faults.capacity.is_some_and(|capacity| used + growth > capacity);
+        if is_full && growth > 0 {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    }
+
+    /// Returns by how much a file grows if it gets this length.
+    fn growth(&self, name: &str, length: usize) -> usize {
+        let state = self.0.borrow();
+        length.saturating_sub(state.files.get(name).map_or(0, |file| file.content().len()))
+    }
+
+    /// Counts a write of `length` bytes. Returns how many of them are written, and whether that succeeded: a kill may
+    /// interrupt the write.
+    fn count_write(&self, length: usize) -> (usize, io::Result<()>) {
+        let counted = self.count_operation().map(drop);
+        let state = self.0.borrow();
+        let is_interrupted =
+            state.faults.killed_at.is_some_and(|killed_at| state.operations == killed_at + 1);
+        let written = match &counted {
+            Ok(()) => length,
+            Err(_) if is_interrupted => state.faults.torn_length.min(length),
+            Err(_) => 0,
+        };
+        (written, counted)
+    }
+
+    fn write_pending(&self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        let mut state = self.0.borrow_mut();
+        let stored = state.files.get_mut(name).ok_or(io::ErrorKind::NotFound)?;
+        stored.pending.push(PendingWrite { offset: offset as usize, bytes: bytes.to_vec() });
+        Ok(())
+    }
 }
 
 impl Disk for MemoryDisk {
     type File = String;
+    type Lock = ();
 
     fn list(&self) -> io::Result<Vec<String>> {
         Ok(self.0.borrow().files.keys().cloned().collect())
@@ -159,16 +227,45 @@
 
     fn create(&mut self, name: &str, reserved: u64) -> io::Result<String> {
         self.count_operation()?;
+        self.check_capacity(reserved as usize)?;
         let file = StoredFile::of(vec![0; reserved as usize]);
         self.0.borrow_mut().files.insert(name.into(), file);
         Ok(name.into())
     }
 
     fn write(&mut self, file: &mut String, offset: u64, bytes: &[u8]) -> io::Result<()> {
-        self.count_operation()?;
-        let mut state = self.0.borrow_mut();
-        let stored = state.files.get_mut(file).ok_or(io::ErrorKind::NotFound)?;
-        stored.pending.push(PendingWrite { offset: offset as usize, bytes: bytes.to_vec() });
+        self.check_capacity(self.growth(file, offset as usize + bytes.len()))?;
+        let (written, counted) = self.count_write(bytes.len());
+        if written > 0 {
+            self.write_pending(file, offset, &bytes[..written])?;
+        }
+        counted
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let spare = format!("{name}.tmp");
+        self.check_capacity(self.growth(&spare, bytes.len()))?;
+        let (written, counted) = self.count_write(bytes.len());
+        if written > 0 {
+            let file = StoredFile::of(bytes[..written].to_vec());
+            self.0.borrow_mut().files.insert(spare.clone(), file);
+        }
+        counted?;
+        let sync = self.count_operation()?;
+        if self.0.borrow().faults.failing_sync == Some(sync) {
+            return Err(io::Error::other("injected sync failure"));
+        }
+        self.count_operation()?; // the rename
+        {
+            let mut state = self.0.borrow_mut();
+            let file = state.files.remove(&spare).ok_or(io::ErrorKind::NotFound)?;
+            state.files.insert(name.into(), file);
+        }
+        let _ = self.create(&spare, SPARE_BYTES);
+        Ok(())
+    }
+
+    fn lock(&mut self) -> io::Result<()> {
         Ok(())
     }
 
--- a/crates/ledger/src/retention.rs
+++ b/crates/ledger/src/retention.rs
@@ -1,16 +1,18 @@
 //! Deletes sealed segments that are too old or exceed the total size.
 
 use crate::disk::Disk;
-use crate::index;
+use crate::manifest_file;
 use crate::options::Options;
 use crate::record::{Millis, Record};
-use crate::segment::{read_segment, LocatedFrame, Scan, SegmentKind};
+use crate::segment::{read_segment, LocatedFrame, Scan, SegmentKind, SEGMENT_HEADER_LEN};
+use crate::segment_name::SegmentName;
 use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 
 /// A segment that is no longer written.
 pub(crate) struct SealedSegment {
     /// The name of its file.
-    pub(crate) name: String,
+    pub(crate) name: SegmentName,
     /// The size that counts towards the total, bytes.
     pub(crate) bytes: u64,
     /// The time of the newest record, or a later time.
@@ -19,11 +21,13 @@
     pub(crate) open_requests: BTreeSet<u64>,
     /// Whether it may contain requests of an earlier generation that will never finish.
     pub(crate) has_unresolved: bool,
+    /// Whether anything may have been written behind its header.
+    pub(crate) may_have_frames: bool,
 }
 
 impl SealedSegment {
     /// Creates the entry of an earlier generation's segment from its content.
-    fn inherited(name: String, content: &[u8], now: Millis) -> SealedSegment {
+    fn inherited(name: SegmentName, content: &[u8], now: Millis) -> SealedSegment {
         let scan = read_segment(content);
         let records = InheritedRecords::of(&scan, now);
         SealedSegment {
@@ -32,6 +36,7 @@
             newest_at: records.newest_at,
             open_requests: BTreeSet::new(),
             has_unresolved: !records.open_requests.is_empty() || !scan.damaged.is_empty(),
+            may_have_frames: content.iter().skip(SEGMENT_HEADER_LEN).any(|byte| *byte != 0),
         }
     }
 
@@ -105,42 +110,71 @@
     }
 
     /// Deletes segments that are too old or exceed the total size, the oldest first, up to the first that must be kept.
-    /// `own_prefix` is the prefix of this generation's file names.
     pub(crate) fn delete_surplus<D: Disk>(
-        &mut self, disk: &mut D, options: &Options, own_prefix: &str, now: Millis,
+        &mut self, disk: &mut D, options: &Options, own_generation: u64, now: Millis,
     ) {
-        let mut inherited = match self.inherited.take() {
-            Some(inherited) => inherited,
-            None => read_inherited(disk, own_prefix, now),
-        };
-        let mut total_bytes: u64 =
-            inherited.iter().chain(self.own.values()).map(|segment| segment.bytes).sum();
-        let mut surplus = Vec::new();
-        let mut inherited_surplus = 0;
-        for segment in &inherited {
-            if !segment.may_be_deleted(options, total_bytes, now) {
-                break;
+        if self.inherited.is_none() {
+            self.inherited = Some(read_inherited(disk, own_generation, now));
+        }
+        let surplus = self.surplus(options, now);
+        if surplus.is_empty() {
+            return;
+        }
+        // A reader must not take the absence of a segment for a proof. While that cannot be recorded, all are kept.
+        let recorded = manifest_file::update(disk, now, |manifest| {
+            for segment in &surplus {
+                manifest.drop_segment(segment.name, segment.may_have_frames);
             }
-            total_bytes -= segment.bytes;
-            inherited_surplus += 1;
+        });
+        if recorded.is_ok() {
+            let names: Vec<SegmentName> = surplus.iter().map(|segment| segment.name).collect();
+            self.forget(&names);
+            self.delete(disk, &names);
         }
-        surplus.extend(inherited.drain(..inherited_surplus));
-        if inherited.is_empty() {
-            while let Some(oldest) = self.own.first_entry() {
-                if !oldest.get().may_be_deleted(options, total_bytes, now) {
-                    break;
+    }
+
+    /// Deletes segments, in this order. If one cannot be deleted, the later ones of its generation stay, too: without them
+    /// it would show less than what happened. The next process tries again.
+    fn delete<D: Disk>(&mut self, disk: &mut D, names: &[SegmentName]) {
+        let mut undeleted_generations = BTreeSet::new();
+        for name in names {
+            if undeleted_generations.contains(&name.generation) {
+                continue;
+            }
+            match disk.remove(&name.to_string()) {
+                Err(error) if error.kind() != io::ErrorKind::NotFound => {
+                    undeleted_generations.insert(name.generation);
+                }
+                Ok(()) | Err(_) => {
+                    let _ = disk.remove(&name.index()); // without its segment, an index is not read
+                    self.deleted.push(name.to_string());
                 }
-                total_bytes -= oldest.get().bytes;
-                surplus.push(oldest.remove());
             }
         }
-        self.inherited = Some(inherited);
-        for segment in surplus {
-            // Errors are ignored: the next process finds a segment that could not be deleted, and tries again.
-            let _ = disk.remove(&segment.name);
-            let _ = disk.remove(&index::file_name(&segment.name));
-            self.deleted.push(segment.name);
+    }
+
+    /// Returns the segments to delete, in the order of their age. Those of earlier generations come first.
+    fn surplus(&self, options: &Options, now: Millis) -> Vec<&SealedSegment> {
+        let oldest_first = || self.inherited.iter().flatten().chain(self.own.values());
+        let mut total_bytes: u64 = oldest_first().map(|segment| segment.bytes).sum();
+        let mut surplus = Vec::new();
+        for segment in oldest_first() {
+            if !segment.may_be_deleted(options, total_bytes, now) {
+                break;
+            }
+            total_bytes -= segment.bytes;
+            surplus.push(segment);
         }
+        surplus
+    }
+
+    /// Removes segments that are about to be deleted from the lists.
+    fn forget(&mut self, names: &[SegmentName]) {
+        let names: BTreeSet<SegmentName> = names.iter().copied().collect();
+        self.inherited.iter_mut().for_each(|inherited| {
+            inherited.retain(|segment| !names.contains(&segment.name));
+        });
+        self.own.retain(|_, segment| !names.contains(&segment.name));
     }
 
     /// Returns the names of the segments deleted since the last call.
@@ -151,12 +185,13 @@
 
 /// Reads the segments of earlier generations, which may contain requests that will never finish. Returns them in the
 /// order of their age.
-fn read_inherited<D: Disk>(disk: &D, own_prefix: &str, now: Millis) -> Vec<SealedSegment> {
-    let mut names = disk.list().unwrap_or_default();
-    names.retain(|name| name.ends_with(".seg") && !name.starts_with(own_prefix));
+fn read_inherited<D: Disk>(disk: &D, own_generation: u64, now: Millis) -> Vec<SealedSegment> {
+    let files = disk.list().unwrap_or_default();
+    let mut names: Vec<SegmentName> = files.iter().filter_map(|file| SegmentName::parse(file)).collect();
+    names.retain(|name| name.generation != own_generation);
     names.sort();
-    let read = |name: String| {
-        let content = disk.read(&name).ok()?;
+    let read = |name: SegmentName| {
+        let content = disk.read(&name.to_string()).ok()?;
         Some(SealedSegment::inherited(name, &content, now))
     };
     let mut inherited: Vec<SealedSegment> = names.into_iter().filter_map(read).collect();
@@ -172,13 +207,8 @@
     for position in 1..segments.len() {
         let (earlier, later) = segments.split_at_mut(position);
         let (previous, segment) = (&earlier[position - 1], &mut later[0]);
-        if generation_part(&previous.name) == generation_part(&segment.name) {
+        if previous.name.generation == segment.name.generation {
             segment.newest_at = segment.newest_at.max(previous.newest_at);
         }
     }
 }
-
-/// Returns the part of a segment's file name before its number.
-fn generation_part(name: &str) -> Option<&str> {
-    name.rsplit_once('-').map(|(generation, _)| generation)
-}
--- a/crates/ledger/src/writer.rs
+++ b/crates/ledger/src/writer.rs
@@ -3,10 +3,12 @@
 use crate::disk::Disk;
 use crate::frame::encode;
 use crate::index;
+use crate::manifest_file;
 use crate::options::{Mode, OnFailure, Options};
 use crate::record::{Millis, Record};
 use crate::retention::{Retention, SealedSegment};
 use crate::segment::{SegmentHeader, SEGMENT_HEADER_LEN};
+use crate::segment_name::SegmentName;
 use std::collections::{BTreeSet, HashMap};
 use std::io;
 use thiserror::Error;
@@ -30,22 +32,10 @@
     started_at: Millis,
 }
 
-impl Generation {
-    /// Returns the prefix of its file names. Sorted by name, its segments are in the order in which they were written.
-    fn file_prefix(&self) -> String {
-        format!("ledger-{:016x}-", self.id)
-    }
-
-    fn segment_name(&self, number: u32) -> String {
-        format!("{}{number:08}.seg", self.file_prefix())
-    }
-}
-
 /// The segment that is being written.
 struct OpenSegment<F> {
     file: F,
-    name: String,
-    number: u32,
+    name: SegmentName,
     /// Bytes written so far, including the header.
     length: u64,
     /// The hashes of the correlation ids in the segment.
@@ -90,6 +80,7 @@
     open_requests: HashMap<u64, OpenRequest>,
     retention: Retention,
     counts: WriteCounts,
+    has_manifest: bool,
     has_segment: bool,
 }
 
@@ -111,41 +102,67 @@
             open_requests: HashMap::new(),
             retention: Retention::default(),
             counts: WriteCounts::default(),
+            has_manifest: false,
             has_segment: false,
         };
         let first_segment = writer.begin_segment(now);
         (writer, first_segment.map_err(WriteError::from))
     }
 
+    /// Creates the next segment, and the manifest before the first one.
     fn begin_segment(&mut self, now: Millis) -> io::Result<()> {
-        let number = self.next_segment;
-        let name = self.generation.segment_name(number);
         self.retry_at = now + RETRY_INTERVAL;
-        let mut file = match self.disk.create(&name, self.options.segment_bytes) {
-            Ok(file) => file,
-            Err(error) => {
-                let _ = self.disk.remove(&name);
-                return Err(error);
-            }
-        };
-        let header = SegmentHeader {
+        if !self.has_manifest {
+            manifest_file::prepare(&mut self.disk, &self.options, now)?;
+            self.has_manifest = true;
+        }
+        let name = SegmentName { generation: self.generation.id, number: self.next_segment };
+        let file = self.create_segment(name, now).inspect_err(|error| self.discard_segment(name, error))?;
+        self.next_segment += 1;
+        self.has_segment = true;
+        let length = SEGMENT_HEADER_LEN as u64;
+        self.open_segment = Some(OpenSegment { file, name, length, id_hashes: BTreeSet::new() });
+        Ok(())
+    }
+
+    /// Creates a segment, writes its header and lists it in the manifest. No frame may be written before that: a reader
+    /// could not notice its absence.
+    fn create_segment(&mut self, name: SegmentName, now: Millis) -> io::Result<D::File> {
+        let segment_bytes = self.options.segment_bytes;
+        let started_at = self.generation.started_at;
+        let mut file = self.disk.create(&name.to_string(), segment_bytes)?;
+        self.disk.write(&mut file, 0, &self.segment_header(name.number).encode())?;
+        if self.options.mode == Mode::Power {
+            self.disk.sync(&mut file)?;
+            self.counts.syncs += 1;
+        }
+        manifest_file::update(&mut self.disk, now, |manifest| {
+            manifest.add_segment(name, started_at, segment_bytes);
+        })?;
+        Ok(file)
+    }
+
+    fn segment_header(&self, number: u32) -> SegmentHeader {
+        SegmentHeader {
             proxy: self.options.proxy.clone(),
             generation: self.generation.id,
             started_at: self.generation.started_at,
             number,
             first_sequence: self.sequence + 1,
             sends_unrecorded: self.options.on_failure == OnFailure::SendUnrecorded,
-        };
-        self.next_segment += 1;
-        self.disk.write(&mut file, 0, &header.encode())?;
-        if self.options.mode == Mode::Power {
-            self.disk.sync(&mut file)?;
-            self.counts.syncs += 1;
         }
-        self.has_segment = true;
-        let length = SEGMENT_HEADER_LEN as u64;
-        self.open_segment = Some(OpenSegment { file, name, number, length, id_hashes: BTreeSet::new() });
-        Ok(())
+    }
+
+    /// Deletes a segment that could not be created completely. If its file remains, its number is not used again.
+    fn discard_segment(&mut self, name: SegmentName, error: &io::Error) {
+        let is_file_absent = error.kind() != io::ErrorKind::AlreadyExists
+            && match self.disk.remove(&name.to_string()) {
+                Ok(()) => true,
+                Err(error) => error.kind() == io::ErrorKind::NotFound,
+            };
+        if !is_file_absent {
+            self.next_segment += 1;
+        }
     }
 
     /// Writes records as durably as the mode requires. A single write contains all of them.
@@ -217,7 +234,7 @@
         }
         match record {
             Record::Taken { request, id, .. } => {
-                let open_request = OpenRequest { id_hash: index::hash(id), segment: open.number };
+                let open_request = OpenRequest { id_hash: index::hash(id), segment: open.name.number };
                 self.open_requests.insert(*request, open_request);
             }
             Record::Ended { request, .. } => {
@@ -239,10 +256,10 @@
         let Some(open) = self.open_segment.take() else { return };
         let bytes = index::encode(&open.id_hashes, self.sequence);
         // Errors are ignored: a segment without an index is read in full.
-        let index = self.disk.create(&index::file_name(&open.name), 0);
+        let index = self.disk.create(&open.name.index(), 0);
         let _ = index.and_then(|mut file| self.disk.write(&mut file, 0, &bytes));
         self.retain_segment(open, now);
-        self.retention.delete_surplus(&mut self.disk, &self.options, &self.generation.file_prefix(), now);
+        self.retention.delete_surplus(&mut self.disk, &self.options, self.generation.id, now);
     }
 
     /// Closes the open segment after a failure, without an index.
@@ -254,16 +271,18 @@
     }
 
     fn retain_segment(&mut self, open: OpenSegment<D::File>, now: Millis) {
+        let number = open.name.number;
         let received_here =
-            self.open_requests.iter().filter(|(_, open_request)| open_request.segment == open.number);
+            self.open_requests.iter().filter(|(_, open_request)| open_request.segment == number);
         let sealed = SealedSegment {
             name: open.name,
             bytes: open.length,
             newest_at: now,
             open_requests: received_here.map(|(request, _)| *request).collect(),
             has_unresolved: false,
+            may_have_frames: true,
         };
-        self.retention.add(open.number, sealed);
+        self.retention.add(number, sealed);
     }
 
     /// Ends the generation gracefully.
@@ -272,6 +291,11 @@
     /// The disk failed. To readers, the process then appears to have crashed.
     pub fn close(&mut self, now: Millis) -> Result<(), WriteError> {
         self.append(now, &[Record::Closed { at: now }])?;
+        let (generation, last_sequence) = (self.generation.id, self.sequence);
+        // An error is ignored: the record that was just written shows the same as long as it can be read.
+        let _ = manifest_file::update(&mut self.disk, now, |manifest| {
+            manifest.close(generation, last_sequence);
+        });
         self.seal_segment(now);
         Ok(())
     }
--- a/crates/ledger/tests/crash/kept.rs
+++ b/crates/ledger/tests/crash/kept.rs
@@ -1,7 +1,7 @@
 //! Checks which segments are kept and which are deleted.
 
 use crate::scenario::{history, id, record, Step};
-use lotusdeck_ledger::memory_disk::MemoryDisk;
+use lotusdeck_ledger::memory_disk::{Faults, MemoryDisk};
 use lotusdeck_ledger::{Disk, End, Mode, OnFailure, Options, SendState, Writer};
 
 /// Old segments are deleted, but a segment with an unresolved request only when its age reaches `keep_unresolved`.
@@ -72,3 +72,24 @@
     assert_eq!(shown[0].send_state(), SendState::PossiblySent, "{shown:?}");
     assert!(next.take_deleted().is_empty());
 }
+
+/// On a disk that others have filled, retention makes the room that recording what it deletes needs.
+#[test]
+fn full_disk_does_not_keep_retention_from_making_room() {
+    let disk = MemoryDisk::default();
+    let options = Options {
+        segment_bytes: 1000,
+        keep_bytes: 2500,
+        ..Options::new("n0", Mode::Process, OnFailure::RejectRequests)
+    };
+    let (mut writer, _) = Writer::open(disk.clone(), options, 1, 0);
+    let mut append = |request| {
+        let records = [record(Step::Take(request), 1), record(Step::Settle(request), 1)];
+        writer.append(1, &records).unwrap();
+    };
+    let used = || -> usize { disk.list().unwrap().iter().map(|name| disk.read(name).unwrap().len()).sum() };
+    (0..40).for_each(&mut append);
+    disk.set_faults(Faults { capacity: Some(used()), ..Faults::default() });
+    (40..90).for_each(&mut append);
+    assert!(disk.list().unwrap().iter().all(|name| !name.ends_with("-00000003.seg")));
+}
--- a/crates/ledger/tests/crash/main.rs
+++ b/crates/ledger/tests/crash/main.rs
@@ -2,6 +2,8 @@
 
 mod damage;
 mod kept;
+mod lost_records;
+mod model;
 mod random;
 mod scenario;
 
@@ -67,7 +69,7 @@
 fn attempt_whose_intent_failed_to_sync_is_not_sent() {
     for operation in 0..40 {
         let faults =
-            Faults { full_from: Some(operation), failing_sync: None, recovers_at: Some(operation + 1) };
+            Faults { full_from: Some(operation), recovers_at: Some(operation + 1), ..Faults::default() };
         let disk = MemoryDisk::with_faults(faults);
         let mut scenario = Scenario::new(disk.clone(), Mode::Power, OnFailure::RejectRequests, 641);
         scenario.steps(&SHORT_HISTORY);
--- a/crates/ledger/tests/crash/random.rs
+++ b/crates/ledger/tests/crash/random.rs
@@ -23,7 +23,7 @@
     step: Step,
 }
 
-fn steps() -> impl Strategy<Value = Vec<Step>> {
+pub(crate) fn steps() -> impl Strategy<Value = Vec<Step>> {
     let end = prop_oneof![
         Just(End::NeverSent),
         Just(End::Answered(200)),
@@ -68,7 +68,7 @@
         recovers_at in 0usize..60,
         kept in 0usize..4, torn in 0usize..200, close in any::<bool>(),
     ) {
-        let faults = Faults { full_from, failing_sync, recovers_at: Some(recovers_at) };
+        let faults = Faults { full_from, failing_sync, recovers_at: Some(recovers_at), ..Faults::default() };
         let disk = MemoryDisk::with_faults(faults);
         let mode = if power { Mode::Power } else { Mode::Process };
         let on_failure = if sends_unrecorded { OnFailure::SendUnrecorded } else { OnFailure::RejectRequests };
--- a/crates/ledger/tests/crash/scenario.rs
+++ b/crates/ledger/tests/crash/scenario.rs
@@ -4,7 +4,7 @@
 use lotusdeck_ledger::{
     AttemptOutcome, End, History, Mode, OnFailure, Options, Record, Request, SendState, Writer,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What happened to a request: for each attempt that may have written a byte, its end, or `None` while it is in
 /// flight.
@@ -68,17 +68,39 @@
 
 /// A history that is written to a disk step by step.
 pub(crate) struct Scenario {
+    disk: MemoryDisk,
     writer: Writer<MemoryDisk>,
     on_failure: OnFailure,
     pub(crate) truth: Truth,
+    /// The ids of requests whose records cannot prove what happened, because one of them was not written.
+    pub(crate) unproved: BTreeSet<String>,
+    /// The attempts of which only the intent was written.
+    pub(crate) open_attempts: BTreeSet<(String, u32)>,
+    /// Whether a record could not be written although the process was not killed.
+    pub(crate) has_lost_records: bool,
     pub(crate) now: u64,
 }
 
 impl Scenario {
     pub(crate) fn new(disk: MemoryDisk, mode: Mode, on_failure: OnFailure, segment_bytes: u64) -> Scenario {
         let options = Options { segment_bytes, ..Options::new("n0", mode, on_failure) };
-        let (writer, _) = Writer::open(disk, options, 0xab, 1000);
-        Scenario { writer, on_failure, truth: Truth::new(), now: 1000 }
+        Scenario::start(disk, options, 0xab, 1000)
+    }
+
+    /// Starts a process.
+    pub(crate) fn start(disk: MemoryDisk, options: Options, generation: u64, now: u64) -> Scenario {
+        let on_failure = options.on_failure;
+        let (writer, _) = Writer::open(disk.clone(), options, generation, now);
+        Scenario {
+            disk,
+            writer,
+            on_failure,
+            truth: Truth::new(),
+            unproved: BTreeSet::new(),
+            open_attempts: BTreeSet::new(),
+            has_lost_records: false,
+            now,
+        }
     }
 
     /// Writes the record of a step and updates `truth` as the core would act: an attempt is sent only if its intent is
@@ -99,8 +121,9 @@
             return;
         }
         let is_durable = self.writer.append(self.now, &[record(step, self.now)]).is_ok();
-        let may_send =
-            is_durable || self.on_failure == OnFailure::SendUnrecorded && self.writer.has_segment();
+        self.track_records(step, is_durable);
+        let sends_unrecorded = self.on_failure == OnFailure::SendUnrecorded && self.writer.has_segment();
+        let may_send = is_durable || sends_unrecorded && !self.disk.is_killed();
         match step {
             Step::Take(request) => {
                 self.truth.entry(id(request)).or_default();
@@ -117,6 +140,27 @@
         }
     }
 
+    /// Returns whether the process has listed a segment in the manifest.
+    pub(crate) fn has_segment(&self) -> bool {
+        self.writer.has_segment()
+    }
+
+    /// Notes what the records prove.
+    fn track_records(&mut self, step: Step, is_durable: bool) {
+        self.has_lost_records |= !is_durable && !self.disk.is_killed();
+        let (Step::Take(request) | Step::Send(request, _) | Step::End(request, ..) | Step::Settle(request)) =
+            step
+        else {
+            return;
+        };
+        match step {
+            _ if !is_durable => drop(self.unproved.insert(id(request))),
+            Step::Send(_, attempt) => drop(self.open_attempts.insert((id(request), attempt))),
+            Step::End(_, attempt, _) => drop(self.open_attempts.remove(&(id(request), attempt))),
+            _ => {}
+        }
+    }
+
     pub(crate) fn steps(&mut self, steps: &[Step]) {
         steps.iter().for_each(|step| self.step(*step));
     }
--- a/crates/lotusdeck/src/ledger/format.rs
+++ b/crates/lotusdeck/src/ledger/format.rs
@@ -30,7 +30,7 @@
 }
 
 /// Formats milliseconds as seconds with three decimals.
-fn seconds(ms: u64) -> String {
+pub(super) fn seconds(ms: u64) -> String {
     format!("{}.{:03}", ms / 1000, ms % 1000)
 }
 
--- a/crates/lotusdeck/src/ledger/mod.rs
+++ b/crates/lotusdeck/src/ledger/mod.rs
@@ -140,6 +140,7 @@
             for request in &history.requests() {
                 print(&format::json(request));
             }
+            warn_if_incomplete(&history, &history.faults);
         }
         Command::Verify { .. } => return verify(&history),
     }
@@ -160,22 +161,41 @@
             Format::Csv => format::csv(request),
         });
     }
-    if format == Format::Table {
-        if found.is_empty() {
-            print_none_found(history);
-        }
-        for fault in &history.faults {
-            print(&format!("note: {fault}\n"));
-        }
+    if format != Format::Table {
+        warn_if_incomplete(history, &history.faults);
+        return;
+    }
+    if found.is_empty() {
+        print_none_found(history);
+    }
+    for fault in &history.faults {
+        print(&format!("note: {fault}\n"));
+    }
+    warn_if_incomplete(history, &[]);
+}
+
+/// Prints to the standard error stream why requests may be missing, as the output alone does not show it. `faults` are
+/// those that the output does not contain.
+fn warn_if_incomplete(history: &History, faults: &[String]) {
+    if history.is_complete() {
+        return;
+    }
+    eprintln!("lotusdeck: records may be missing: nothing is proved of requests that are not listed");
+    for message in faults.iter().chain(&history.notes) {
+        eprintln!("lotusdeck: {message}");
     }
 }
 
 fn print_none_found(history: &History) {
-    print(if history.is_complete() {
-        "none: no record of such a request, and none is missing: it was never sent\n"
-    } else {
-        "none: no record of such a request, but records may be missing: nothing is proved\n"
-    });
+    if !history.is_complete() {
+        print("none: no record of such a request, but records may be missing: nothing is proved\n");
+        return;
+    }
+    print("none: no record of such a request, and none is missing: it was never sent\n");
+    for folder in &history.folders {
+        let started_at = folder.started_at.map_or("an unknown time".into(), format::seconds);
+        print(&format!("note: {}: records since {started_at}, and of no earlier request\n", folder.name));
+    }
 }
 
 fn verify(history: &History) -> ExitCode {
@@ -186,6 +206,7 @@
     for fault in &history.faults {
         print(&format!("{fault}\n"));
     }
+    warn_if_incomplete(history, &[]);
     if !history.faults.is_empty() {
         return ExitCode::FAILURE;
     }
--- a/crates/lotusdeck/tests/ledger.rs
+++ b/crates/lotusdeck/tests/ledger.rs
@@ -118,3 +118,70 @@
     assert!(closed.contains("it was never sent"), "{closed}");
     assert!(run_ledger(&folder, &["verify"]).contains("nothing is damaged"));
 }
+
+/// Runs a command on the ledger's folder and returns its exit code and what it printed to its two streams.
+fn run_ledger_command(folder: &Path, args: &[&str]) -> (i32, String, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lotusdeck"));
+    let output = command.arg("ledger").args(args).arg(folder.join("ledger")).output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (output.status.code().unwrap(), text(output.stdout), text(output.stderr))
+}
+
+/// Guards against "it was never sent" of an order that a backend ran, after restarts whose retention dropped its segment.
+#[test]
+fn an_order_whose_segment_was_dropped_is_not_said_to_be_never_sent() {
+    let folder = empty_folder("dropped");
+    let backend = BackendServer::start(|_| ok("x"));
+    let list = [entry("b0", backend.address, "SERVING")];
+    let operator = operator_file(&folder, "keep_mb = 2");
+    let mut orders = Vec::new();
+    for _ in 0..4 {
+        let mut proxy = Proxy::with_operator_file(&list, &operator);
+        orders.push(pay(3.0));
+        assert_eq!(proxy.ask(&orders[orders.len() - 1]).status(), 200);
+        proxy.signal("TERM");
+        proxy.child.wait().unwrap();
+    }
+    let by_id = ["query", "--id", id_of(&orders[0])];
+    let (_, answer, warning) = run_ledger_command(&folder, &by_id);
+    assert!(answer.contains("nothing is proved"), "{answer}");
+    assert!(warning.contains("by their age or the folder's size"), "{warning}");
+    let (_, answer, _) = run_ledger_command(&folder, &["query", "--id", id_of(&orders[3])]);
+    assert!(answer.contains("sent, answered 200"), "{answer}");
+    // What programs read keeps its form; the standard error stream says that it may be incomplete.
+    for args in [&[by_id.as_slice(), &["--format", "json"]].concat(), &vec!["export"]] {
+        let (code, _, warning) = run_ledger_command(&folder, args);
+        assert!(
+            code == 0 && warning.contains("nothing is proved of requests that are not listed"),
+            "{warning}"
+        );
+    }
+    let (code, answer, warning) = run_ledger_command(&folder, &["verify"]);
+    assert!(code == 0 && answer.contains("nothing is damaged"), "retention is no damage: {answer}");
+    assert!(warning.contains("by their age or the folder's size"), "{warning}");
+}
+
+/// Guards against the same where someone deleted files of the folder.
+#[test]
+fn verify_tells_of_files_that_someone_deleted() {
+    let folder = empty_folder("deleted");
+    let backend = BackendServer::start(|_| ok("x"));
+    let list = [entry("b0", backend.address, "SERVING")];
+    let operator = operator_file(&folder, "");
+    let order = pay(3.0);
+    let mut proxy = Proxy::with_operator_file(&list, &operator);
+    assert_eq!(proxy.ask(&order).status(), 200);
+    proxy.signal("TERM");
+    proxy.child.wait().unwrap();
+    let (code, answer, _) = run_ledger_command(&folder, &["verify"]);
+    assert!(code == 0 && answer.contains("nothing is damaged"), "{answer}");
+    let (_, answer, _) = run_ledger_command(&folder, &["query", "--id", "never-seen"]);
+    assert!(answer.contains("it was never sent") && answer.contains("records since "), "{answer}");
+    let files = std::fs::read_dir(folder.join("ledger")).unwrap().map(|file| file.unwrap().path());
+    let is_segment = |path: &PathBuf| path.extension().is_some_and(|extension| extension == "seg");
+    files.filter(is_segment).for_each(|path| std::fs::remove_file(path).unwrap());
+    let (code, answer, _) = run_ledger_command(&folder, &["verify"]);
+    assert!(code == 1 && answer.contains("all segments of generation"), "{answer}");
+    let (_, answer, _) = run_ledger_command(&folder, &["query", "--id", id_of(&order)]);
+    assert!(answer.contains("nothing is proved"), "{answer}");
+}
