Ledger query: a filter that excludes a recorded request does not prove it never sent

Cause: that sentence was printed whenever no request passed all filters and no record was missing. This proves something of the id and the key alone.

Why this works: where requests of that id and key are recorded, the answer says how many fit without the other filters. The conclusions are left to names without any record.

--- a/crates/lotusdeck/src/ledger/mod.rs
+++ b/crates/lotusdeck/src/ledger/mod.rs
@@ -94,13 +94,18 @@
 
 impl Filter {
     fn matches(&self, request: &Request) -> bool {
-        self.id.as_ref().is_none_or(|id| *id == request.id)
-            && self.key.as_ref().is_none_or(|key| *key == request.key)
+        self.matches_name(request)
             && self.backend.as_ref().is_none_or(|backend| may_have_reached(request, backend))
             && self.matches_time(request)
             && self.state.is_none_or(|state| state == State::of(request))
     }
 
+    /// Returns whether the request has the id and the key that are asked for.
+    fn matches_name(&self, request: &Request) -> bool {
+        self.id.as_ref().is_none_or(|id| *id == request.id)
+            && self.key.as_ref().is_none_or(|key| *key == request.key)
+    }
+
     /// Returns whether the request was received in the range of time, which the clock skew widens. A request whose time
     /// is lost always matches.
     fn matches_time(&self, request: &Request) -> bool {
@@ -166,7 +171,7 @@
         return;
     }
     if found.is_empty() {
-        print_none_found(history);
+        print_none_found(history, filter);
     }
     for fault in &history.faults {
         print(&format!("note: {fault}\n"));
@@ -186,7 +191,17 @@
     }
 }
 
-fn print_none_found(history: &History) {
+/// Prints what it means that no request matches. A request that was never sent has no record under its name, whatever
+/// else is asked for.
+fn print_none_found(history: &History, filter: &Filter) {
+    let named = history.requests().into_iter().filter(|request| filter.matches_name(request)).count();
+    if named > 0 {
+        let verb = if named == 1 { "does" } else { "do" };
+        print(&format!(
+            "none: no record fits all filters; {named} {verb} without --backend, --since, --until and --state\n"
+        ));
+        return;
+    }
     if !history.is_complete() {
         print("none: no record of such a request, but records may be missing: nothing is proved\n");
         return;
--- a/crates/lotusdeck/tests/ledger.rs
+++ b/crates/lotusdeck/tests/ledger.rs
@@ -185,3 +185,24 @@
     let (_, answer, _) = run_ledger_command(&folder, &["query", "--id", id_of(&order)]);
     assert!(answer.contains("nothing is proved"), "{answer}");
 }
+
+/// Guards against "it was never sent" of an order that is recorded, where another part of the query does not fit it.
+#[test]
+fn a_recorded_order_is_not_said_to_be_never_sent_because_of_another_filter() {
+    let folder = empty_folder("filter");
+    let backend = BackendServer::start(|_| ok("x"));
+    let list = [entry("b0", backend.address, "SERVING")];
+    let mut proxy = Proxy::with_operator_file(&list, &operator_file(&folder, ""));
+    let order = pay(3.0);
+    assert_eq!(proxy.ask(&order).status(), 200);
+    proxy.signal("TERM");
+    proxy.child.wait().unwrap();
+    let id = id_of(&order);
+    for filter in [["--state", "never-sent"], ["--since", "4e9"], ["--until", "1"], ["--backend", "b9"]] {
+        let (_, answer, _) = run_ledger_command(&folder, &[&["query", "--id", id], &filter[..]].concat());
+        assert!(!answer.contains("it was never sent"), "{filter:?}: {answer}");
+        assert!(answer.contains("no record fits all filters; 1 does"), "{filter:?}: {answer}");
+    }
+    let (_, answer, _) = run_ledger_command(&folder, &["query", "--id", "another", "--state", "sent"]);
+    assert!(answer.contains("it was never sent"), "{answer}");
+}
