Ledger query: a name longer than its record is found

Cause: records keep the first 512 bytes of a text; the command compared them with the whole one.

Evidence: an_order_is_found_by_a_key_that_is_longer_than_its_record failed before with that sentence, with the real program.

Why this works: the command cuts the id, the key and the backend of a query as the records do.

--- a/crates/lotusdeck/src/ledger/mod.rs
+++ b/crates/lotusdeck/src/ledger/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::print;
 use clap::{Subcommand, ValueEnum};
-use lotusdeck_ledger::{AttemptOutcome, Folder, History, Request, SendState};
+use lotusdeck_ledger::{AttemptOutcome, Folder, History, Ledger, Request, SendState};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -43,7 +43,7 @@
     },
 }
 
-#[derive(clap::Args)]
+#[derive(Clone, clap::Args)]
 struct Filter {
     /// Of this correlation id.
     #[arg(long)]
@@ -106,6 +106,17 @@
             && self.key.as_ref().is_none_or(|key| *key == request.key)
     }
 
+    /// Returns the filter with its names as records keep them.
+    fn truncated(&self) -> Filter {
+        let truncate = |name: &Option<String>| name.as_deref().map(Ledger::truncate_text);
+        Filter {
+            id: truncate(&self.id),
+            key: truncate(&self.key),
+            backend: truncate(&self.backend),
+            ..self.clone()
+        }
+    }
+
     /// Returns whether the request was received in the range of time, which the clock skew widens. A request whose time
     /// is lost always matches.
     fn matches_time(&self, request: &Request) -> bool {
@@ -127,13 +138,13 @@
 /// cannot be read.
 pub(crate) fn main(args: &Args) -> ExitCode {
     let (folders, id) = match &args.command {
-        Command::Query { folders, filter, .. } => (folders, filter.id.as_deref()),
+        Command::Query { folders, filter, .. } => (folders, filter.truncated().id),
         Command::Verify { folders } | Command::Export { folders } => (folders, None),
     };
     let mut history = History::default();
     for folder in folders {
         let name = folder.display().to_string();
-        let read = Folder::existing(folder).and_then(|disk| history.add(&name, &disk, id));
+        let read = Folder::existing(folder).and_then(|disk| history.add(&name, &disk, id.as_deref()));
         if let Err(error) = read {
             eprintln!("lotusdeck: {name}: {error}");
             return ExitCode::from(crate::EXIT_INVALID_INPUT);
@@ -153,6 +164,7 @@
 }
 
 fn query(history: &History, filter: &Filter, format: Format) {
+    let filter = &filter.truncated();
     let mut found = history.requests();
     found.retain(|request| filter.matches(request));
     found.sort_by_key(|request| request.taken_at);
--- a/crates/lotusdeck/tests/ledger.rs
+++ b/crates/lotusdeck/tests/ledger.rs
@@ -206,3 +206,18 @@
     let (_, answer, _) = run_ledger_command(&folder, &["query", "--id", "another", "--state", "sent"]);
     assert!(answer.contains("it was never sent"), "{answer}");
 }
+
+/// Guards against the same where the key is longer than records keep it.
+#[test]
+fn an_order_is_found_by_a_key_that_is_longer_than_its_record() {
+    let folder = empty_folder("long-key");
+    let backend = BackendServer::start(|_| ok("x"));
+    let list = [entry("b0", backend.address, "SERVING")];
+    let mut proxy = Proxy::with_operator_file(&list, &operator_file(&folder, ""));
+    let key = "k".repeat(700);
+    assert_eq!(proxy.ask(&pay(3.0).replace("/pay/k1", &format!("/pay/{key}"))).status(), 200);
+    proxy.signal("TERM");
+    proxy.child.wait().unwrap();
+    let (_, answer, _) = run_ledger_command(&folder, &["query", "--key", &key]);
+    assert!(answer.contains("sent, answered 200"), "{answer}");
+}
