Ledger: the number of a failed gap record is not used again

What callers saw: in mode power with on_failure go-on, an order that was sent could read as "never sent": two writes in a row fail, the second one's frames reach the disk all the same, and the process shuts down in an orderly way.

Cause: a failed write uses up the numbers of its records, but not that of the gap record in front of them. The next gap record took the number of the failed write's last record, and a reader keeps one record for each number.

Evidence: records_of_failed_appends_are_not_overwritten failed before (a sent request without an attempt).

Why this works: the number is used up before the frame is written, whatever becomes of it.

--- a/crates/ledger/src/memory_disk.rs
+++ b/crates/ledger/src/memory_disk.rs
@@ -58,6 +58,8 @@
     pub full_from: Option<usize>,
     /// The operation that fails if it is a sync; the writes that it should make durable are lost.
     pub failing_sync: Option<usize>,
+    /// Whether the writes of the failing sync become durable all the same.
+    pub keeps_unsynced: bool,
     /// The first operation for which the disk is no longer full.
     pub recovers_at: Option<usize>,
     /// The total size of all files in bytes beyond which the disk is full.
@@ -273,9 +275,13 @@
         let operation = self.count_operation()?;
         let mut state = self.0.borrow_mut();
         let fails = state.faults.failing_sync == Some(operation);
+        let keeps_unsynced = state.faults.keeps_unsynced;
         let stored = state.files.get_mut(file).ok_or(io::ErrorKind::NotFound)?;
         if fails {
-            // The writes are dropped as by a page cache: a second sync would succeed.
+            if keeps_unsynced {
+                stored.synced = stored.content();
+            }
+            // Otherwise the writes are dropped as by a page cache: a second sync would succeed.
             stored.pending.clear();
             return Err(io::Error::other("injected sync failure"));
         }
--- a/crates/ledger/src/writer.rs
+++ b/crates/ledger/src/writer.rs
@@ -207,6 +207,10 @@
             self.begin_segment(now)?;
         }
         let Some(open) = self.open_segment.as_mut() else { return Ok(()) };
+        if gap.is_some() {
+            // Its frame may reach the disk even if this fails, as those of the records may, which the caller counts then.
+            self.sequence += 1;
+        }
         self.disk.write(&mut open.file, open.length, &bytes)?;
         if self.options.mode == Mode::Power {
             self.disk.sync(&mut open.file)?;
--- a/crates/ledger/tests/crash/main.rs
+++ b/crates/ledger/tests/crash/main.rs
@@ -8,7 +8,7 @@
 mod scenario;
 
 use lotusdeck_ledger::memory_disk::{Faults, MemoryDisk};
-use lotusdeck_ledger::{Disk, Mode, OnFailure, Options, SendState, Writer};
+use lotusdeck_ledger::{Disk, Mode, OnFailure, Options, Request, SendState, Writer};
 use scenario::{compare, history, id, power_losses, record, Scenario, Step, SHORT_HISTORY};
 use std::collections::BTreeMap;
 
@@ -96,3 +96,41 @@
     assert_eq!(compare(&shown, &old.truth), Ok(0));
     assert_eq!(shown.find("request-0007")[0].send_state(), SendState::PossiblySent);
 }
+
+/// Guards against a record that is overwritten because its sequence number is used again: an append fails, and the next
+/// one fails as well, but its frames reach the disk. With [`OnFailure::SendUnrecorded`] its request is sent.
+#[test]
+fn records_of_failed_appends_are_not_overwritten() {
+    let mut has_reached_the_disk = false;
+    for (full, failing_sync) in (0..20).flat_map(|full| (full..30).map(move |sync| (full, sync))) {
+        let faults = Faults {
+            full_from: Some(full),
+            recovers_at: Some(full + 1),
+            failing_sync: Some(failing_sync),
+            keeps_unsynced: true,
+            ..Faults::default()
+        };
+        let disk = MemoryDisk::with_faults(faults);
+        let options = Options::new("n0", Mode::Power, OnFailure::SendUnrecorded);
+        let (mut writer, _) = Writer::open(disk.clone(), Options { segment_bytes: 4096, ..options }, 1, 0);
+        let mut has_segment = false;
+        for request in 0..4 {
+            let now = 1000 * (request + 1);
+            has_segment |= writer.has_segment();
+            let records = [record(Step::Take(request), now), record(Step::Send(request, 0), now)];
+            let is_durable = writer.append(now, &records).is_ok();
+            if is_durable || has_segment {
+                let shown = history(&disk.after_power_loss(0, 0));
+                let found = shown.find(&id(request));
+                has_reached_the_disk |= !is_durable && !found.is_empty();
+                let is_denied = |request: &Request| request.send_state() == SendState::NeverSent;
+                assert!(!found.iter().any(is_denied), "{full}, {failing_sync}, request {request}: {found:?}");
+            }
+        }
+        let _ = writer.close(10_000);
+        let shown = history(&disk.after_power_loss(0, 0));
+        let is_sent = |request: &Request| request.send_state() != SendState::NeverSent;
+        assert!(shown.requests().iter().all(is_sent), "{full}, {failing_sync}: {:?}", shown.requests());
+    }
+    assert!(has_reached_the_disk);
+}
--- a/crates/ledger/tests/crash/model.rs
+++ b/crates/ledger/tests/crash/model.rs
@@ -79,16 +79,17 @@
     let killed_at = proptest::option::weighted(0.5, 0usize..90);
     let full = proptest::option::weighted(0.15, (0usize..60, 1usize..20));
     let failing_sync = proptest::option::weighted(0.15, 0usize..60);
-    (killed_at, 0usize..200, full, failing_sync).prop_map(|(killed_at, torn_length, full, failing_sync)| {
-        Faults {
+    (killed_at, 0usize..200, full, failing_sync, any::<bool>()).prop_map(
+        |(killed_at, torn_length, full, failing_sync, keeps_unsynced)| Faults {
             killed_at,
             torn_length,
             full_from: full.map(|(from, _)| from),
             recovers_at: full.map(|(from, length)| from + length),
             failing_sync,
+            keeps_unsynced,
             capacity: None,
-        }
-    })
+        },
+    )
 }
 
 /// Returns lives of a folder that nobody touches, or that someone does.
