Requests open at SIGTERM get their answer before the earliest kill, whatever their deadline

What callers saw: the connection of an order closed without an answer 2.7 s after SIGTERM, while its backend ran it; a SIGHUP had shortened the deadline of its class before. An order with over 3 s left could also wait for its answer until after the earliest SIGKILL.

Cause: the process ends by the longest deadline of the settings in force at SIGTERM (3 s at most for answers). Requests that come later get no more time than that; those that were open kept a deadline that may be later.

Why this works: 0.1 s before the earliest SIGKILL the host ends what is still open as at its deadline: an answer that has begun is passed on, or the balancer gives the final one. By which settings the kill is counted where they have just changed is not said, so the earlier time counts: waiting longer could leave an order without any answer.

--- a/crates/core/src/host/request.rs
+++ b/crates/core/src/host/request.rs
@@ -95,6 +95,15 @@
         self.cancel_orphaned_attempts(id);
     }
 
+    /// Ends all open requests as if their deadlines had passed, in the order of their arrival.
+    pub fn expire_open_requests(self: &Rc<Self>) {
+        let mut open: Vec<RequestId> = self.state.borrow().requests.keys().copied().collect();
+        open.sort();
+        for id in open {
+            self.deadline_expired(id);
+        }
+    }
+
     /// Records that the request's body was received completely: its deadline and the latency of its attempts count
     /// from now.
     pub fn body_received(self: &Rc<Self>, id: RequestId, time_left: Micros) {
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tracing::info;
 
@@ -111,14 +112,15 @@
         self.accept_until(&listener, stop).await;
         self.is_accepting.set(false);
         let stopped_at = Instant::now();
-        // No answers are due after the longest deadline. A client that holds a connection open with an incomplete
-        // request does not keep the program running.
+        // No answers are due after the longest deadline: requests that came under a longer one get theirs before. A client
+        // that holds a connection open with an incomplete request does not keep the program running.
         let settings = self.host.settings();
         let longest_deadline =
             to_duration(settings.network.deadlines.iter().max().copied().unwrap_or_default());
         let ends_at = stopped_at + longest_deadline + KILL_GRACE;
         let answers_end_at = stopped_at + longest_deadline.min(MAX_ANSWER_TIME) + KILL_GRACE - FLUSH_TIME;
         self.front.shutdown_deadline.set(Some(answers_end_at));
+        spawn_local(expire_requests_at(answers_end_at, self.host.clone()));
         if inherited {
             drop(listener);
         } else {
@@ -149,3 +151,10 @@
         }
     }
 }
+
+/// Answers the requests that are still open at the time `end`. Their own deadlines may be later than the kill of the
+/// process: they may exceed [`MAX_ANSWER_TIME`], or the settings in force when they arrived may have been replaced.
+async fn expire_requests_at(end: Instant, host: Rc<Host>) {
+    tokio::time::sleep_until(end).await;
+    host.expire_open_requests();
+}
