Ledger: in an upgrade, the segment that the other process writes is not deleted

What callers saw: records of orders of the old process went to a deleted file, so that the ledger had none of them later.

Cause: at its first sealed segment a process takes all other segments of the folder for those of earlier processes, and deletes the oldest resolved ones that are surplus. The one that the old process was writing counted among them.

Evidence: segment_that_another_process_writes_is_not_deleted failed before (the file of the write was gone).

Why this works: a process locks the segment that it writes, and the lock ends with the process, however that ends. Retention leaves locked segments to the next process.

--- a/crates/ledger/src/disk.rs
+++ b/crates/ledger/src/disk.rs
@@ -14,7 +14,8 @@
     /// # Errors
     /// The folder cannot be read.
     fn list(&self) -> io::Result<Vec<String>>;
-    /// Creates a file of `reserved` zero bytes. Once this returns, the file's name survives a loss of power.
+    /// Creates a file of `reserved` zero bytes and opens it for writing. Once this returns, the file's name survives a loss
+    /// of power.
     ///
     /// # Errors
     /// The file exists already, or the space cannot be reserved.
@@ -29,6 +30,11 @@
     /// # Errors
     /// The sync failed; which of the writes survive is unknown.
     fn sync(&mut self, file: &mut Self::File) -> io::Result<()>;
+    /// Closes a file that was created.
+    fn close(&mut self, file: Self::File);
+    /// Returns whether a process that has created the file has neither closed it nor ended. Returns false where that is
+    /// unknown.
+    fn is_open(&self, name: &str) -> bool;
     /// Reads all bytes of a file.
     ///
     /// # Errors
--- a/crates/ledger/src/folder.rs
+++ b/crates/ledger/src/folder.rs
@@ -73,10 +73,21 @@
                 return Err(error.into());
             }
         }
+        // Held until the file is closed or the process ends. Where files cannot be locked, none counts as open.
+        let _ = file.try_lock();
         self.sync_names()?;
         Ok(file)
     }
 
+    fn close(&mut self, file: File) {
+        drop(file);
+    }
+
+    fn is_open(&self, name: &str) -> bool {
+        let Ok(file) = File::open(self.0.join(name)) else { return false };
+        matches!(file.try_lock_shared(), Err(TryLockError::WouldBlock))
+    }
+
     fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         let path = self.0.join(name);
         let spare = self.0.join(format!("{name}{SPARE_SUFFIX}"));
--- a/crates/ledger/src/memory_disk.rs
+++ b/crates/ledger/src/memory_disk.rs
@@ -2,7 +2,7 @@
 
 use crate::disk::Disk;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::rc::Rc;
 
@@ -82,6 +82,8 @@
 #[derive(Debug, Default)]
 struct State {
     files: BTreeMap<String, StoredFile>,
+    /// The names of the files that running processes write.
+    open: BTreeSet<String>,
     operations: usize,
     faults: Faults,
 }
@@ -105,6 +107,11 @@
         state.faults = faults;
     }
 
+    /// Ends all processes that use the disk: no file is open any longer.
+    pub fn end_processes(&self) {
+        self.0.borrow_mut().open.clear();
+    }
+
     /// Returns the number of operations so far.
     pub fn operations(&self) -> usize {
         self.0.borrow().operations
@@ -231,10 +238,20 @@
         self.count_operation()?;
         self.check_capacity(reserved as usize)?;
         let file = StoredFile::of(vec![0; reserved as usize]);
-        self.0.borrow_mut().files.insert(name.into(), file);
+        let mut state = self.0.borrow_mut();
+        state.files.insert(name.into(), file);
+        state.open.insert(name.into());
         Ok(name.into())
     }
 
+    fn close(&mut self, file: String) {
+        self.0.borrow_mut().open.remove(&file);
+    }
+
+    fn is_open(&self, name: &str) -> bool {
+        self.0.borrow().open.contains(name)
+    }
+
     fn write(&mut self, file: &mut String, offset: u64, bytes: &[u8]) -> io::Result<()> {
         self.check_capacity(self.growth(file, offset as usize + bytes.len()))?;
         let (written, counted) = self.count_write(bytes.len());
@@ -263,7 +280,9 @@
             let file = state.files.remove(&spare).ok_or(io::ErrorKind::NotFound)?;
             state.files.insert(name.into(), file);
         }
-        let _ = self.create(&spare, SPARE_BYTES);
+        if let Ok(file) = self.create(&spare, SPARE_BYTES) {
+            self.close(file);
+        }
         Ok(())
     }
 
--- a/crates/ledger/src/retention.rs
+++ b/crates/ledger/src/retention.rs
@@ -188,7 +188,8 @@
 fn read_inherited<D: Disk>(disk: &D, own_generation: u64, now: Millis) -> Vec<SealedSegment> {
     let files = disk.list().unwrap_or_default();
     let mut names: Vec<SegmentName> = files.iter().filter_map(|file| SegmentName::parse(file)).collect();
-    names.retain(|name| name.generation != own_generation);
+    // What another process still writes may get requests that are not resolved. A later process reads it.
+    names.retain(|name| name.generation != own_generation && !disk.is_open(&name.to_string()));
     names.sort();
     let read = |name: SegmentName| {
         let content = disk.read(&name.to_string()).ok()?;
--- a/crates/ledger/src/writer.rs
+++ b/crates/ledger/src/writer.rs
@@ -260,8 +260,10 @@
         let Some(open) = self.open_segment.take() else { return };
         let bytes = index::encode(&open.id_hashes, self.sequence);
         // Errors are ignored: a segment without an index is read in full.
-        let index = self.disk.create(&open.name.index(), 0);
-        let _ = index.and_then(|mut file| self.disk.write(&mut file, 0, &bytes));
+        if let Ok(mut file) = self.disk.create(&open.name.index(), 0) {
+            let _ = self.disk.write(&mut file, 0, &bytes);
+            self.disk.close(file);
+        }
         self.retain_segment(open, now);
         self.retention.delete_surplus(&mut self.disk, &self.options, self.generation.id, now);
     }
@@ -287,6 +289,7 @@
             may_have_frames: true,
         };
         self.retention.add(number, sealed);
+        self.disk.close(open.file);
     }
 
     /// Ends the generation gracefully.
--- a/crates/ledger/tests/crash/kept.rs
+++ b/crates/ledger/tests/crash/kept.rs
@@ -93,3 +93,33 @@
     (40..90).for_each(&mut append);
     assert!(disk.list().unwrap().iter().all(|name| !name.ends_with("-00000003.seg")));
 }
+
+/// Guards against records of a running process that are written to a segment which the other process of an upgrade has
+/// deleted.
+#[test]
+fn segment_that_another_process_writes_is_not_deleted() {
+    let disk = MemoryDisk::default();
+    let options = Options {
+        segment_bytes: 700,
+        keep_bytes: 0,
+        ..Options::new("n0", Mode::Process, OnFailure::RejectRequests)
+    };
+    let large = Options { segment_bytes: 1 << 16, keep_bytes: u64::MAX, ..options.clone() };
+    let order = |request, at| {
+        [
+            record(Step::Take(request), at),
+            record(Step::Send(request, 0), at),
+            record(Step::Settle(request), at),
+        ]
+    };
+    let (mut old, _) = Writer::open(disk.clone(), large, 1, 1000);
+    old.append(1000, &order(1, 1000)).unwrap();
+    let (mut new, _) = Writer::open(disk.clone(), options, 2, 2000);
+    for request in 10..30 {
+        new.append(2000, &order(request, 2000)).unwrap();
+    }
+    assert!(!new.take_deleted().is_empty());
+    old.append(3000, &order(2, 3000)).unwrap();
+    let shown = history(&disk);
+    assert!([1, 2].iter().all(|request| shown.find(&id(*request)).len() == 1), "{:?}", shown.notes);
+}
--- a/crates/ledger/tests/crash/model.rs
+++ b/crates/ledger/tests/crash/model.rs
@@ -224,6 +224,7 @@
             }
         }
         running.into_iter().for_each(|process| self.end(process.scenario));
+        self.disk.end_processes();
     }
 
     fn start(&mut self, process: &RandomProcess) -> Running {
