Split the ledger's writer and the disk in memory by job

Change: creation of segments, open requests and the files of the disk in memory have modules of their own; no behaviour changes.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -15,6 +15,7 @@
 mod manifest;
 mod manifest_file;
 pub mod memory_disk;
+mod open_requests;
 mod options;
 mod record;
 mod retention;
--- a/crates/ledger/src/memory_disk.rs
+++ b/crates/ledger/src/memory_disk.rs
@@ -1,56 +1,17 @@
 //! An in-memory disk for tests, which can lose unsynced writes, tear a write, flip bits, fill up and fail.
 
+mod stored_file;
+
 use crate::disk::Disk;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::rc::Rc;
+use stored_file::{PendingWrite, StoredFile};
 
 /// The size that is reserved for the next content of a replaced file, bytes.
 const SPARE_BYTES: u64 = 512;
 
-/// A write that has not been synced.
-#[derive(Clone, Debug)]
-struct PendingWrite {
-    offset: usize,
-    bytes: Vec<u8>,
-}
-
-impl PendingWrite {
-    fn apply(&self, content: &mut Vec<u8>) {
-        self.apply_part(content, self.bytes.len());
-    }
-
-    /// Applies the first `length` bytes of the write, or all if there are fewer.
-    fn apply_part(&self, content: &mut Vec<u8>, length: usize) {
-        let part = &self.bytes[..length.min(self.bytes.len())];
-        let end = self.offset + part.len();
-        content.resize(content.len().max(end), 0);
-        content[self.offset..end].copy_from_slice(part);
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct StoredFile {
-    /// The content that survives a loss of power.
-    synced: Vec<u8>,
-    /// The writes since the last sync, in order.
-    pending: Vec<PendingWrite>,
-}
-
-impl StoredFile {
-    fn of(synced: Vec<u8>) -> StoredFile {
-        StoredFile { synced, pending: Vec::new() }
-    }
-
-    /// Returns the content with all writes, synced or not.
-    fn content(&self) -> Vec<u8> {
-        let mut content = self.synced.clone();
-        self.pending.iter().for_each(|write| write.apply(&mut content));
-        content
-    }
-}
-
 /// The faults that a disk injects. Operations are numbered from 0.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Faults {
--- a/crates/ledger/src/writer.rs
+++ b/crates/ledger/src/writer.rs
@@ -1,15 +1,18 @@
 //! Appends records to segments. A writer is owned by one thread; it neither reads a clock nor starts a thread.
 
+mod segment_creation;
+
 use crate::disk::Disk;
 use crate::frame::encode;
 use crate::index;
 use crate::manifest_file;
-use crate::options::{Mode, OnFailure, Options};
+use crate::open_requests::OpenRequests;
+use crate::options::{Mode, Options};
 use crate::record::{Millis, Record};
 use crate::retention::{Retention, SealedSegment};
-use crate::segment::{SegmentHeader, SEGMENT_HEADER_LEN};
+use crate::segment::SEGMENT_HEADER_LEN;
 use crate::segment_name::SegmentName;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::io;
 use thiserror::Error;
 
@@ -49,13 +52,6 @@
     count: u64,
 }
 
-/// A request that has not finished.
-struct OpenRequest {
-    id_hash: u64,
-    /// The number of the segment that records its arrival.
-    segment: u32,
-}
-
 /// Counts of what was written so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WriteCounts {
@@ -77,7 +73,7 @@
     /// The time before which a failed segment is not replaced by a new one.
     retry_at: Millis,
     lost: Option<LostRecords>,
-    open_requests: HashMap<u64, OpenRequest>,
+    open_requests: OpenRequests,
     retention: Retention,
     counts: WriteCounts,
     has_manifest: bool,
@@ -99,7 +95,7 @@
             open_segment: None,
             retry_at: 0,
             lost: None,
-            open_requests: HashMap::new(),
+            open_requests: OpenRequests::default(),
             retention: Retention::default(),
             counts: WriteCounts::default(),
             has_manifest: false,
@@ -109,62 +105,6 @@
         (writer, first_segment.map_err(WriteError::from))
     }
 
-    /// Creates the next segment, and the manifest before the first one.
-    fn begin_segment(&mut self, now: Millis) -> io::Result<()> {
-        self.retry_at = now + RETRY_INTERVAL;
-        if !self.has_manifest {
-            manifest_file::prepare(&mut self.disk, &self.options, now)?;
-            self.has_manifest = true;
-        }
-        let name = SegmentName { generation: self.generation.id, number: self.next_segment };
-        let file = self.create_segment(name, now).inspect_err(|error| self.discard_segment(name, error))?;
-        self.next_segment += 1;
-        self.has_segment = true;
-        let length = SEGMENT_HEADER_LEN as u64;
-        self.open_segment = Some(OpenSegment { file, name, length, id_hashes: BTreeSet::new() });
-        Ok(())
-    }
-
-    /// Creates a segment, writes its header and lists it in the manifest. No frame may be written before that: a reader
-    /// could not notice its absence.
-    fn create_segment(&mut self, name: SegmentName, now: Millis) -> io::Result<D::File> {
-        let segment_bytes = self.options.segment_bytes;
-        let started_at = self.generation.started_at;
-        let mut file = self.disk.create(&name.to_string(), segment_bytes)?;
-        self.disk.write(&mut file, 0, &self.segment_header(name.number).encode())?;
-        if self.options.mode == Mode::Power {
-            self.disk.sync(&mut file)?;
-            self.counts.syncs += 1;
-        }
-        manifest_file::update(&mut self.disk, now, |manifest| {
-            manifest.add_segment(name, started_at, segment_bytes);
-        })?;
-        Ok(file)
-    }
-
-    fn segment_header(&self, number: u32) -> SegmentHeader {
-        SegmentHeader {
-            proxy: self.options.proxy.clone(),
-            generation: self.generation.id,
-            started_at: self.generation.started_at,
-            number,
-            first_sequence: self.sequence + 1,
-            sends_unrecorded: self.options.on_failure == OnFailure::SendUnrecorded,
-        }
-    }
-
-    /// Deletes a segment that could not be created completely. If its file remains, its number is not used again.
-    fn discard_segment(&mut self, name: SegmentName, error: &io::Error) {
-        let is_file_absent = error.kind() != io::ErrorKind::AlreadyExists
-            && match self.disk.remove(&name.to_string()) {
-                Ok(()) => true,
-                Err(error) => error.kind() == io::ErrorKind::NotFound,
-            };
-        if !is_file_absent {
-            self.next_segment += 1;
-        }
-    }
-
     /// Writes records as durably as the mode requires. A single write contains all of them.
     ///
     /// # Errors
@@ -236,22 +176,11 @@
         if let Some(id) = record.id() {
             open.id_hashes.insert(index::hash(id));
         }
-        match record {
-            Record::Taken { request, id, .. } => {
-                let open_request = OpenRequest { id_hash: index::hash(id), segment: open.name.number };
-                self.open_requests.insert(*request, open_request);
-            }
-            Record::Ended { request, .. } => {
-                open.id_hashes
-                    .extend(self.open_requests.get(request).map(|open_request| open_request.id_hash));
-            }
-            Record::Settled { request } => {
-                if let Some(open_request) = self.open_requests.remove(request) {
-                    open.id_hashes.insert(open_request.id_hash);
-                    self.retention.request_finished(*request, open_request.segment);
-                }
+        if let Some(concerned) = self.open_requests.apply(record, open.name.number) {
+            open.id_hashes.insert(concerned.id_hash);
+            if let Record::Settled { request } = record {
+                self.retention.request_finished(*request, concerned.segment);
             }
-            Record::Intent { .. } | Record::Gap { .. } | Record::Closed { .. } => {}
         }
     }
 
@@ -278,13 +207,11 @@
 
     fn retain_segment(&mut self, open: OpenSegment<D::File>, now: Millis) {
         let number = open.name.number;
-        let received_here =
-            self.open_requests.iter().filter(|(_, open_request)| open_request.segment == number);
         let sealed = SealedSegment {
             name: open.name,
             bytes: open.length,
             newest_at: now,
-            open_requests: received_here.map(|(request, _)| *request).collect(),
+            open_requests: self.open_requests.received_in(number),
             has_unresolved: false,
             may_have_frames: true,
         };
