--- a/crates/ledger/src/history/folder_contents.rs
+++ b/crates/ledger/src/history/folder_contents.rs
@@ -20,12 +20,13 @@
     /// Lists a folder. If its manifest keeps changing, the result may lack segments that the manifest lists.
     ///
     /// # Errors
-    /// The folder cannot be listed, or its manifest cannot be read.
+    /// The folder cannot be listed.
     pub(super) fn read<D: Disk>(disk: &D) -> io::Result<FolderContents> {
-        let mut manifest = manifest_file::read(disk)?;
+        let read_manifest = || manifest_file::read(disk).unwrap_or(StoredManifest::Damaged);
+        let mut manifest = read_manifest();
         let mut files = disk.list()?;
         for _ in 1..MAX_ATTEMPTS {
-            let manifest_after = manifest_file::read(disk)?;
+            let manifest_after = read_manifest();
             if manifest == manifest_after {
                 break;
             }
--- a/crates/ledger/tests/folder.rs
+++ b/crates/ledger/tests/folder.rs
@@ -74,3 +74,19 @@
     shown.add("two", &Folder::existing(&path).unwrap(), None).unwrap();
     assert!(!shown.is_complete() && !shown.faults.is_empty());
 }
+
+/// A manifest that cannot be read is a fault like any other file, and hides nothing else.
+#[test]
+fn unreadable_manifest_is_reported_and_the_records_are_shown() {
+    let (path, folder) = empty_folder("unreadable");
+    let options = Options::new("n0", Mode::Process, OnFailure::RejectRequests);
+    let (mut writer, _) = Writer::open(folder, Options { segment_bytes: 4096, ..options }, 1, 1);
+    let (id, class, key) = ("a".into(), "pay".into(), String::new());
+    writer.append(1, &[Record::Taken { request: 1, at: 1, id, class, key }]).unwrap();
+    std::fs::remove_file(path.join("ledger.manifest")).unwrap();
+    std::fs::create_dir(path.join("ledger.manifest")).unwrap();
+    let mut shown = History::default();
+    shown.add("unreadable", &Folder::existing(&path).unwrap(), None).unwrap();
+    assert_eq!(shown.find("a").len(), 1);
+    assert!(shown.faults.iter().any(|fault| fault.contains("manifest")) && !shown.is_complete());
+}
