Testbed: a request to a killed proxy is excused whatever happens to it later

Cause: a request that is sent to a killed process before its next one is ready is excused, as the doc of Observations::excused says. Each later kill of the same proxy set that back.

The new test failed before: the same connection counted as lost only because of a kill 350 ms later.

Why this works: only what came before the request decides whether its proxy was down. A request to a process that is ready counts as before, which the test holds as well.

--- a/crates/testbed/src/oracle/answers/tests.rs
+++ b/crates/testbed/src/oracle/answers/tests.rs
@@ -46,3 +46,19 @@
         "a request shortly after the stop signal must be answered"
     );
 }
+
+/// What happens to the proxy after a broken connection does not change whether the connection counts as lost.
+#[test]
+fn a_request_to_a_dead_proxy_is_excused_also_if_its_next_process_is_killed() {
+    let turn = |ms, turn| at(ms, Observation::Proxy { proxy: 1, turn });
+    let asked = |ms| at(ms, Observation::Asked { id: READ, proxy: 1, left: 500_000 });
+    let broke = at(50, Observation::Broke { id: READ, reused: false, begun: false });
+    let killed_at_0 = turn(0, ProxyEvent::Killed);
+    let later = [turn(100, ProxyEvent::Ready), turn(400, ProxyEvent::Killed)];
+    let of_the_dead = [killed_at_0.clone(), asked(10), broke.clone()];
+    assert!(broken(&of_the_dead).is_empty());
+    assert!(broken(&[&of_the_dead[..], &later].concat()).is_empty());
+    let of_the_next = [killed_at_0, turn(5, ProxyEvent::Ready), asked(10), broke];
+    assert_eq!(broken(&of_the_next).len(), 1, "the next process was ready");
+    assert_eq!(broken(&[&of_the_next[..], &later].concat()).len(), 1);
+}
--- a/crates/testbed/src/oracle/mod.rs
+++ b/crates/testbed/src/oracle/mod.rs
@@ -66,8 +66,8 @@
             match turn {
                 ProxyEvent::Killed if *at + tolerance >= from && *at <= to + tolerance => return true,
                 // The socket of a killed process still accepts connections for some milliseconds.
-                ProxyEvent::Killed => down = from >= *at,
-                ProxyEvent::Stopping => down = from >= *at + Micros(700_000),
+                ProxyEvent::Killed if *at <= from => down = true,
+                ProxyEvent::Stopping if *at + Micros(700_000) <= from => down = true,
                 ProxyEvent::Ready if *at <= from => down = false,
                 _ => {}
             }
