Ledger: a reader that looks at a new segment does not keep it from being locked

Need: another process that asks whether a segment is open locks it for an instant. A process that created it at that instant went on without its lock, so that the other one could delete it. Found by reading.

The tests of the ledger and of its command pass; the instant itself is not played.

--- a/crates/ledger/src/folder.rs
+++ b/crates/ledger/src/folder.rs
@@ -54,6 +54,21 @@
     Ok(rustix::fs::fallocate(&file, rustix::fs::FallocateFlags::empty(), 0, length)?)
 }
 
+/// Locks a file until it is closed.
+///
+/// # Errors
+/// Another process holds the lock for too long, or files cannot be locked.
+fn lock_file(file: &File) -> io::Result<()> {
+    for _ in 0..LOCK_ATTEMPTS {
+        match file.try_lock() {
+            Ok(()) => return Ok(()),
+            Err(TryLockError::WouldBlock) => std::thread::sleep(LOCK_RETRY_INTERVAL),
+            Err(TryLockError::Error(error)) => return Err(error),
+        }
+    }
+    Err(io::Error::new(io::ErrorKind::TimedOut, "another process holds the lock of the file"))
+}
+
 impl Disk for Folder {
     type File = File;
     type Lock = File;
@@ -74,7 +89,7 @@
             }
         }
         // Held until the file is closed or the process ends. Where files cannot be locked, none counts as open.
-        let _ = file.try_lock();
+        let _ = lock_file(&file);
         self.sync_names()?;
         Ok(file)
     }
@@ -105,14 +120,8 @@
     fn lock(&mut self) -> io::Result<File> {
         let file =
             OpenOptions::new().write(true).create(true).truncate(false).open(self.0.join(LOCK_FILE))?;
-        for _ in 0..LOCK_ATTEMPTS {
-            match file.try_lock() {
-                Ok(()) => return Ok(file),
-                Err(TryLockError::WouldBlock) => std::thread::sleep(LOCK_RETRY_INTERVAL),
-                Err(TryLockError::Error(error)) => return Err(error),
-            }
-        }
-        Err(io::Error::new(io::ErrorKind::TimedOut, "another process holds the lock of the folder"))
+        lock_file(&file)?;
+        Ok(file)
     }
 
     fn write(&mut self, file: &mut File, offset: u64, bytes: &[u8]) -> io::Result<()> {
