--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -1,9 +1,9 @@
 //! The open client connections, and the order in which they are closed to make room for new ones.
 //!
-//! The order is based on what the program knows of a connection without asking the kernel: whether it has sent a
-//! valid request, whether part of a head has been read, and since when. Choosing the connection to close takes the
-//! first in that order and queries the kernel for that one alone, as bytes may have arrived that the event loop has
-//! not read yet. A connection whose state no longer matches its rank gets a new rank. Each such change is caused by
+//! The order is based on whether a connection has sent a valid request, whether part of a head has been read, and since
+//! when. Choosing the connection to close takes the first in that order and queries the kernel for that one alone: bytes
+//! may have arrived that the event loop has not read yet, and part of a head may have waited in the queue of the
+//! listener before it was read. A connection whose state no longer matches its rank gets a new rank. Each such change is caused by
 //! bytes that arrived or by a request that was served since, so the cost of a choice does not grow with the number
 //! of connections.
 
