Log: why an answer broke off or an attempt ended, with request, attempt and silence

Change: the lines at debug level carry request, attempt, backend, reason, bytes and silence; `bodies` counts malformed answers and answers that broke off.

Result: unit tests of the proxy pass; no decision has changed.

--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -4,7 +4,7 @@
 use crate::early_answer::EarlyAnswer;
 use crate::journal::SendPermit;
 use lotusdeck_policy::settings::NetworkSettings;
-use lotusdeck_policy::{AttemptNo, BackendId, Outcome};
+use lotusdeck_policy::{AttemptNo, BackendId, Outcome, RequestId};
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::future::Future;
@@ -40,6 +40,8 @@
 
 /// The target and the deadline of an attempt, and the checks that precede its first byte.
 pub struct AttemptContext {
+    /// The request that it belongs to.
+    pub request: RequestId,
     /// The number of the attempt among those of its request.
     pub attempt: AttemptNo,
     /// The backend that it is sent to.
--- a/crates/core/src/host/attempts.rs
+++ b/crates/core/src/host/attempts.rs
@@ -77,6 +77,7 @@
         let send_permit =
             journal.map(|journal| journal.record_intent(key.request, key.attempt, &known.name, address));
         Some(AttemptContext {
+            request: key.request,
             attempt: key.attempt,
             backend,
             address,
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -18,7 +18,7 @@
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, Request, Uri, Version};
 use lotusdeck_core::EarlyAnswer;
-use lotusdeck_policy::{BackendId, Outcome};
+use lotusdeck_policy::{AttemptNo, BackendId, Outcome, RequestId};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -53,8 +53,16 @@
     pub address: SocketAddr,
 }
 
-/// The times that an attempt observes, and whether it may still be withdrawn.
-pub(crate) struct AttemptTimes {
+/// Identifies an attempt in the log.
+#[derive(Clone, Copy)]
+pub(crate) struct AttemptId {
+    pub request: RequestId,
+    pub attempt: AttemptNo,
+}
+
+/// The terms that an attempt observes: its times, and whether it may still be withdrawn.
+pub(crate) struct AttemptTerms {
+    pub id: AttemptId,
     /// When the client gives up.
     pub deadline: Instant,
     /// When an answer that has begun is passed on at the latest.
@@ -84,6 +92,15 @@
     }
 }
 
+/// An attempt whose exchange has ended.
+#[derive(Clone, Copy)]
+struct SentAttempt {
+    id: AttemptId,
+    backend: BackendId,
+    /// Whether the last byte of the request was written.
+    is_written: bool,
+}
+
 /// A connection for an attempt, and whether the journal allows the attempt to be sent.
 struct AttemptConnection {
     connection: Result<PooledConnection, Outcome>,
@@ -95,7 +112,7 @@
     /// right before the first byte is written: the backend may have begun to drain, or the client may have
     /// disconnected, while the connection was being established.
     pub(crate) async fn attempt(
-        self: &Rc<Self>, to: Destination, request: &ForwardedRequest, times: AttemptTimes,
+        self: &Rc<Self>, to: Destination, request: &ForwardedRequest, terms: AttemptTerms,
         journaled: impl Future<Output = bool>, gate: SendGate,
     ) -> AttemptResult {
         let AttemptConnection { connection, is_journaled } = self.connect_attempt(to, journaled).await;
@@ -103,7 +120,7 @@
             Ok(connection) => connection,
             Err(outcome) => return outcome.into(),
         };
-        let time_left = times.deadline.saturating_duration_since(Instant::now());
+        let time_left = terms.deadline.saturating_duration_since(Instant::now());
         if !is_journaled || time_left.is_zero() || request.body.is_consumed() {
             self.return_idle(to.backend, connection); // nothing was sent on it
             return Outcome::NeverSent.into();
@@ -121,49 +138,53 @@
             upload,
             buffer: BodyBuffer::new(&self.body_budget),
             timeouts: self.stall_timeouts.get(),
-            answer_by: times.answer_by,
-            early_answer: &times.early_answer,
+            answer_by: terms.answer_by,
+            early_answer: &terms.early_answer,
         };
         let answer = exchange(stream, outgoing, context).await;
         let is_written = is_request_written(stream, length, upload);
-        self.attempt_result(to.backend, connection, answer, is_written)
+        self.attempt_result(SentAttempt { id: terms.id, backend: to.backend, is_written }, connection, answer)
     }
 
-    /// Returns the result of an attempt whose exchange has ended. `is_written` says whether the last byte of the request
-    /// was written.
+    /// Returns the result of an attempt whose exchange has ended.
     fn attempt_result(
-        self: &Rc<Self>, backend: BackendId, connection: PooledConnection,
-        answer: Result<BackendAnswer, ExchangeError>, is_written: bool,
+        self: &Rc<Self>, sent: SentAttempt, connection: PooledConnection,
+        answer: Result<BackendAnswer, ExchangeError>,
     ) -> AttemptResult {
         if let Err(error) = &answer {
-            self.record_exchange_error(backend, &connection.stream, error);
+            self.record_exchange_error(sent, &connection.stream, error);
         }
         if connection.stream.is_request_withheld() {
-            self.return_idle(backend, connection);
+            self.return_idle(sent.backend, connection);
             return Outcome::NeverSent.into();
         }
-        if !is_written {
+        if !sent.is_written {
             return outcome_of_partial_request(answer.as_ref().ok()).into();
         }
         match answer {
-            Ok(answer) => self.finish_attempt(backend, connection, answer),
+            Ok(answer) => self.finish_attempt(sent, connection, answer),
             Err(ExchangeError::InvalidAnswer | ExchangeError::AnswerStalled) => Outcome::Error.into(),
             Err(ExchangeError::ConnectionEnded | ExchangeError::UploadStalled) => Outcome::Reset.into(),
         }
     }
 
     /// Counts and logs why an exchange ended without an answer.
-    fn record_exchange_error(&self, backend: BackendId, stream: &Stream, error: &ExchangeError) {
+    fn record_exchange_error(&self, sent: SentAttempt, stream: &Stream, error: &ExchangeError) {
         match error {
             ExchangeError::AnswerStalled => increment(&self.exchange_counts.answers_stalled),
             ExchangeError::UploadStalled => increment(&self.exchange_counts.uploads_stalled),
-            ExchangeError::InvalidAnswer | ExchangeError::ConnectionEnded => {}
+            ExchangeError::InvalidAnswer => increment(&self.exchange_counts.answers_invalid),
+            ExchangeError::ConnectionEnded => {}
         }
         debug!(
-            backend = backend.0,
+            request = sent.id.request.0,
+            attempt = sent.id.attempt.0,
+            backend = sent.backend.0,
             ?error,
+            is_written = sent.is_written,
             bytes_sent = stream.bytes_sent(),
             bytes_received = stream.bytes_received(),
+            silent_ms = stream.last_read_at().elapsed().as_millis() as u64,
             "exchange ended without an answer"
         );
     }
@@ -187,8 +208,9 @@
 
     /// Prepares the answer for the client, and returns the connection to the pool if the answer is complete.
     fn finish_attempt(
-        self: &Rc<Self>, backend: BackendId, connection: PooledConnection, mut answer: BackendAnswer,
+        self: &Rc<Self>, sent: SentAttempt, connection: PooledConnection, mut answer: BackendAnswer,
     ) -> AttemptResult {
+        let backend = sent.backend;
         self.record_answer(backend);
         let outcome = outcome_of(&answer.head);
         let status = Some(answer.head.status.as_u16());
@@ -205,7 +227,7 @@
             }
             Some(rest) => {
                 increment(&self.exchange_counts.answers_streamed);
-                self.relay(backend, connection, is_reusable, answer, rest)
+                self.relay(sent, connection, is_reusable, answer, rest)
             }
         };
         let answer = (outcome == Outcome::Success).then_some(ServedAnswer { headers, body });
@@ -214,15 +236,24 @@
 
     /// Spawns a task that relays the rest of a large answer, and returns the body that yields it.
     fn relay(
-        self: &Rc<Self>, backend: BackendId, connection: PooledConnection, is_reusable: bool,
+        self: &Rc<Self>, sent: SentAttempt, connection: PooledConnection, is_reusable: bool,
         answer: BackendAnswer, rest: Incoming,
     ) -> AnswerBody {
         let bytes_read = answer.buffered.len() as u64;
         let length = rest.size_hint().exact().map(|left| left + bytes_read);
+        debug!(
+            request = sent.id.request.0,
+            attempt = sent.id.attempt.0,
+            backend = sent.backend.0,
+            bytes_read,
+            ?length,
+            "answer passed on before its end"
+        );
         let (client, streamed) = stream_answer(answer.buffered, length);
         let relay = AnswerRelay {
             pool: self.clone(),
-            backend,
+            id: sent.id,
+            backend: sent.backend,
             connection,
             is_reusable,
             bytes_read,
--- a/crates/proxy/src/connection_pool/tests.rs
+++ b/crates/proxy/src/connection_pool/tests.rs
@@ -1,13 +1,13 @@
 //! Tests of the pool on real connections.
 
 use super::*;
-use crate::attempt::{AttemptTimes, Destination, ForwardedHead, ForwardedRequest};
+use crate::attempt::{AttemptId, AttemptTerms, Destination, ForwardedHead, ForwardedRequest};
 use crate::header_block::HeaderBlock;
 use crate::upload::RequestBody;
 use bytes::Bytes;
 use hyper::{Method, Uri};
 use lotusdeck_core::ConnectionPools;
-use lotusdeck_policy::Micros;
+use lotusdeck_policy::{AttemptNo, Micros, RequestId};
 use std::io::{Read, Write};
 
 fn pool(max_connections: usize) -> Rc<ConnectionPool> {
@@ -28,9 +28,10 @@
     }
 }
 
-fn times() -> AttemptTimes {
+fn terms() -> AttemptTerms {
     let deadline = Instant::now() + Duration::from_secs(20);
-    AttemptTimes { deadline, answer_by: deadline, early_answer: Rc::default() }
+    let id = AttemptId { request: RequestId(1), attempt: AttemptNo(0) };
+    AttemptTerms { id, deadline, answer_by: deadline, early_answer: Rc::default() }
 }
 
 /// Guards against a request that is sent to a backend that began to drain while the connection was being established.
@@ -40,10 +41,10 @@
     let (pool, address) = (pool(4), listener.local_addr().unwrap());
     let to = Destination { backend: BackendId(0), address };
     let closed_gate = Box::new(|| false);
-    let withheld = pool.attempt(to, &request(), times(), std::future::ready(true), closed_gate).await;
+    let withheld = pool.attempt(to, &request(), terms(), std::future::ready(true), closed_gate).await;
     assert_eq!(withheld.outcome, Outcome::NeverSent);
     let open_gate = Box::new(|| true);
-    let unjournaled = pool.attempt(to, &request(), times(), std::future::ready(false), open_gate).await;
+    let unjournaled = pool.attempt(to, &request(), terms(), std::future::ready(false), open_gate).await;
     assert_eq!(unjournaled.outcome, Outcome::NeverSent, "the attempt is not in the journal");
     let mut peer = listener.accept().unwrap().0;
     drop(pool);
@@ -79,7 +80,7 @@
         .attempt(
             Destination { backend: BackendId(0), address },
             &request(),
-            times(),
+            terms(),
             journaled,
             Box::new(|| true),
         )
--- a/crates/proxy/src/exchange_counts.rs
+++ b/crates/proxy/src/exchange_counts.rs
@@ -8,6 +8,10 @@
 pub(crate) struct ExchangeCounts {
     /// Attempts that ended because their answer had begun and then paused for too long.
     pub answers_stalled: Cell<u64>,
+    /// Attempts that ended because their answer was malformed, too long or cut short.
+    pub answers_invalid: Cell<u64>,
+    /// Answers that broke off after a part of them was passed on to the client.
+    pub answers_broken_off: Cell<u64>,
     /// Attempts that ended because their backend had stopped reading the request.
     pub uploads_stalled: Cell<u64>,
     /// Requests whose time was over before their backend had taken all of their body.
@@ -30,6 +34,8 @@
             buffered_bytes,
             answers_streamed = self.answers_streamed.take(),
             answers_stalled = self.answers_stalled.take(),
+            answers_invalid = self.answers_invalid.take(),
+            answers_broken_off = self.answers_broken_off.take(),
             uploads_streamed = self.uploads_streamed.take(),
             uploads_stalled = self.uploads_stalled.take(),
             uploads_overdue = self.uploads_overdue.take(),
--- a/crates/proxy/src/http_exchange.rs
+++ b/crates/proxy/src/http_exchange.rs
@@ -2,7 +2,7 @@
 //! succeeded.
 
 use crate::answer_body::AnswerBody;
-use crate::attempt::{AttemptTimes, Destination, ForwardedRequest, ServedAnswer};
+use crate::attempt::{AttemptId, AttemptTerms, Destination, ForwardedRequest, ServedAnswer};
 use crate::connection_pool::ConnectionPool;
 use crate::request_ids::RequestFate;
 use crate::stream::{SendGate, Stream};
@@ -115,7 +115,8 @@
         Box::pin(async move {
             let attempt = context.attempt;
             let to = Destination { backend: context.backend, address: context.address };
-            let times = AttemptTimes {
+            let attempt_terms = AttemptTerms {
+                id: AttemptId { request: context.request, attempt },
                 deadline: context.deadline,
                 answer_by: context.answer_by,
                 early_answer: context.early_answer.clone(),
@@ -123,7 +124,7 @@
             let journaled = context.journaled();
             let is_sent = Rc::new(Cell::new(false));
             let gate = self.send_gate(context, is_sent.clone());
-            let result = self.pool.attempt(to, &self.request, times, journaled, gate).await;
+            let result = self.pool.attempt(to, &self.request, attempt_terms, journaled, gate).await;
             if is_sent.get() && result.outcome.never_ran() {
                 self.fate.record_never_ran();
             }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,8 +1,10 @@
 //! Relaying of large answers, read from the backend as fast as the client accepts them.
 
+use crate::attempt::AttemptId;
 use crate::body::MAX_BODY_BYTES;
 use crate::connection_pool::{ConnectionPool, PooledConnection};
 use crate::exchange::{is_clean_after_answer, Driver};
+use crate::exchange_counts::increment;
 use crate::outgoing_body::OutgoingBody;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -19,6 +21,7 @@
 /// Relays the rest of a large answer, and returns the connection to the pool if it is clean afterwards.
 pub(crate) struct AnswerRelay {
     pub pool: Rc<ConnectionPool>,
+    pub id: AttemptId,
     pub backend: BackendId,
     pub connection: PooledConnection,
     /// Whether the head of the answer leaves the connection open.
@@ -31,23 +34,45 @@
     pub client: mpsc::Sender<Option<Bytes>>,
 }
 
+/// Why an answer that was being passed on broke off.
+#[derive(Debug)]
+enum RelayError {
+    /// The client disconnected.
+    ClientLeft,
+    /// The backend sent nothing for the longest pause.
+    BackendSilent,
+    /// The backend's connection ended, or what it sent is malformed.
+    BackendEnded,
+    /// The body exceeds the largest one.
+    TooLong,
+}
+
 impl AnswerRelay {
     pub(crate) async fn run(
         self, mut driver: Driver, sender: http1::SendRequest<OutgoingBody>, rest: Incoming,
     ) {
-        let AnswerRelay { pool, backend, connection, is_reusable, bytes_read, max_pause, client } = self;
+        let AnswerRelay { pool, id, backend, connection, is_reusable, bytes_read, max_pause, client } = self;
         let mut work = pin!(forward_rest(&client, rest, bytes_read, max_pause));
         let mut has_connection_ended = false;
         let driven_work = poll_fn(|cx| {
             has_connection_ended = has_connection_ended || Pin::new(&mut driver).poll(cx).is_ready();
             work.as_mut().poll(cx)
         });
-        let is_complete = tokio::select! {
-            is_complete = driven_work => is_complete,
-            () = client.closed() => false, // the client disconnected
+        let forwarded = tokio::select! {
+            forwarded = driven_work => forwarded,
+            () = client.closed() => Err(RelayError::ClientLeft),
         };
-        if !is_complete {
-            debug!(backend = backend.0, "an answer broke off");
+        if let Err(error) = forwarded {
+            increment(&pool.exchange_counts.answers_broken_off);
+            debug!(
+                request = id.request.0,
+                attempt = id.attempt.0,
+                backend = backend.0,
+                ?error,
+                bytes_received = connection.stream.bytes_received(),
+                silent_ms = connection.stream.last_read_at().elapsed().as_millis() as u64,
+                "answer broke off"
+            );
             return;
         }
         drop(sender);
@@ -58,22 +83,25 @@
     }
 }
 
-/// Passes the rest of the body on to the client; returns whether all of it was passed on. `bytes_read` is the number
-/// of bytes of the body that were read before.
+/// Passes the rest of the body on to the client. `bytes_read` is the number of bytes of the body that were read before.
+///
+/// # Errors
+/// Returns why not all of it was passed on.
 async fn forward_rest(
     client: &mpsc::Sender<Option<Bytes>>, mut rest: Incoming, mut bytes_read: u64, max_pause: Duration,
-) -> bool {
+) -> Result<(), RelayError> {
     loop {
         // The next frame is read once there is room for it, so that each answer has one frame waiting at most.
-        let Ok(permit) = client.reserve().await else { return false };
+        let permit = client.reserve().await.map_err(|_| RelayError::ClientLeft)?;
         let data = match tokio::time::timeout(max_pause, rest.frame()).await {
-            Ok(None) => return true,
-            Err(_) | Ok(Some(Err(_))) => return false,
+            Ok(None) => return Ok(()),
+            Err(_) => return Err(RelayError::BackendSilent),
+            Ok(Some(Err(_))) => return Err(RelayError::BackendEnded),
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(), // empty: trailers
         };
         bytes_read += data.len() as u64;
         if bytes_read > MAX_BODY_BYTES {
-            return false;
+            return Err(RelayError::TooLong);
         }
         permit.send(Some(data));
     }
