--- a/crates/lotusdeck/tests/rig/backend.rs
+++ b/crates/lotusdeck/tests/rig/backend.rs
@@ -21,6 +21,8 @@
     PiecesAndClose(Vec<String>),
     /// Writes these texts, each after a pause.
     Timed(Vec<(Duration, String)>),
+    /// Writes these texts, each after a pause, and closes the connection.
+    TimedAndClose(Vec<(Duration, String)>),
     /// Writes the first text, and the second once the gate opens.
     Paused(String, Arc<Gate>, String),
     /// Closes the connection after the whole request, without an answer.
@@ -150,6 +152,14 @@
     out.write_all(text.as_bytes()).is_ok()
 }
 
+/// Writes texts, each after its pause; returns whether all were written.
+fn write_timed(out: &mut TcpStream, pieces: &[(Duration, String)]) -> bool {
+    pieces.iter().all(|(pause, piece)| {
+        std::thread::sleep(*pause);
+        out.write_all(piece.as_bytes()).is_ok()
+    })
+}
+
 /// Carries out a reply and returns whether the connection stays open.
 fn write_reply(out: &mut TcpStream, reply: Reply) -> bool {
     match reply {
@@ -173,10 +183,11 @@
             gate.wait();
             first_sent && out.write_all(rest.as_bytes()).is_ok()
         }
-        Reply::Timed(pieces) => pieces.iter().all(|(pause, piece)| {
-            std::thread::sleep(*pause);
-            out.write_all(piece.as_bytes()).is_ok()
-        }),
+        Reply::Timed(pieces) => write_timed(out, &pieces),
+        Reply::TimedAndClose(pieces) => {
+            write_timed(out, &pieces);
+            false
+        }
         Reply::Reset => false,
         Reply::Silence => true,
         Reply::GateReset(gate) => {
