--- a/crates/core/src/early_answer.rs
+++ b/crates/core/src/early_answer.rs
@@ -2,52 +2,80 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Whether the answer of an attempt has begun, and is given to the front before it is complete. An answer that pauses, or
-/// for which the client's time is nearly over, is given to the front if it may be a large one: cutting it off would lose what
-/// its backend is still writing.
+/// The time by which an answer that still arrives goes ahead of one that has paused.
+const PAUSED_ANSWER_DELAY: Duration = Duration::from_millis(2);
+
+/// How an answer arrives.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AnswerPace {
+    /// Its last part has just arrived, or it has not begun.
+    #[default]
+    Flowing,
+    /// Nothing has arrived for a while, and more may come.
+    Paused,
+    /// Nothing has arrived for so long that its backend counts as silent for good.
+    Silent,
+}
+
+/// Whether the answer of an attempt has begun, and is given to the front before it is complete: cutting off one that may
+/// be long would lose what its backend is still writing.
 #[derive(Default)]
 pub struct EarlyAnswer {
     has_begun: Cell<bool>,
+    pace: Cell<AnswerPace>,
     is_requested: Cell<bool>,
-    requested: Notify,
+    /// Notified when the answer may have become due.
+    changed: Notify,
 }
 
 impl EarlyAnswer {
     /// Records that an answer has begun that may be given to the front before it is complete.
     pub fn record_begun(&self) {
         self.has_begun.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Records how the answer arrives.
+    pub fn record_pace(&self, pace: AnswerPace) {
+        self.pace.set(pace);
+        self.changed.notify_one();
     }
 
-    /// Returns whether an answer has begun that may be given to the front.
-    pub fn has_begun(&self) -> bool {
-        self.has_begun.get()
+    /// Returns how the answer arrives.
+    pub fn pace(&self) -> AnswerPace {
+        self.pace.get()
     }
 
-    /// Requests that the answer is given to the front; returns false if none has begun that may be.
-    pub fn request(&self) -> bool {
+    /// Returns whether an answer is under way that may be given to the front: one has begun, and its backend does not
+    /// count as silent.
+    pub fn is_under_way(&self) -> bool {
+        self.has_begun.get() && self.pace.get() != AnswerPace::Silent
+    }
+
+    /// Requests that the answer is given to the front, now or as soon as one is under way.
+    pub fn request(&self) {
         self.is_requested.set(true);
-        self.requested.notify_one();
-        self.has_begun.get()
+        self.changed.notify_one();
     }
 
-    /// Waits until `at` and requests that the answer is given to the front then, or as soon as one has begun. Never
-    /// returns.
+    /// Requests at the time `at` that the answer is given to the front. Never returns.
     pub async fn request_at(&self, at: Instant) -> Infallible {
         tokio::time::sleep_until(at).await;
+        if self.pace.get() == AnswerPace::Paused {
+            tokio::time::sleep(PAUSED_ANSWER_DELAY).await;
+        }
         self.request();
         std::future::pending::<Infallible>().await
     }
 
     /// Waits until the answer is to be given to the front, if it may be.
     pub async fn due(&self) {
-        if !self.has_begun.get() {
-            std::future::pending::<()>().await;
-        }
-        if !self.is_requested.get() {
-            self.requested.notified().await;
+        while !(self.is_requested.get() && self.is_under_way()) {
+            self.changed.notified().await;
         }
     }
 }
--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -38,6 +38,15 @@
     fn answer_status(&self, attempt: AttemptNo) -> Option<u16>;
 }
 
+/// What a protocol reports of an answer that has begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerProgress {
+    /// Nothing more of it has arrived for a while.
+    Paused,
+    /// It goes on after a pause.
+    Resumed,
+}
+
 /// The target and the deadline of an attempt, and the checks that precede its first byte.
 pub struct AttemptContext {
     /// The request that it belongs to.
@@ -53,8 +62,10 @@
     /// When the beginning of a large answer has to be given to the front, as the balancer is about to end the request.
     pub answer_by: Instant,
     /// Whether the answer has begun, and is given to the front before it is complete. Until its request is over, an
-    /// attempt whose answer has begun is not withdrawn.
+    /// attempt whose answer is under way is not withdrawn.
     pub early_answer: Rc<EarlyAnswer>,
+    /// Reports the pauses of the answer.
+    pub report_progress: Rc<dyn Fn(AnswerProgress)>,
     /// Returns whether the attempt may still be sent.
     pub(crate) send_check: Box<dyn Fn() -> bool>,
     /// Resolves when the attempt is recorded in the journal; taken by the first call of
--- a/crates/core/src/host/actions.rs
+++ b/crates/core/src/host/actions.rs
@@ -1,10 +1,16 @@
 //! Passes events to the balancer and carries out its actions: those of one event before the next event is handled.
 
+use super::attempts::AttemptHandlers;
 use super::state::{Answer, AttemptKey, OpenRequest, State};
 use super::{Host, LOG_TARGET};
+use crate::exchange::AnswerProgress;
 use lotusdeck_policy::{Action, Event, Outcome, RequestId, Time};
 use std::rc::Rc;
-use tracing::info;
+use tracing::{debug, info};
+
+/// The handlers of what the tasks of attempts report.
+pub(super) const ATTEMPT_HANDLERS: AttemptHandlers =
+    AttemptHandlers { on_end: Host::attempt_ended, on_progress: Host::answer_progressed };
 
 impl Host {
     /// Passes an event to the balancer, and then all events that follow from its actions.
@@ -24,17 +30,17 @@
     fn carry_out(self: &Rc<Self>, state: &mut State, now: Time, action: Action) {
         match action {
             Action::Dispatch { request, backend } => {
-                self.dispatch(state, now, request, backend, Host::attempt_ended);
+                self.dispatch(state, now, request, backend, ATTEMPT_HANDLERS);
             }
             Action::Reject { request, retry_after } => {
-                if self.defer_to_begun_answer(state, request, Answer::Rejected(retry_after)) {
+                if self.defer_to_answer_under_way(state, request, Answer::Rejected(retry_after)) {
                     return;
                 }
                 self.cancel_attempts_using_client(state, now, request);
                 self.reject(state, request, retry_after);
             }
             Action::Fail { request } => {
-                if self.defer_to_begun_answer(state, request, Answer::Failed) {
+                if self.defer_to_answer_under_way(state, request, Answer::Failed) {
                     return;
                 }
                 self.cancel_attempts_using_client(state, now, request);
@@ -45,6 +51,9 @@
                 let end = self.withdraw_attempt(state, now, AttemptKey { request, attempt });
                 state.events.extend(end.map(Event::AttemptEnded));
             }
+            Action::Replace { request, attempt } => {
+                self.cancel(state, now, AttemptKey { request, attempt });
+            }
             Action::SetTimer { token, after } => self.timers.set(now + after, token),
             Action::WatchEndpoints => self.watch_request.notify_one(),
             Action::Log(text) => info!(target: LOG_TARGET, decision = %text, "balancer decision"),
@@ -77,6 +86,23 @@
         }
     }
 
+    /// Notifies the balancer of a pause of an answer, or of its end. An answer that goes on is given to the front if no
+    /// other attempt is in flight: its backend is alive.
+    fn answer_progressed(self: &Rc<Self>, key: AttemptKey, progress: AnswerProgress) {
+        let AttemptKey { request, attempt } = key;
+        debug!(target: LOG_TARGET, request = request.0, attempt = attempt.0, ?progress, "answer progress");
+        match progress {
+            AnswerProgress::Paused => self.handle_event(Event::AnswerPaused { request, attempt }),
+            AnswerProgress::Resumed => {
+                self.handle_event(Event::AnswerResumed { request, attempt });
+                let state = self.state.borrow();
+                if let (1, Some(open)) = (state.attempts_of(request).len(), state.attempts.get(&key)) {
+                    open.early_answer.request();
+                }
+            }
+        }
+    }
+
     /// Cancels the attempts still in flight of a request that is over, as the balancer may be configured not to
     /// cancel.
     pub(super) fn cancel_orphaned_attempts(self: &Rc<Self>, request: RequestId) {
--- a/crates/core/src/host/answers.rs
+++ b/crates/core/src/host/answers.rs
@@ -15,16 +15,18 @@
         let _ = request.answer.send(answer);
     }
 
-    /// Leaves the final answer to an attempt whose answer has begun, if there is one, and has it given to the front now.
+    /// Leaves the final answer to an attempt whose answer is under way, if there is one, and has it given to the front now.
     /// `instead` is the answer if that attempt fails. Returns whether there is one.
-    pub(super) fn defer_to_begun_answer(&self, state: &mut State, id: RequestId, instead: Answer) -> bool {
+    pub(super) fn defer_to_answer_under_way(
+        &self, state: &mut State, id: RequestId, instead: Answer,
+    ) -> bool {
         let uses_client = |request: &OpenRequest| request.exchange.attempt_uses_client();
         if state.requests.get(&id).is_none_or(uses_client) {
             return false;
         }
-        let Some(attempt) = state.begun_attempt(id) else { return false };
+        let Some(attempt) = state.answering_attempt(id) else { return false };
         attempt.early_answer.request();
-        debug!(target: LOG_TARGET, request = id.0, "final answer left to an answer that has begun");
+        debug!(target: LOG_TARGET, request = id.0, "final answer left to an answer that is under way");
         if let Some(request) = state.requests.get_mut(&id) {
             request.given_up.get_or_insert(instead);
         }
@@ -34,7 +36,7 @@
     /// Ends a request that the balancer has given up, once no answer to it is under way.
     pub(super) fn finish_given_up(&self, state: &mut State, id: RequestId) {
         let given_up = state.requests.get(&id).and_then(|request| request.given_up);
-        let Some(answer) = given_up.filter(|_| state.begun_attempt(id).is_none()) else { return };
+        let Some(answer) = given_up.filter(|_| state.answering_attempt(id).is_none()) else { return };
         match answer {
             Answer::Rejected(retry_after) => self.reject(state, id, retry_after),
             answer => {
--- a/crates/core/src/host/attempts.rs
+++ b/crates/core/src/host/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::state::{Answer, AttemptKey, OpenAttempt, State};
 use super::{Host, LOG_TARGET};
-use crate::exchange::AttemptContext;
+use crate::exchange::{AnswerProgress, AttemptContext};
 use crate::registry::KnownBackend;
 use lotusdeck_policy::{AttemptEnd, AttemptNo, BackendId, BackendState, Micros, Outcome, RequestId, Time};
 use std::net::SocketAddr;
@@ -12,9 +12,15 @@
 /// Time for giving the beginning of an answer to the front, µs.
 const ANSWER_MARGIN: Micros = Micros(5_000);
 
-/// Handles the outcome of an attempt whose task completed. Passed as a parameter, because the handler is in
-/// `actions`, which this module must not depend on.
-pub(super) type OnAttemptEnd = fn(&Rc<Host>, AttemptKey, Outcome);
+/// Handles what the task of an attempt reports. Passed as a parameter, because the handlers are in `actions`, which this
+/// module must not depend on.
+#[derive(Clone, Copy)]
+pub(super) struct AttemptHandlers {
+    /// The task completed with this outcome.
+    pub(super) on_end: fn(&Rc<Host>, AttemptKey, Outcome),
+    /// The answer paused or went on.
+    pub(super) on_progress: fn(&Rc<Host>, AttemptKey, AnswerProgress),
+}
 
 /// The conditions that are checked right before the first byte of an attempt.
 pub(super) struct SendCondition {
@@ -36,7 +42,7 @@
     /// Starts the next attempt of a request, unless the request is over or the backend is unknown.
     pub(super) fn dispatch(
         self: &Rc<Self>, state: &mut State, now: Time, id: RequestId, backend: BackendId,
-        on_end: OnAttemptEnd,
+        handlers: AttemptHandlers,
     ) {
         let Some(request) = state.requests.get_mut(&id) else { return };
         let key = AttemptKey { request: id, attempt: AttemptNo(request.attempts) };
@@ -44,13 +50,13 @@
         state.counts.attempts += 1;
         let exchange = request.exchange.clone();
         let journaled = request.journaled.then(|| exchange.clone());
-        let Some(context) = self.attempt_context(state, key, backend) else { return };
+        let Some(context) = self.attempt_context(state, key, backend, handlers) else { return };
         debug!(target: LOG_TARGET, request = id.0, attempt = key.attempt.0, backend = backend.0, "attempt started");
         let early_answer = context.early_answer.clone();
         let host = self.clone();
         let task = tokio::task::spawn_local(async move {
             let outcome = exchange.send_attempt(context).await;
-            on_end(&host, key, outcome);
+            (handlers.on_end)(&host, key, outcome);
         });
         let attempt = OpenAttempt {
             backend,
@@ -64,14 +70,14 @@
     }
 
     fn attempt_context(
-        self: &Rc<Self>, state: &State, key: AttemptKey, backend: BackendId,
+        self: &Rc<Self>, state: &State, key: AttemptKey, backend: BackendId, handlers: AttemptHandlers,
     ) -> Option<AttemptContext> {
         let request = state.requests.get(&key.request)?;
         let known = state.registry.get(backend)?;
         let address = known.address;
         let send_by = state.send_by(request, key);
         let condition = SendCondition { request: key.request, backend, address, send_by };
-        let host = self.clone();
+        let (host, reporting_host) = (self.clone(), self.clone());
         // The journal writes while the connection is being established.
         let journal = self.services.journal.as_ref().filter(|_| request.journaled);
         let send_permit =
@@ -84,6 +90,7 @@
             deadline: self.clock.instant(request.deadline),
             answer_by: self.clock.instant(answer_by(request.deadline, state.active.settings.config.tick)),
             early_answer: Rc::default(),
+            report_progress: Rc::new(move |progress| (handlers.on_progress)(&reporting_host, key, progress)),
             send_check: Box::new(move || host.may_send(&condition)),
             send_permit: send_permit.into(),
         })
@@ -131,13 +138,13 @@
         Some(state.attempt_end(key, outcome, self.clock.now() - open.latency_from))
     }
 
-    /// Gives up an attempt that the balancer withdraws, unless its answer has begun and its request is open: the answer
-    /// may still be given to the client. Returns `None` if it goes on or is not in flight.
+    /// Gives up an attempt that the balancer withdraws, unless its answer is under way and its request is open: the
+    /// answer may still be given to the client. Returns `None` if it goes on or is not in flight.
     pub(super) fn withdraw_attempt(
         &self, state: &mut State, now: Time, key: AttemptKey,
     ) -> Option<AttemptEnd> {
-        let has_begun = state.attempts.get(&key).is_some_and(|attempt| attempt.early_answer.has_begun());
-        if has_begun && state.requests.contains_key(&key.request) {
+        let is_under_way = |attempt: &OpenAttempt| attempt.early_answer.is_under_way();
+        if state.attempts.get(&key).is_some_and(is_under_way) && state.requests.contains_key(&key.request) {
             debug!(target: LOG_TARGET, request = key.request.0, attempt = key.attempt.0, "attempt not withdrawn");
             return None;
         }
--- a/crates/core/src/host/request.rs
+++ b/crates/core/src/host/request.rs
@@ -74,10 +74,10 @@
     }
 
     /// Ends a request whose deadline has passed. Its attempts in flight time out, upon which the balancer gives its
-    /// final answer; if it does not, the request is answered as timed out. An answer that has begun is given to the front
-    /// now instead.
+    /// final answer; if it does not, the request is answered as timed out. An answer that is under way is given to the
+    /// front now instead.
     pub fn deadline_expired(self: &Rc<Self>, id: RequestId) {
-        if self.defer_to_begun_answer(&mut self.state.borrow_mut(), id, Answer::TimedOut) {
+        if self.defer_to_answer_under_way(&mut self.state.borrow_mut(), id, Answer::TimedOut) {
             return;
         }
         let in_flight = self.state.borrow().attempts_of(id);
--- a/crates/core/src/host/state.rs
+++ b/crates/core/src/host/state.rs
@@ -1,7 +1,7 @@
 //! The mutable state of the host: the balancer, the backends, the open requests and attempts.
 
 use crate::counts::Counts;
-use crate::early_answer::EarlyAnswer;
+use crate::early_answer::{AnswerPace, EarlyAnswer};
 use crate::exchange::Exchange;
 use crate::fleet_limits::Admission;
 use crate::registry::Registry;
@@ -164,10 +164,11 @@
         keys.filter(|key| self.attempts.contains_key(key)).collect()
     }
 
-    /// Returns an attempt in flight of an open request whose answer has begun.
-    pub(super) fn begun_attempt(&self, request: RequestId) -> Option<&OpenAttempt> {
-        let mut attempts = self.attempts_of(request).into_iter().filter_map(|key| self.attempts.get(&key));
-        attempts.find(|attempt| attempt.early_answer.has_begun())
+    /// Returns an attempt in flight of an open request whose answer is under way, if possible one that has not paused.
+    pub(super) fn answering_attempt(&self, request: RequestId) -> Option<&OpenAttempt> {
+        let attempts = self.attempts_of(request).into_iter().filter_map(|key| self.attempts.get(&key));
+        let under_way = attempts.filter(|attempt| attempt.early_answer.is_under_way());
+        under_way.min_by_key(|attempt| attempt.early_answer.pace() == AnswerPace::Paused)
     }
 
     /// Returns the attempts still in flight of a request that is over.
--- a/crates/core/src/host/tests.rs
+++ b/crates/core/src/host/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the checks before the first byte of an attempt, and of the cleanup after requests and backends.
 
+use super::actions::ATTEMPT_HANDLERS;
 use super::attempts::SendCondition;
 use super::state::AttemptKey;
 use super::{Answer, Host, OptionalServices};
@@ -161,7 +162,7 @@
             let withdrawn = AttemptKey { request, attempt: AttemptNo(0) };
             let end = host.cancel_attempt(&mut host.state.borrow_mut(), now, withdrawn);
             assert!(end.is_some(), "the attempt was in flight");
-            host.dispatch(&mut host.state.borrow_mut(), now, request, BackendId(0), Host::attempt_ended);
+            host.dispatch(&mut host.state.borrow_mut(), now, request, BackendId(0), ATTEMPT_HANDLERS);
             tokio::task::yield_now().await;
             assert_eq!(exchange.0.borrow()[1].may_send(), is_within, "a window of {window:?}");
         }
@@ -207,7 +208,8 @@
             let exchange = Rc::new(KeepsContexts::default());
             let (request, mut answer) = submit_to(&host, exchange.clone(), SideEffects::None);
             tokio::task::yield_now().await;
-            let defer = || host.defer_to_begun_answer(&mut host.state.borrow_mut(), request, Answer::Failed);
+            let defer =
+                || host.defer_to_answer_under_way(&mut host.state.borrow_mut(), request, Answer::Failed);
             assert!(!defer(), "no answer has begun");
             exchange.0.borrow()[0].early_answer.record_begun();
             assert!(defer());
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,8 +21,8 @@
 mod timers;
 
 pub use clock::{to_duration, Clock};
-pub use early_answer::EarlyAnswer;
-pub use exchange::{AttemptContext, AttemptFuture, ConnectionPools, Exchange};
+pub use early_answer::{AnswerPace, EarlyAnswer};
+pub use exchange::{AnswerProgress, AttemptContext, AttemptFuture, ConnectionPools, Exchange};
 pub use fleet_limits::{Admission, FleetLimitStatus, FleetLimiter};
 pub use host::{Answer, Host, OptionalServices};
 pub use id_usage::IdGuard;
--- a/crates/lotusdeck/src/operator/values.rs
+++ b/crates/lotusdeck/src/operator/values.rs
@@ -95,7 +95,7 @@
 /// Sets a key of `[http]`.
 fn set_http(timeouts: &mut StallTimeouts, key: &str, value: Value) {
     match (key, value) {
-        ("answer_gap_ms", Value::Number(ms)) => timeouts.answer_stall = Duration::from_millis(ms),
+        ("answer_gap_ms", Value::Number(ms)) => timeouts.answer_pause = Duration::from_millis(ms),
         ("answer_silence_ms", Value::Number(ms)) => timeouts.relayed_answer_stall = Duration::from_millis(ms),
         ("upload_stall_ms", Value::Number(ms)) => timeouts.upload_stall = Duration::from_millis(ms),
         ("upload_unread_ms", Value::Number(ms)) => timeouts.backend_stall = Duration::from_millis(ms),
--- a/crates/policy/src/admission/mod.rs
+++ b/crates/policy/src/admission/mod.rs
@@ -64,6 +64,7 @@
             allow_hedging: config.attempts.allow_hedging,
             uploading: arrival.body_incomplete,
             streaming: false,
+            has_replaced_attempt: false,
             attempts: Vec::new(),
         }
     }
--- a/crates/policy/src/api/action.rs
+++ b/crates/policy/src/api/action.rs
@@ -32,6 +32,13 @@
         /// The attempt.
         attempt: AttemptNo,
     },
+    /// Give up an attempt whose answer has paused, so that another can be sent.
+    Replace {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptNo,
+    },
     /// Set a timer that reports [`Event::Timer`](super::Event::Timer).
     SetTimer {
         /// The token that the event reports.
--- a/crates/policy/src/api/event.rs
+++ b/crates/policy/src/api/event.rs
@@ -123,6 +123,20 @@
         /// The attempt.
         attempt: AttemptNo,
     },
+    /// The answer of an attempt has begun, and then nothing more of it has arrived for a while.
+    AnswerPaused {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptNo,
+    },
+    /// More of an answer that had paused has arrived.
+    AnswerResumed {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptNo,
+    },
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
     /// The client disconnected; the request needs no answer.
--- a/crates/policy/src/balancer/attempts.rs
+++ b/crates/policy/src/balancer/attempts.rs
@@ -4,7 +4,7 @@
 use crate::answer_loss::EndedAttempt;
 use crate::api::{AttemptEnd, BackendId, Micros, Outcome, RequestId, Time};
 use crate::outlier::{self, FailedAttempt, FailureVerdict};
-use crate::requests::{AttemptKey, InFlightAttempt};
+use crate::requests::{AnswerPace, AttemptKey, InFlightAttempt};
 
 impl Balancer {
     /// Records that the body of a request is complete: its objective and deadline start now, and its attempt
@@ -44,8 +44,13 @@
         }
         let has_attempt_in_flight = request.has_attempt_in_flight();
         if end.request_answered || end.outcome == Outcome::Success {
+            if end.outcome == Outcome::Success && attempt.answer_pace != AnswerPace::Steady {
+                self.excuse_paused_attempts(id);
+            }
             self.close(id);
-        } else if !has_attempt_in_flight {
+        } else if has_attempt_in_flight {
+            self.replace_paused(now, id);
+        } else {
             // The dispatch of the queue retries it or gives it up.
             self.admission.queue.push_if_absent(id);
         }
@@ -59,8 +64,9 @@
             let ended = EndedAttempt { sent_at: attempt.sent_at, outcome: end.outcome, usual_latency };
             self.recovery.answer_loss.record(now, &ended);
         }
-        // An attempt that was cancelled after the loss timeout counts as timed out.
+        // An attempt that was cancelled while its answer paused, or after the loss timeout, counts as failed.
         let outcome = match end.outcome {
+            Outcome::Cancelled if attempt.answer_pace == AnswerPace::Paused => Outcome::Error,
             Outcome::Cancelled if is_lost => Outcome::TimedOut,
             outcome => outcome,
         };
--- a/crates/policy/src/balancer/dispatch.rs
+++ b/crates/policy/src/balancer/dispatch.rs
@@ -7,7 +7,7 @@
 use crate::backend_table::SMALL_FLEET;
 use crate::outlier::EJECTION_TERM_S;
 use crate::picker::Eligibility;
-use crate::requests::{AttemptKey, AttemptRecord, InFlightAttempt, PendingRequest};
+use crate::requests::{AnswerPace, AttemptKey, AttemptRecord, InFlightAttempt, PendingRequest};
 use crate::retry;
 use crate::slow_start::WarmupBudget;
 
@@ -56,7 +56,7 @@
         is_permitted && retry::may_attempt(&self.config, now, request)
     }
 
-    fn pick_backend(&mut self, now: Time, request: &PendingRequest) -> Option<BackendId> {
+    pub(super) fn pick_backend(&mut self, now: Time, request: &PendingRequest) -> Option<BackendId> {
         let traffic = &self.traffic;
         let estimates = &traffic.estimates;
         let eligibility = Eligibility {
@@ -115,6 +115,7 @@
             class: request.class,
             sent_at: now,
             uploading: request.uploading,
+            answer_pace: AnswerPace::default(),
         };
         self.requests.in_flight.insert(key, attempt);
         self.output.actions.push(Action::Dispatch { request: id, backend: picked });
--- a/crates/policy/src/balancer/mod.rs
+++ b/crates/policy/src/balancer/mod.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod inspect;
 mod output;
+mod paused_answers;
 mod schedule;
 mod timeouts;
 
@@ -19,7 +20,7 @@
 use crate::estimates::{ClassStats, Estimates};
 use crate::estimators::Rng;
 use crate::picker::Picker;
-use crate::requests::RequestTable;
+use crate::requests::{AttemptKey, RequestTable};
 use crate::retry::{self, RetryBudget};
 use crate::slow_start::SlowStart;
 use crate::snapshot::restore_snapshot;
@@ -146,6 +147,12 @@
             Event::Request(arrival) => self.receive_request(now, &arrival),
             Event::BodyReceived { request, time_left } => self.receive_body(now, request, time_left),
             Event::StreamStarted { request, attempt } => self.start_stream(request, attempt),
+            Event::AnswerPaused { request, attempt } => {
+                self.record_answer_pause(now, AttemptKey { request, attempt });
+            }
+            Event::AnswerResumed { request, attempt } => {
+                self.record_answer_resumption(AttemptKey { request, attempt });
+            }
             Event::AttemptEnded(end) => self.end_attempt(now, &end),
             Event::ClientDisconnected { request } => self.close(request),
             Event::Timer { .. } => {}
--- a/crates/policy/src/balancer/timeouts.rs
+++ b/crates/policy/src/balancer/timeouts.rs
@@ -56,15 +56,10 @@
     /// Collects in `unservable` the requests that cannot be served in time, and replaces attempts that look
     /// lost; returns when the next request has to be checked, at most `latest`.
     fn check_requests(&mut self, now: Time, latest: Time, unservable: &mut Vec<RequestId>) -> Time {
-        let context = TimeoutContext {
-            now,
-            config: &self.config,
-            estimates: &self.traffic.estimates,
-            answer_loss: &self.recovery.answer_loss,
-            backends: &self.backends.by_id,
-            may_retry: self.recovery.retry_budget.is_available(),
-        };
+        let context = self.timeout_context(now);
         let mut next = latest;
+        let mut hedged = Vec::new();
+        let mut lost = Vec::new();
         for (&id, request) in &self.requests.pending {
             let Some(check) = context.check(request) else { continue };
             match check.step {
@@ -72,19 +67,33 @@
                 RequestStep::GiveUp => unservable.push(id),
                 RequestStep::Hedge => {
                     if retry::may_attempt(&self.config, now, request) {
-                        self.admission.queue.push_if_absent(id);
+                        hedged.push(id);
                     }
                 }
                 RequestStep::CancelLost => {
                     let attempt = AttemptNo(request.attempts.len() as u32 - 1);
-                    self.output.actions.push(Action::Cancel { request: id, attempt });
+                    lost.push(Action::Cancel { request: id, attempt });
                 }
             }
             next = next.min(check.next_check_at);
         }
+        hedged.into_iter().for_each(|id| self.admission.queue.push_if_absent(id));
+        self.output.actions.extend(lost);
         next
     }
 
+    /// Returns the inputs of the checks of requests.
+    pub(super) fn timeout_context(&self, now: Time) -> TimeoutContext<'_> {
+        TimeoutContext {
+            now,
+            config: &self.config,
+            estimates: &self.traffic.estimates,
+            answer_loss: &self.recovery.answer_loss,
+            backends: &self.backends.by_id,
+            may_retry: self.recovery.retry_budget.is_available(),
+        }
+    }
+
     /// Returns the usual latency of a served request of the class.
     pub(super) fn usual_latency(&self, class: usize) -> Micros {
         self.traffic.estimates.usual_latency(&self.config, class)
--- a/crates/policy/src/hedging.rs
+++ b/crates/policy/src/hedging.rs
@@ -102,6 +102,13 @@
             && request.attempts.iter().all(|a| !a.in_flight || is_on_ejected(a) || is_old(a))
     }
 
+    /// Returns whether another attempt of a request is likely to be answered in time and there is budget for
+    /// it.
+    pub(crate) fn is_worth_another_attempt(&self, request: &PendingRequest) -> bool {
+        let usual_latency = self.estimates.usual_latency(self.config, request.class);
+        self.is_worth_retrying(request, usual_latency, self.waits_for_late_answer(request))
+    }
+
     /// Returns whether another attempt is likely to be answered in time and there is budget for it.
     fn is_worth_retrying(
         &self, request: &PendingRequest, usual_latency: Micros, waits_for_late_answer: bool,
--- a/crates/policy/src/requests.rs
+++ b/crates/policy/src/requests.rs
@@ -24,6 +24,18 @@
     pub never_ran: bool,
 }
 
+/// How the answer of an attempt arrives.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum AnswerPace {
+    /// It has not paused, or not begun.
+    #[default]
+    Steady,
+    /// It has begun and paused.
+    Paused,
+    /// It has gone on after a pause.
+    Resumed,
+}
+
 /// An attempt that has not ended; it may outlive its request.
 pub(crate) struct InFlightAttempt {
     pub backend: BackendId,
@@ -32,6 +44,7 @@
     pub sent_at: Time,
     /// Whether a part of its body has not arrived yet.
     pub uploading: bool,
+    pub answer_pace: AnswerPace,
 }
 
 /// A request without a final answer.
@@ -52,6 +65,8 @@
     pub uploading: bool,
     /// Whether its answer is being streamed to the client.
     pub streaming: bool,
+    /// Whether an attempt was given up because its answer had paused.
+    pub has_replaced_attempt: bool,
     pub attempts: Vec<AttemptRecord>,
 }
 
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -39,8 +39,14 @@
     config.classes.iter().any(Class::is_idempotent)
 }
 
-/// Returns whether the class and the earlier attempts of the request allow another attempt.
+/// Returns whether the class and the earlier attempts of the request allow another attempt now.
 pub(crate) fn may_attempt(config: &Config, now: Time, request: &PendingRequest) -> bool {
+    let may_be_concurrent = request.allow_hedging || !request.has_attempt_in_flight();
+    may_be_concurrent && may_repeat(config, now, request)
+}
+
+/// Returns whether the class and the earlier attempts of the request allow another attempt once none is in flight.
+pub(crate) fn may_repeat(config: &Config, now: Time, request: &PendingRequest) -> bool {
     let is_repeatable = |attempt: &AttemptRecord| match config.classes[request.class].side_effects {
         SideEffects::None => true,
         SideEffects::IdempotencyKey { window, .. } => {
@@ -48,10 +54,7 @@
         }
         SideEffects::NonIdempotent => attempt.never_ran,
     };
-    let may_be_concurrent = request.allow_hedging || !request.has_attempt_in_flight();
-    may_be_concurrent
-        && request.attempts.len() < request.max_attempts
-        && request.attempts.iter().all(is_repeatable)
+    request.attempts.len() < request.max_attempts && request.attempts.iter().all(is_repeatable)
 }
 
 /// Returns whether the request had an attempt on this backend.
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -152,6 +152,16 @@
                 assert!((attempt.0 as usize) < r.attempts.len(), "cancelled an attempt that was never sent");
                 self.cancelled.push((request, attempt.0 as usize));
             }
+            Action::Replace { request, attempt } => {
+                let r = &self.requests[&request];
+                let side_effects = self.config.classes[r.class].side_effects;
+                assert!(side_effects != SideEffects::NonIdempotent, "gave up an attempt that may have run");
+                assert!(
+                    r.attempts[attempt.0 as usize].outcome.is_none(),
+                    "gave up an attempt that had ended"
+                );
+                self.cancelled.push((request, attempt.0 as usize));
+            }
             Action::SetTimer { token, after } => {
                 self.timers_set += 1;
                 self.timers.push((self.now + after, token));
@@ -209,6 +219,8 @@
         self.handle_event(Event::Timer { token });
         self.handle_event(Event::ClientDisconnected { request });
         self.handle_event(Event::StreamStarted { request, attempt });
+        self.handle_event(Event::AnswerPaused { request, attempt });
+        self.handle_event(Event::AnswerResumed { request, attempt });
         self.handle_event(Event::AttemptEnded(AttemptEnd {
             request,
             attempt,
@@ -251,6 +263,16 @@
         }
     }
 
+    /// Reports that the answer of an attempt in flight has paused.
+    pub(crate) fn pause_answer(&mut self, id: RequestId, no: usize) {
+        self.handle_event(Event::AnswerPaused { request: id, attempt: AttemptNo(no as u32) });
+    }
+
+    /// Reports that an answer goes on.
+    pub(crate) fn resume_answer(&mut self, id: RequestId, no: usize) {
+        self.handle_event(Event::AnswerResumed { request: id, attempt: AttemptNo(no as u32) });
+    }
+
     /// Advances the time, fires timers and time-outs when they are due, and checks every deadline.
     pub(crate) fn advance(&mut self, span: u64) {
         let until = self.now + Micros(span);
--- a/crates/policy/tests/invariants.rs
+++ b/crates/policy/tests/invariants.rs
@@ -17,6 +17,8 @@
     Submit(usize, u64, Option<usize>),
     EndAttempt(usize, Outcome),
     StartStream(usize),
+    PauseAnswer(usize),
+    ResumeAnswer(usize),
     Disconnect(usize),
     Advance(u64),
     ChangeBackend(u32, BackendState, bool),
@@ -47,6 +49,8 @@
         10 => (0..6usize, 0..2_000_000u64, proptest::option::of(0..2usize)).prop_map(|(c, l, t)| Step::Submit(c, l, t)),
         8 => (0..64usize, outcome()).prop_map(|(n, o)| Step::EndAttempt(n, o)),
         1 => (0..64usize).prop_map(Step::StartStream),
+        2 => (0..64usize).prop_map(Step::PauseAnswer),
+        1 => (0..64usize).prop_map(Step::ResumeAnswer),
         1 => (0..64usize).prop_map(Step::Disconnect),
         8 => (0..150_000u64).prop_map(Step::Advance),
         2 => (0..8u32, state, any::<bool>()).prop_map(|(b, s, r)| Step::ChangeBackend(b, s, r)),
@@ -99,6 +103,16 @@
                     host.start_stream(id, no);
                 }
             }
+            Step::PauseAnswer(n) => {
+                if let Some((id, no)) = nth(&host.in_flight(), n) {
+                    host.pause_answer(id, no);
+                }
+            }
+            Step::ResumeAnswer(n) => {
+                if let Some((id, no)) = nth(&host.in_flight(), n) {
+                    host.resume_answer(id, no);
+                }
+            }
             Step::Disconnect(n) => {
                 let open: Vec<RequestId> =
                     host.requests.iter().filter(|(_, r)| r.answer.is_none()).map(|(id, _)| *id).collect();
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -17,7 +17,7 @@
 use hyper::header::CONNECTION;
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, Request, Uri, Version};
-use lotusdeck_core::EarlyAnswer;
+use lotusdeck_core::{AnswerProgress, EarlyAnswer};
 use lotusdeck_policy::{AttemptNo, BackendId, Outcome, RequestId};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -33,6 +33,9 @@
 /// Number of headers that a map may have room for whatever it holds.
 const MAX_SPARE_HEADERS: usize = 24;
 
+/// How long after its client's time an answer that was passed on and stays silent ends: while it is not lost yet.
+const LATE_END: Duration = Duration::from_millis(400);
+
 /// The head of a request as it is forwarded to backends. It shares no memory with the buffer that it was read from.
 pub(crate) struct ForwardedHead {
     pub method: Method,
@@ -69,6 +72,8 @@
     pub answer_by: Instant,
     /// Whether the answer is passed on before it is complete.
     pub early_answer: Rc<EarlyAnswer>,
+    /// Reports the pauses of the answer.
+    pub report_progress: Rc<dyn Fn(AnswerProgress)>,
 }
 
 /// The answer of a successful attempt.
@@ -99,6 +104,8 @@
     backend: BackendId,
     /// Whether the last byte of the request was written.
     is_written: bool,
+    /// When its answer has to go on, if it has paused.
+    resumes_by: Option<Instant>,
 }
 
 /// A connection for an attempt, and whether the journal allows the attempt to be sent.
@@ -138,12 +145,28 @@
             upload,
             buffer: BodyBuffer::new(&self.body_budget),
             timeouts: self.stall_timeouts.get(),
+            counts: &self.exchange_counts,
             answer_by: terms.answer_by,
             early_answer: &terms.early_answer,
+            report_progress: &*terms.report_progress,
         };
         let answer = exchange(stream, outgoing, context).await;
-        let is_written = is_request_written(stream, length, upload);
-        self.attempt_result(SentAttempt { id: terms.id, backend: to.backend, is_written }, connection, answer)
+        let sent = SentAttempt {
+            id: terms.id,
+            backend: to.backend,
+            is_written: is_request_written(stream, length, upload),
+            resumes_by: self.resumes_by(stream, &terms),
+        };
+        self.attempt_result(sent, connection, answer)
+    }
+
+    /// Returns when an answer that is passed on while it pauses has to go on. Until then it may be sound; after that its
+    /// client, whose time is over, is owed an end.
+    fn resumes_by(&self, stream: &Stream, terms: &AttemptTerms) -> Option<Instant> {
+        let timeouts = self.stall_timeouts.get();
+        let last_read_at = stream.last_read_at();
+        let has_paused = last_read_at.elapsed() >= timeouts.answer_pause;
+        has_paused.then(|| (last_read_at + timeouts.answer_silence).max(terms.deadline + LATE_END))
     }
 
     /// Returns the result of an attempt whose exchange has ended.
@@ -163,7 +186,7 @@
         }
         match answer {
             Ok(answer) => self.finish_attempt(sent, connection, answer),
-            Err(ExchangeError::InvalidAnswer | ExchangeError::AnswerStalled) => Outcome::Error.into(),
+            Err(ExchangeError::InvalidAnswer) => Outcome::Error.into(),
             Err(ExchangeError::ConnectionEnded | ExchangeError::UploadStalled) => Outcome::Reset.into(),
         }
     }
@@ -171,7 +194,6 @@
     /// Counts and logs why an exchange ended without an answer.
     fn record_exchange_error(&self, sent: SentAttempt, stream: &Stream, error: &ExchangeError) {
         match error {
-            ExchangeError::AnswerStalled => increment(&self.exchange_counts.answers_stalled),
             ExchangeError::UploadStalled => increment(&self.exchange_counts.uploads_stalled),
             ExchangeError::InvalidAnswer => increment(&self.exchange_counts.answers_invalid),
             ExchangeError::ConnectionEnded => {}
@@ -258,6 +280,7 @@
             is_reusable,
             bytes_read,
             max_pause: self.stall_timeouts.get().relayed_answer_stall,
+            resumes_by: sent.resumes_by,
             client,
         };
         tokio::task::spawn_local(relay.run(answer.driver, answer.sender, rest));
--- a/crates/proxy/src/connection_pool/tests.rs
+++ b/crates/proxy/src/connection_pool/tests.rs
@@ -31,7 +31,8 @@
 fn terms() -> AttemptTerms {
     let deadline = Instant::now() + Duration::from_secs(20);
     let id = AttemptId { request: RequestId(1), attempt: AttemptNo(0) };
-    AttemptTerms { id, deadline, answer_by: deadline, early_answer: Rc::default() }
+    let report_progress = Rc::new(|_| ());
+    AttemptTerms { id, deadline, answer_by: deadline, early_answer: Rc::default(), report_progress }
 }
 
 /// Guards against a request that is sent to a backend that began to drain while the connection was being established.
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -1,8 +1,10 @@
 //! One request and its answer on a connection.
 
 use crate::answer_outcome::outcome_of;
+use crate::answer_pauses::PauseWatch;
 use crate::body::{BoxError, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use crate::body_buffer::BodyBuffer;
+use crate::exchange_counts::ExchangeCounts;
 use crate::outgoing_body::OutgoingBody;
 use crate::stall_timeouts::{wait_for_stall, StallTimeouts};
 use crate::stream::Stream;
@@ -14,12 +16,12 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
-use lotusdeck_core::EarlyAnswer;
+use lotusdeck_core::{AnswerProgress, EarlyAnswer};
 use lotusdeck_policy::Outcome;
 use std::future::{poll_fn, Future};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::atomic::AtomicBool;
 use std::task::Poll;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -43,8 +45,6 @@
 pub(crate) enum ExchangeError {
     /// The answer is invalid: too long, cut short or malformed.
     InvalidAnswer,
-    /// The answer began and then paused for too long.
-    AnswerStalled,
     /// The backend stopped reading the request.
     UploadStalled,
     /// The connection ended.
@@ -88,27 +88,37 @@
     /// The buffer for the answer, or for the beginning of a large one.
     pub buffer: BodyBuffer,
     pub timeouts: StallTimeouts,
+    pub counts: &'a ExchangeCounts,
     /// When an answer that has begun is passed on at the latest, if it may be a large one.
     pub answer_by: Instant,
     /// Whether the answer is passed on before it is complete.
     pub early_answer: &'a EarlyAnswer,
+    /// Reports the pauses of the answer.
+    pub report_progress: &'a dyn Fn(AnswerProgress),
 }
 
 /// Sends a request and reads its answer, or only the first bytes of a large one.
 pub(crate) async fn exchange(
     stream: &Stream, request: Request<OutgoingBody>, context: ExchangeContext<'_>,
 ) -> Result<BackendAnswer, ExchangeError> {
-    let ExchangeContext { informational, upload, buffer, timeouts, answer_by, early_answer } = context;
+    let ExchangeContext { upload, buffer, timeouts, early_answer, .. } = context;
     let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream.clone()).await;
     let (mut sender, mut driver) = handshake.map_err(|_| ExchangeError::ConnectionEnded)?;
     let work = send_and_read(&mut sender, request, buffer, early_answer);
+    let pauses = PauseWatch {
+        stream,
+        informational: context.informational,
+        pause: timeouts.answer_pause,
+        silence: timeouts.answer_silence,
+        early_answer,
+        report: context.report_progress,
+        counts: context.counts,
+    };
     let answer = tokio::select! {
         biased;
         done = drive_until_done(&mut driver, work) => done.unwrap_or(Err(ExchangeError::ConnectionEnded))?,
-        () = answer_stalled(stream, informational, timeouts.answer_stall, early_answer) => {
-            return Err(ExchangeError::AnswerStalled)
-        }
-        never = early_answer.request_at(answer_by) => match never {},
+        never = pauses.run() => match never {},
+        never = early_answer.request_at(context.answer_by) => match never {},
         () = upload_stalled(stream, upload, timeouts.backend_stall) => {
             return Err(ExchangeError::UploadStalled)
         }
@@ -128,7 +138,7 @@
         return Err(ExchangeError::InvalidAnswer);
     }
     let is_declared_large = body.size_hint().lower() > MAX_BUFFERED_BYTES as u64;
-    if may_start_early(&head, is_declared_large) {
+    if may_start_early(&head, &body) {
         early_answer.record_begun();
     }
     loop {
@@ -156,31 +166,11 @@
     Ok(ReadAnswer { head, buffered: buffered.freeze(), rest: None })
 }
 
-/// Returns whether the beginning of an answer may be passed on although it is short so far: it is a success, and its
-/// end is marked, so that the client can tell whether it is whole, but may be far away.
-fn may_start_early(head: &Parts, is_declared_large: bool) -> bool {
-    let is_chunked = head.headers.contains_key(TRANSFER_ENCODING);
-    outcome_of(head) == Outcome::Success && (is_chunked || is_declared_large)
-}
-
-/// Waits until an answer has begun and then stalls; never returns if the answer is passed on instead. An answer that is
-/// malformed from the start, never ends its head or is shorter than declared would otherwise hold its request until
-/// the deadline. Answers of status 1xx do not count as its beginning.
-async fn answer_stalled(
-    stream: &Stream, informational: &AtomicBool, timeout: Duration, early_answer: &EarlyAnswer,
-) {
-    loop {
-        stream.wait_for_first_byte().await;
-        wait_for_stall(timeout, || stream.bytes_received()).await;
-        if informational.swap(false, Relaxed) {
-            stream.mark_idle();
-            continue;
-        }
-        if early_answer.request() {
-            std::future::pending::<()>().await;
-        }
-        return;
-    }
+/// Returns whether the beginning of an answer may be passed on although it is short so far: it is a success that may be
+/// long. A short one has to be complete in its client's time, so that its beginning is of no use.
+fn may_start_early(head: &Parts, body: &Incoming) -> bool {
+    let may_be_large = body.size_hint().exact().is_none_or(|bytes| bytes > MAX_BUFFERED_BYTES as u64);
+    outcome_of(head) == Outcome::Success && may_be_large
 }
 
 /// Waits until no byte of a request's body was read from the client or written to the backend for `timeout`. The
--- a/crates/proxy/src/exchange_counts.rs
+++ b/crates/proxy/src/exchange_counts.rs
@@ -6,8 +6,10 @@
 /// Counts since the last log line.
 #[derive(Default)]
 pub(crate) struct ExchangeCounts {
-    /// Attempts that ended because their answer had begun and then paused for too long.
-    pub answers_stalled: Cell<u64>,
+    /// Pauses of answers that had begun.
+    pub answers_paused: Cell<u64>,
+    /// Those of them that were so long that the backend counted as silent for good.
+    pub answers_silent: Cell<u64>,
     /// Attempts that ended because their answer was malformed, too long or cut short.
     pub answers_invalid: Cell<u64>,
     /// Answers that broke off after a part of them was passed on to the client.
@@ -33,7 +35,8 @@
         info!(
             buffered_bytes,
             answers_streamed = self.answers_streamed.take(),
-            answers_stalled = self.answers_stalled.take(),
+            answers_paused = self.answers_paused.take(),
+            answers_silent = self.answers_silent.take(),
             answers_invalid = self.answers_invalid.take(),
             answers_broken_off = self.answers_broken_off.take(),
             uploads_streamed = self.uploads_streamed.take(),
--- a/crates/proxy/src/http_exchange.rs
+++ b/crates/proxy/src/http_exchange.rs
@@ -120,6 +120,7 @@
                 deadline: context.deadline,
                 answer_by: context.answer_by,
                 early_answer: context.early_answer.clone(),
+                report_progress: context.report_progress.clone(),
             };
             let journaled = context.journaled();
             let is_sent = Rc::new(Cell::new(false));
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admin;
 mod answer_body;
 mod answer_outcome;
+mod answer_pauses;
 mod attempt;
 mod body;
 pub mod body_budget;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -6,6 +6,7 @@
 use crate::exchange::{is_clean_after_answer, Driver};
 use crate::exchange_counts::increment;
 use crate::outgoing_body::OutgoingBody;
+use crate::stream::Stream;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -16,6 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tracing::debug;
 
 /// Relays the rest of a large answer, and returns the connection to the pool if it is clean afterwards.
@@ -30,6 +32,8 @@
     pub bytes_read: u64,
     /// Longest pause between two frames of the body from the backend.
     pub max_pause: Duration,
+    /// When the next frame has to arrive, if the body has paused.
+    pub resumes_by: Option<Instant>,
     /// Receives the frames, and `None` at the end.
     pub client: mpsc::Sender<Option<Bytes>>,
 }
@@ -47,12 +51,36 @@
     TooLong,
 }
 
+/// Limits of the time until the next frame of a body.
+struct FrameLimits {
+    max_pause: Duration,
+    /// The limit of the first frame, if the body has paused.
+    resumes_by: Option<Instant>,
+}
+
+impl FrameLimits {
+    /// Returns when the frame that is awaited from now on has to arrive.
+    fn next_frame_by(&mut self) -> Instant {
+        self.resumes_by.take().unwrap_or_else(|| Instant::now() + self.max_pause)
+    }
+}
+
 impl AnswerRelay {
     pub(crate) async fn run(
         self, mut driver: Driver, sender: http1::SendRequest<OutgoingBody>, rest: Incoming,
     ) {
-        let AnswerRelay { pool, id, backend, connection, is_reusable, bytes_read, max_pause, client } = self;
-        let mut work = pin!(forward_rest(&client, rest, bytes_read, max_pause));
+        let AnswerRelay {
+            pool,
+            id,
+            backend,
+            connection,
+            is_reusable,
+            bytes_read,
+            max_pause,
+            resumes_by,
+            client,
+        } = self;
+        let mut work = pin!(forward_rest(&client, rest, bytes_read, FrameLimits { max_pause, resumes_by }));
         let mut has_connection_ended = false;
         let driven_work = poll_fn(|cx| {
             has_connection_ended = has_connection_ended || Pin::new(&mut driver).poll(cx).is_ready();
@@ -64,15 +92,7 @@
         };
         if let Err(error) = forwarded {
             increment(&pool.exchange_counts.answers_broken_off);
-            debug!(
-                request = id.request.0,
-                attempt = id.attempt.0,
-                backend = backend.0,
-                ?error,
-                bytes_received = connection.stream.bytes_received(),
-                silent_ms = connection.stream.last_read_at().elapsed().as_millis() as u64,
-                "answer broke off"
-            );
+            log_broken_off(id, backend, &connection.stream, &error);
             return;
         }
         drop(sender);
@@ -83,17 +103,29 @@
     }
 }
 
+fn log_broken_off(id: AttemptId, backend: BackendId, stream: &Stream, error: &RelayError) {
+    debug!(
+        request = id.request.0,
+        attempt = id.attempt.0,
+        backend = backend.0,
+        ?error,
+        bytes_received = stream.bytes_received(),
+        silent_ms = stream.last_read_at().elapsed().as_millis() as u64,
+        "answer broke off"
+    );
+}
+
 /// Passes the rest of the body on to the client. `bytes_read` is the number of bytes of the body that were read before.
 ///
 /// # Errors
 /// Returns why not all of it was passed on.
 async fn forward_rest(
-    client: &mpsc::Sender<Option<Bytes>>, mut rest: Incoming, mut bytes_read: u64, max_pause: Duration,
+    client: &mpsc::Sender<Option<Bytes>>, mut rest: Incoming, mut bytes_read: u64, mut limits: FrameLimits,
 ) -> Result<(), RelayError> {
     loop {
         // The next frame is read once there is room for it, so that each answer has one frame waiting at most.
         let permit = client.reserve().await.map_err(|_| RelayError::ClientLeft)?;
-        let data = match tokio::time::timeout(max_pause, rest.frame()).await {
+        let data = match tokio::time::timeout_at(limits.next_frame_by(), rest.frame()).await {
             Ok(None) => return Ok(()),
             Err(_) => return Err(RelayError::BackendSilent),
             Ok(Some(Err(_))) => return Err(RelayError::BackendEnded),
--- a/crates/proxy/src/stall_timeouts.rs
+++ b/crates/proxy/src/stall_timeouts.rs
@@ -1,15 +1,18 @@
-//! The pauses within a message after which it counts as aborted.
+//! The pauses within a message that have consequences.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The pauses after which an answer or a body is aborted.
+/// The pauses that have consequences for an answer or a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StallTimeouts {
-    /// Between two bytes of an answer that has begun.
-    pub answer_stall: Duration,
-    /// The same once a large answer is being sent to the client: longer, as no other answer can replace it.
+    /// Between two bytes of an answer that has begun: after that its request is sent elsewhere if it may be repeated.
+    pub answer_pause: Duration,
+    /// The same, after which its backend counts as silent for good once the client's time is over.
+    pub answer_silence: Duration,
+    /// The same once a large answer is being sent to the client, which is cut off then: longer, as no other answer can
+    /// replace it.
     pub relayed_answer_stall: Duration,
     /// Between two bytes of a client's body: below the 3 s within which every client must get an answer, to leave
     /// time for the head.
@@ -21,7 +24,8 @@
 impl Default for StallTimeouts {
     fn default() -> StallTimeouts {
         StallTimeouts {
-            answer_stall: Duration::from_millis(300),
+            answer_pause: Duration::from_millis(300),
+            answer_silence: Duration::from_millis(1500),
             relayed_answer_stall: Duration::from_secs(10),
             upload_stall: Duration::from_millis(1500),
             backend_stall: Duration::from_secs(3),
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -171,6 +171,11 @@
         self.0.incoming.wait_for_start().await;
     }
 
+    /// Waits until more is read from now on.
+    pub(crate) async fn wait_for_more(&self) {
+        self.0.incoming.wait_for_more().await;
+    }
+
     /// Returns whether bytes were read since `mark_idle` or wait in the kernel, or the peer has closed.
     pub(crate) fn has_unread_data(&self) -> bool {
         self.message_started_at().is_some() || socket_state::is_readable(&self.0.tcp)
--- a/crates/proxy/src/stream/incoming.rs
+++ b/crates/proxy/src/stream/incoming.rs
@@ -16,8 +16,8 @@
     bytes_after_head: Cell<u64>,
     /// When the first byte of the message was read.
     started_at: Cell<Option<Instant>>,
-    /// Notified when that byte is read.
-    started: Notify,
+    /// Notified when something is read.
+    received: Notify,
     /// When something was last read, of this message or one before.
     last_read_at: Cell<Instant>,
     /// Bytes read of all messages.
@@ -32,7 +32,7 @@
             chunks: Cell::default(),
             bytes_after_head: Cell::default(),
             started_at: Cell::default(),
-            started: Notify::new(),
+            received: Notify::new(),
             last_read_at: Cell::new(Instant::now()),
             total_bytes: Cell::default(),
         }
@@ -58,9 +58,9 @@
         self.bytes_after_head.set(self.bytes_after_head.get() + after_head as u64);
         self.total_bytes.set(self.total_bytes.get() + bytes.len() as u64);
         self.last_read_at.set(Instant::now());
-        if !bytes.is_empty() && self.started_at.get().is_none() {
-            self.started_at.set(Some(Instant::now()));
-            self.started.notify_waiters();
+        if !bytes.is_empty() {
+            self.started_at.set(self.started_at.get().or(Some(self.last_read_at())));
+            self.received.notify_waiters();
         }
     }
 
@@ -96,7 +96,15 @@
     /// Waits until the first byte of the message was read.
     pub(super) async fn wait_for_start(&self) {
         while self.started_at.get().is_none() {
-            self.started.notified().await;
+            self.received.notified().await;
+        }
+    }
+
+    /// Waits until more is read from now on.
+    pub(super) async fn wait_for_more(&self) {
+        let bytes_before = self.total_bytes();
+        while self.total_bytes() == bytes_before {
+            self.received.notified().await;
         }
     }
 
--- a/crates/simulator-adapter/src/actions.rs
+++ b/crates/simulator-adapter/src/actions.rs
@@ -22,7 +22,7 @@
             writeln!(reply, "[\"BOUNCE\",\"{name}\",\"{:016x}\",{}]", request.0, retry_after.0)
         }
         Action::Fail { request } => writeln!(reply, "[\"LOSE\",\"{name}\",\"{:016x}\"]", request.0),
-        Action::Cancel { request, attempt } => {
+        Action::Cancel { request, attempt } | Action::Replace { request, attempt } => {
             writeln!(reply, "[\"RECALL\",\"{name}\",\"{:016x}\",{}]", request.0, attempt.0)
         }
         Action::SetTimer { token, after } => {
--- a/crates/testbed/src/virtual_time/baseline_policies.rs
+++ b/crates/testbed/src/virtual_time/baseline_policies.rs
@@ -204,6 +204,8 @@
             | Event::Restored(_)
             | Event::FleetLoad { .. }
             | Event::BodyReceived { .. }
+            | Event::AnswerPaused { .. }
+            | Event::AnswerResumed { .. }
             | Event::StreamStarted { .. }
             | Event::Timer { .. } => {}
         }
--- a/crates/testbed/src/virtual_time/proxy.rs
+++ b/crates/testbed/src/virtual_time/proxy.rs
@@ -256,7 +256,7 @@
                 self.finish(request, Answer::Refused(retry_after), steps)
             }
             Action::Fail { request } => self.finish(request, Answer::Failed, steps),
-            Action::Cancel { request, attempt } => {
+            Action::Cancel { request, attempt } | Action::Replace { request, attempt } => {
                 let Some(flight) = self.in_flight.remove(&(request, attempt)) else { return };
                 steps.extend(flight.ticket.map(|ticket| Step::Withdraw { backend: flight.backend, ticket }));
                 let (outcome, latency) = (Outcome::Cancelled, now - flight.since);
