Soak: answers of each framing and class, silent backends, requests that are read slowly

Change: long answers are marked by length, chunks or the end of the connection, for both classes; answers that half of the backends begin and never end; large requests that are read on slowly.

--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -45,7 +45,8 @@
     may_be_concurrent && may_repeat(config, now, request)
 }
 
-/// Returns whether the class and the earlier attempts of the request allow another attempt once none is in flight.
+/// Returns whether the class and the earlier attempts of the request allow another attempt once none is in
+/// flight.
 pub(crate) fn may_repeat(config: &Config, now: Time, request: &PendingRequest) -> bool {
     let is_repeatable = |attempt: &AttemptRecord| match config.classes[request.class].side_effects {
         SideEffects::None => true,
--- a/crates/testbed/src/soak/backends.rs
+++ b/crates/testbed/src/soak/backends.rs
@@ -1,7 +1,8 @@
 //! Backends in a soak run: they answer after a short time, turn requests away while they are not listed as ready, and
 //! some hang.
 
-use super::bodies::{self, Pace};
+use super::bodies;
+use super::pace::Pace;
 use super::plan::{ListedState, SoakPlan};
 use super::records::Recorder;
 use crate::driver::wire::{listen, Connection};
--- a/crates/testbed/src/soak/judge.rs
+++ b/crates/testbed/src/soak/judge.rs
@@ -93,6 +93,7 @@
     violations.extend(records.requests.iter().filter_map(|request| evidence.duplicate(request)));
     violations.extend(records.attempts.iter().filter_map(|attempt| evidence.sent_after_drain(attempt)));
     violations.extend(records.bodies.iter().filter_map(|body| evidence.body_fault(body)));
+    violations.extend(records.bodies.iter().filter_map(|body| evidence.body_duplicate(body)));
     violations.extend(records.peaks.iter().filter_map(|peak| evidence.over_memory(peak)));
     violations.extend(records.processes.iter().filter_map(crashed));
     violations.sort_by_key(|violation| violation.at);
--- a/crates/testbed/src/soak/judge/bodies.rs
+++ b/crates/testbed/src/soak/judge/bodies.rs
@@ -2,13 +2,30 @@
 
 use super::{Evidence, Rule, Violation, CROSSING, LATE_ANSWER, SOCKET_SLACK};
 use crate::soak::plan::ListedState;
-use crate::soak::records::{BegunAnswer, BodyKind, BodyRecord, PeakRecord, ProcessEvent};
+use crate::soak::records::{BegunAnswer, BodyKind, BodyRecord, Class, PeakRecord, ProcessEvent};
 use std::time::Duration;
 
 /// How long before a deadline an answer has to begin at its backend to reach the client.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
+/// How long after its client's time an answer that has begun in time may be held open behind a backend that never ends it:
+/// as long as the rest of an answer may be held back.
+const MAX_HELD_BACK: Duration = Duration::from_secs(2);
+
 impl Evidence<'_> {
+    /// Returns a violation if an order whose answer was slow or never ended ran twice, or was refused although it may have
+    /// run.
+    pub(super) fn body_duplicate(&self, body: &BodyRecord) -> Option<Violation> {
+        if body.class != Class::Order || body.kind == BodyKind::LargeRequest {
+            return None;
+        }
+        let attempts = self.attempts_of(body.id);
+        let runs = attempts.iter().filter(|attempt| !attempt.turned_away).count();
+        let is_refused = matches!(body.status, Some(429 | 503)) && runs > 0;
+        let text = format!("ran {runs} times: {body:?}, attempts {attempts:?}");
+        (runs > 1 || is_refused).then_some(Violation { rule: Rule::Duplicate, at: body.ended_at, text })
+    }
+
     /// Returns a violation if a process took more memory than its limit.
     pub(super) fn over_memory(&self, peak: &PeakRecord) -> Option<Violation> {
         let limit_kib = self.plan.memory_mb() << 10;
@@ -16,7 +33,7 @@
         (peak.kib > limit_kib).then_some(Violation { rule: Rule::Memory, at: peak.at, text })
     }
 
-    /// Returns a violation if a request with a large body or a long answer got no answer in time, or an answer that its
+    /// Returns a violation if a request with a large body or a special answer got no answer in time, or an answer that its
     /// backend had begun was cut off.
     pub(super) fn body_fault(&self, body: &BodyRecord) -> Option<Violation> {
         if !body.is_written || self.ended_when_due(body) {
@@ -35,8 +52,13 @@
         if began_at > due {
             return violation(Rule::Lost, "answered late");
         }
+        let held_until =
+            body.sent_at + body.deadline + MAX_HELD_BACK + SOCKET_SLACK + self.lag(body.ended_at);
+        if body.kind == BodyKind::SilentAnswer && body.ended_at > held_until {
+            return violation(Rule::Lost, "held open behind a silent backend");
+        }
         let is_cut = match (body.kind, body.status) {
-            (BodyKind::LargeRequest, _) => false,
+            (BodyKind::LargeRequest | BodyKind::SilentAnswer, _) => false,
             (BodyKind::LongAnswer, Some(200)) => {
                 !body.is_whole && !self.begun(body).any(|answer| self.restarted(answer, body))
             }
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod clients;
 mod discovery;
 mod judge;
+mod pace;
 mod plan;
 mod processes;
 mod records;
--- a/crates/testbed/src/soak/records.rs
+++ b/crates/testbed/src/soak/records.rs
@@ -73,7 +73,9 @@
 pub enum BodyKind {
     /// Its answer, which a backend writes slowly.
     LongAnswer,
-    /// Its own body, which a backend stops reading.
+    /// Its answer, which half of the backends begin and never end.
+    SilentAnswer,
+    /// Its own body, which a backend reads slowly or stops reading.
     LargeRequest,
 }
 
@@ -84,6 +86,8 @@
     pub id: TryId,
     /// The proxy that it was sent to.
     pub proxy: usize,
+    /// Its class.
+    pub class: Class,
     /// What is large about it.
     pub kind: BodyKind,
     /// When its last byte was written.
--- a/crates/testbed/src/soak/tests.rs
+++ b/crates/testbed/src/soak/tests.rs
@@ -1,9 +1,11 @@
 //! Tests of the judge on records that break one rule each, and of the plan.
 
 use super::judge::{judge, Rule};
+use super::pace::Pace;
 use super::plan::{ListChange, ListMode, ListedState, Move, SoakPlan};
 use super::records::*;
 use crate::record::TryId;
+use crate::world::rng::Rng;
 use std::time::Duration;
 
 const PROCESS: ProcessId = ProcessId { proxy: 0, start: 0 };
@@ -133,6 +135,7 @@
     BodyRecord {
         id: ID,
         proxy: 0,
+        class: Class::Read,
         kind: BodyKind::LongAnswer,
         sent_at: ms(1_000),
         deadline: ms(1_000),
@@ -186,6 +189,45 @@
     assert_eq!(answered(None), [Rule::Lost]);
 }
 
+#[test]
+fn a_request_behind_a_silent_backend_is_answered_and_ends() {
+    let plan = plan(ListMode::Polled);
+    let ended = |status, ended_at| {
+        let body = BodyRecord { kind: BodyKind::SilentAnswer, ended_at, ..long_answer(status, false) };
+        broken_by_body(&plan, body, Some(ms(1_010)), &[])
+    };
+    assert_eq!(ended(502, ms(2_010)), []);
+    assert_eq!(ended(200, ms(4_040)), [], "it has begun in time");
+    assert_eq!(ended(200, ms(4_060)), [Rule::Lost]);
+}
+
+#[test]
+fn an_order_with_a_slow_answer_runs_once() {
+    let plan = plan(ListMode::Polled);
+    let judge_one = |class, status, attempts: &[AttemptRecord]| {
+        let body = BodyRecord { class, ..long_answer(status, status == 200) };
+        let records = Records { bodies: vec![body], attempts: attempts.to_vec(), ..Records::default() };
+        judge(&plan, &records).into_iter().map(|violation| violation.rule).collect::<Vec<_>>()
+    };
+    let attempts = [attempt(1, ms(1_001)), attempt(2, ms(1_301))];
+    assert_eq!(judge_one(Class::Order, 200, &attempts[..1]), []);
+    assert_eq!(judge_one(Class::Order, 200, &attempts), [Rule::Duplicate]);
+    assert_eq!(judge_one(Class::Order, 503, &attempts[..1]), [Rule::Duplicate]);
+    assert_eq!(judge_one(Class::Read, 200, &attempts), []);
+}
+
+#[test]
+fn the_target_of_a_request_tells_its_pace() {
+    let mut rng = Rng::new(3, "pace");
+    for _ in 0..200 {
+        let pace = Pace::draw(&mut rng);
+        assert_eq!(Pace::parse(&pace.target()), Some(pace));
+    }
+    for target in ["/read/k1", "/read/long/9/1/1/1", "/read/long/1/1", "/other/long/1/1/1/1"] {
+        assert_eq!(Pace::parse(target), None, "{target}");
+    }
+}
+
 /// Only the kill, which comes at the earliest allowed time after SIGTERM, or without notice, excuses an open request.
 #[test]
 fn a_process_that_ends_early_loses_what_is_open() {
