An answer that is passed on ends soon after its time if its backend falls silent in it

What callers saw: where a backend wrote the head of a long declared answer and a few bytes and then nothing more, the client had the beginning of a 200 at once and its end only when it gave up, 10 s later; a repeatable request was bound to that backend. The same where an answer was passed on at its deadline while its last byte was just over.

Cause: a declared length over 64 KiB bound the request with its first frame, and the only limit of a relayed answer was relayed_answer_stall (10 s), whatever its client's time.

Change: a long declared answer is passed on after 64 KiB, when it has arrived for 0.3 s without a pause, when it goes on after one, or at its deadline. A pause that begins in the client's time and outlasts it ends the answer 0.4 s after that time, 2 s behind its last byte at the earliest. Pauses that begin later have 10 s as before: such an answer is a slow one.

--- a/crates/core/src/early_answer.rs
+++ b/crates/core/src/early_answer.rs
@@ -9,6 +9,15 @@
 /// The time by which an answer that still arrives goes ahead of one that has paused.
 const PAUSED_ANSWER_DELAY: Duration = Duration::from_millis(2);
 
+/// What the head of an answer tells of its length, where the answer may be given to the front before it is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerLength {
+    /// It is too long to be kept whole.
+    Large,
+    /// It is not known.
+    Unknown,
+}
+
 /// How an answer arrives.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum AnswerPace {
@@ -25,7 +34,8 @@
 /// be long would lose what its backend is still writing.
 #[derive(Default)]
 pub struct EarlyAnswer {
-    has_begun: Cell<bool>,
+    /// The length of an answer that has begun and may be given to the front.
+    begun: Cell<Option<AnswerLength>>,
     pace: Cell<AnswerPace>,
     is_requested: Cell<bool>,
     /// Notified when the answer may have become due.
@@ -34,8 +44,8 @@
 
 impl EarlyAnswer {
     /// Records that an answer has begun that may be given to the front before it is complete.
-    pub fn record_begun(&self) {
-        self.has_begun.set(true);
+    pub fn record_begun(&self, length: AnswerLength) {
+        self.begun.set(Some(length));
         self.changed.notify_one();
     }
 
@@ -53,7 +63,7 @@
     /// Returns whether an answer is under way that may be given to the front: one has begun, and its backend does not
     /// count as silent.
     pub fn is_under_way(&self) -> bool {
-        self.has_begun.get() && self.pace.get() != AnswerPace::Silent
+        self.begun.get().is_some() && self.pace.get() != AnswerPace::Silent
     }
 
     /// Requests that the answer is given to the front, now or as soon as one is under way.
@@ -62,6 +72,14 @@
         self.changed.notify_one();
     }
 
+    /// Requests that the answer is given to the front if it is known to be a large one: it has arrived for a while without a
+    /// pause.
+    pub fn request_if_large(&self) {
+        if self.begun.get() == Some(AnswerLength::Large) {
+            self.request();
+        }
+    }
+
     /// Requests at the time `at` that the answer is given to the front. Never returns.
     pub async fn request_at(&self, at: Instant) -> Infallible {
         tokio::time::sleep_until(at).await;
--- a/crates/core/src/host/tests.rs
+++ b/crates/core/src/host/tests.rs
@@ -7,7 +7,7 @@
 use crate::cordon::Cordon;
 use crate::exchange::{AttemptContext, AttemptFuture, Exchange};
 use crate::registry::Endpoint;
-use crate::Clock;
+use crate::{AnswerLength, Clock};
 use lotusdeck_policy::settings::{EndpointRecord, Names, NetworkSettings, Settings};
 use lotusdeck_policy::{
     Arrival, AttemptNo, Backend, BackendId, BackendState, Balancer, ClassId, Config, KeyScope, ListUpdate,
@@ -182,7 +182,7 @@
             let (request, _answer) = submit_to(&host, exchange.clone(), SideEffects::None);
             tokio::task::yield_now().await;
             if has_begun {
-                exchange.0.borrow()[0].early_answer.record_begun();
+                exchange.0.borrow()[0].early_answer.record_begun(AnswerLength::Unknown);
             }
             let now = host.clock.now();
             let attempt = AttemptKey { request, attempt: AttemptNo(0) };
@@ -211,7 +211,7 @@
             let defer =
                 || host.defer_to_answer_under_way(&mut host.state.borrow_mut(), request, Answer::Failed);
             assert!(!defer(), "no answer has begun");
-            exchange.0.borrow()[0].early_answer.record_begun();
+            exchange.0.borrow()[0].early_answer.record_begun(AnswerLength::Unknown);
             assert!(defer());
             assert!(answer.try_recv().is_err(), "the answer that has begun is awaited");
             host.attempt_ended(AttemptKey { request, attempt: AttemptNo(0) }, outcome);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,7 +21,7 @@
 mod timers;
 
 pub use clock::{to_duration, Clock};
-pub use early_answer::{AnswerPace, EarlyAnswer};
+pub use early_answer::{AnswerLength, AnswerPace, EarlyAnswer};
 pub use exchange::{AnswerProgress, AttemptContext, AttemptFuture, ConnectionPools, Exchange};
 pub use fleet_limits::{Admission, FleetLimitStatus, FleetLimiter};
 pub use host::{Answer, Host, OptionalServices};
--- a/crates/lotusdeck/tests/paused_answers.rs
+++ b/crates/lotusdeck/tests/paused_answers.rs
@@ -217,6 +217,44 @@
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
+/// Guards against a long answer whose beginning is held back though it arrives steadily.
+#[test]
+fn a_long_declared_answer_that_arrives_steadily_begins_early() {
+    let framing = Framing::Length;
+    let mut pieces = vec![(ms(0), framing.head(LARGE_BYTES))];
+    pieces.extend((0..70).map(|_| (ms(20), framing.part(LARGE_BYTES / 70))));
+    let proxy = proxy(&[&backend(pieces)], true);
+    for (class, request) in CLASSES {
+        let mut client = proxy.client();
+        let asked_at = Instant::now();
+        client.send(&request(TIME_LEFT_S));
+        let _ = client.0.get_ref().peek(&mut [0]);
+        let began = asked_at.elapsed();
+        assert!(began < ms(1_000), "{class}: began after {began:?}");
+        assert_eq!(client.answer().map(|answer| answer.body.len()), Some(LARGE_BYTES), "{class}");
+    }
+}
+
+/// Guards against an answer that is held open behind a backend which falls silent once its beginning was passed on.
+#[test]
+fn a_long_answer_whose_backend_falls_silent_ends_soon_after_its_time() {
+    let long_part = |framing: Framing| framing.head(LARGE_BYTES) + &framing.part(LARGE_BYTES / 2);
+    let parts: Vec<String> = FRAMINGS.into_iter().map(long_part).collect();
+    let threads = parts.into_iter().map(|part| {
+        std::thread::spawn(move || {
+            let proxy = proxy(&[&silent_backend(part)], true);
+            let mut client = proxy.client();
+            let asked_at = Instant::now();
+            client.send(&pay(TIME_LEFT_S));
+            assert!(client.answer().is_none(), "its client can tell that it is not whole");
+            asked_at.elapsed()
+        })
+    });
+    let took: Vec<Duration> = threads.collect::<Vec<_>>().into_iter().map(|t| t.join().unwrap()).collect();
+    let due = Duration::from_secs_f64(TIME_LEFT_S) + LATE_ANSWER;
+    assert!(took.iter().all(|took| *took <= due), "{took:?}");
+}
+
 /// Guards against a rejection that is taken for a lost answer since its body comes late: the request never ran.
 #[test]
 fn a_rejection_whose_body_comes_late_is_sent_elsewhere() {
@@ -243,6 +281,7 @@
         ("head of a short answer", format!("{head}Content-Length: 20000\r\n\r\n")),
         ("part of a short answer", format!("{head}Content-Length: 20000\r\n\r\nyyyy")),
         ("head of a long answer", format!("{head}Content-Length: 140000\r\n\r\n")),
+        ("part of a long answer", format!("{head}Content-Length: 140000\r\n\r\nyyyy")),
         ("head of chunks", format!("{head}Transfer-Encoding: chunked\r\n\r\n")),
         ("part of a chunk", format!("{head}Transfer-Encoding: chunked\r\n\r\n4000\r\nyyyy")),
         ("head without a length", format!("{head}\r\n")),
--- a/crates/proxy/src/answer_pauses.rs
+++ b/crates/proxy/src/answer_pauses.rs
@@ -28,6 +28,11 @@
     pub(crate) async fn run(&self) -> Infallible {
         loop {
             self.stream.wait_for_first_byte().await;
+            let started_at = Instant::now();
+            tokio::time::sleep_until(started_at + self.pause).await;
+            if self.stream.last_read_at() > started_at {
+                self.early_answer.request_if_large();
+            }
             self.wait_for_pause().await;
             if self.informational.swap(false, Relaxed) {
                 self.stream.mark_idle();
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -9,7 +9,7 @@
 use crate::header_block::HeaderBlock;
 use crate::hop_by_hop::strip_hop_by_hop;
 use crate::outgoing_body::OutgoingBody;
-use crate::relay::AnswerRelay;
+use crate::relay::{AnswerRelay, FrameLimits};
 use crate::stream::{SendGate, Stream};
 use crate::upload::{RequestBody, Upload};
 use hyper::body::{Body, Incoming};
@@ -33,9 +33,6 @@
 /// Number of headers that a map may have room for whatever it holds.
 const MAX_SPARE_HEADERS: usize = 24;
 
-/// How long after its client's time an answer that was passed on and stays silent ends: while it is not lost yet.
-const LATE_END: Duration = Duration::from_millis(400);
-
 /// The head of a request as it is forwarded to backends. It shares no memory with the buffer that it was read from.
 pub(crate) struct ForwardedHead {
     pub method: Method,
@@ -104,8 +101,8 @@
     backend: BackendId,
     /// Whether the last byte of the request was written.
     is_written: bool,
-    /// When its answer has to go on, if it has paused.
-    resumes_by: Option<Instant>,
+    /// When its client gives up.
+    deadline: Instant,
 }
 
 /// A connection for an attempt, and whether the journal allows the attempt to be sent.
@@ -155,20 +152,11 @@
             id: terms.id,
             backend: to.backend,
             is_written: is_request_written(stream, length, upload),
-            resumes_by: self.resumes_by(stream, &terms),
+            deadline: terms.deadline,
         };
         self.attempt_result(sent, connection, answer)
     }
 
-    /// Returns when an answer that is passed on while it pauses has to go on. Until then it may be sound; after that its
-    /// client, whose time is over, is owed an end.
-    fn resumes_by(&self, stream: &Stream, terms: &AttemptTerms) -> Option<Instant> {
-        let timeouts = self.stall_timeouts.get();
-        let last_read_at = stream.last_read_at();
-        let has_paused = last_read_at.elapsed() >= timeouts.answer_pause;
-        has_paused.then(|| (last_read_at + timeouts.answer_silence).max(terms.deadline + LATE_END))
-    }
-
     /// Returns the result of an attempt whose exchange has ended.
     fn attempt_result(
         self: &Rc<Self>, sent: SentAttempt, connection: PooledConnection,
@@ -271,6 +259,14 @@
             ?length,
             "answer passed on before its end"
         );
+        let timeouts = self.stall_timeouts.get();
+        let last_read_at = connection.stream.last_read_at();
+        let has_paused = last_read_at.elapsed() >= timeouts.answer_pause;
+        let limits = FrameLimits {
+            max_pause: timeouts.relayed_answer_stall,
+            deadline: sent.deadline,
+            silent_until: has_paused.then(|| last_read_at + timeouts.answer_silence),
+        };
         let (client, streamed) = stream_answer(answer.buffered, length);
         let relay = AnswerRelay {
             pool: self.clone(),
@@ -279,8 +275,7 @@
             connection,
             is_reusable,
             bytes_read,
-            max_pause: self.stall_timeouts.get().relayed_answer_stall,
-            resumes_by: sent.resumes_by,
+            limits,
             client,
         };
         tokio::task::spawn_local(relay.run(answer.driver, answer.sender, rest));
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -16,7 +16,7 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
-use lotusdeck_core::{AnswerProgress, EarlyAnswer};
+use lotusdeck_core::{AnswerLength, AnswerProgress, EarlyAnswer};
 use lotusdeck_policy::Outcome;
 use std::future::{poll_fn, Future};
 use std::pin::{pin, Pin};
@@ -138,8 +138,8 @@
         return Err(ExchangeError::InvalidAnswer);
     }
     let is_declared_large = body.size_hint().lower() > MAX_BUFFERED_BYTES as u64;
-    if may_start_early(&head, &body) {
-        early_answer.record_begun();
+    if let Some(length) = length_if_passed_on_early(&head, &body) {
+        early_answer.record_begun(length);
     }
     loop {
         let frame = tokio::select! {
@@ -153,10 +153,9 @@
         let Ok(data) = frame?.into_data() else { continue };
         buffered.push(&data);
         drop(data); // so that the connection's buffer can be used again
-        let is_streamed = is_declared_large
-            || buffered.len() > MAX_BUFFERED_BYTES
-            || !buffered.is_within_budget() && head.status == StatusCode::OK;
-        if is_streamed && outcome_of(&head) != Outcome::Success {
+        let is_too_long = buffered.len() > MAX_BUFFERED_BYTES;
+        let is_streamed = is_too_long || !buffered.is_within_budget() && head.status == StatusCode::OK;
+        if (is_streamed || is_declared_large) && outcome_of(&head) != Outcome::Success {
             return Err(ExchangeError::InvalidAnswer);
         }
         if is_streamed && !body.is_end_stream() {
@@ -166,11 +165,15 @@
     Ok(ReadAnswer { head, buffered: buffered.freeze(), rest: None })
 }
 
-/// Returns whether the beginning of an answer may be passed on although it is short so far: it is a success that may be
-/// long. A short one has to be complete in its client's time, so that its beginning is of no use.
-fn may_start_early(head: &Parts, body: &Incoming) -> bool {
-    let may_be_large = body.size_hint().exact().is_none_or(|bytes| bytes > MAX_BUFFERED_BYTES as u64);
-    outcome_of(head) == Outcome::Success && may_be_large
+/// Returns what is known of the length of an answer whose beginning may be passed on although it is short so far: a
+/// success that may be long. A short one has to be complete in its client's time, so that its beginning is of no use.
+fn length_if_passed_on_early(head: &Parts, body: &Incoming) -> Option<AnswerLength> {
+    let length = match body.size_hint().exact() {
+        None => AnswerLength::Unknown,
+        Some(bytes) if bytes > MAX_BUFFERED_BYTES as u64 => AnswerLength::Large,
+        Some(_) => return None,
+    };
+    (outcome_of(head) == Outcome::Success).then_some(length)
 }
 
 /// Waits until no byte of a request's body was read from the client or written to the backend for `timeout`. The
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -30,10 +30,7 @@
     pub is_reusable: bool,
     /// Bytes of the body that were read before the relay starts.
     pub bytes_read: u64,
-    /// Longest pause between two frames of the body from the backend.
-    pub max_pause: Duration,
-    /// When the next frame has to arrive, if the body has paused.
-    pub resumes_by: Option<Instant>,
+    pub limits: FrameLimits,
     /// Receives the frames, and `None` at the end.
     pub client: mpsc::Sender<Option<Bytes>>,
 }
@@ -51,17 +48,33 @@
     TooLong,
 }
 
-/// Limits of the time until the next frame of a body.
-struct FrameLimits {
-    max_pause: Duration,
-    /// The limit of the first frame, if the body has paused.
-    resumes_by: Option<Instant>,
+/// How long a backend may pause within an answer that is passed on while its client's time is not over, if the pause goes
+/// on after that time.
+const MAX_PAUSE_ACROSS_DEADLINE: Duration = Duration::from_secs(2);
+/// How long after its client's time an answer that pauses then ends at the earliest: while it is not lost yet.
+const LATE_END: Duration = Duration::from_millis(400);
+
+/// Limits of the time until the next frame of an answer.
+pub(crate) struct FrameLimits {
+    /// The longest pause of an answer that is still being passed on after its client's time.
+    pub max_pause: Duration,
+    /// When the client's time is over.
+    pub deadline: Instant,
+    /// How long the backend may stay silent, counted from its last byte, if the answer is passed on amid a pause.
+    pub silent_until: Option<Instant>,
 }
 
 impl FrameLimits {
-    /// Returns when the frame that is awaited from now on has to arrive.
+    /// Returns when the frame that is awaited from now on has to arrive. A client is owed the end of an answer whose backend
+    /// fell silent in its time; one that comes on after that time is a slow one.
     fn next_frame_by(&mut self) -> Instant {
-        self.resumes_by.take().unwrap_or_else(|| Instant::now() + self.max_pause)
+        let now = Instant::now();
+        let silent_until = self.silent_until.take();
+        if silent_until.is_none() && now >= self.deadline {
+            return now + self.max_pause;
+        }
+        let silent_until = silent_until.unwrap_or(now + MAX_PAUSE_ACROSS_DEADLINE.min(self.max_pause));
+        silent_until.max(self.deadline + LATE_END)
     }
 }
 
@@ -69,18 +82,8 @@
     pub(crate) async fn run(
         self, mut driver: Driver, sender: http1::SendRequest<OutgoingBody>, rest: Incoming,
     ) {
-        let AnswerRelay {
-            pool,
-            id,
-            backend,
-            connection,
-            is_reusable,
-            bytes_read,
-            max_pause,
-            resumes_by,
-            client,
-        } = self;
-        let mut work = pin!(forward_rest(&client, rest, bytes_read, FrameLimits { max_pause, resumes_by }));
+        let AnswerRelay { pool, id, backend, connection, is_reusable, bytes_read, limits, client } = self;
+        let mut work = pin!(forward_rest(&client, rest, bytes_read, limits));
         let mut has_connection_ended = false;
         let driven_work = poll_fn(|cx| {
             has_connection_ended = has_connection_ended || Pin::new(&mut driver).poll(cx).is_ready();
