A backend that pauses while it reads a request has its client's time

What callers saw: where a class has a deadline over 3 s, an order was refused 3 to 6 s after its backend had stopped reading it, with most of its time left.

Cause: upload_stalled took a pause of 3 s for the end of the backend, whatever the client's time, and, where a client may pause for longer, a client's pause as well.

Change: the rule holds only while the client cannot have written its request, when no time runs. Where the time runs it ends the request, and where the client has not sent more its own pause does.

--- a/crates/lotusdeck/tests/slow_uploads.rs
+++ b/crates/lotusdeck/tests/slow_uploads.rs
@@ -137,3 +137,19 @@
     let had_its_time = status == Some(200) || after >= time_left / 2;
     assert!(is_in_time && had_its_time, "{status:?}, {after:?} after the last byte, of {time_left:?}");
 }
+
+/// Guards against a backend that pauses within a request being given up while its client's time runs.
+#[test]
+fn a_backend_that_stops_reading_is_not_given_up_before_its_clients_time_is_over() {
+    let settings = SETTINGS.replace("\"deadline_us\":3000000", "\"deadline_us\":9000000");
+    let time_left = Duration::from_secs(8);
+    let stops = Reading { fast_bytes: 13_334, pause: None, buffer_bytes: SMALL_BUFFER };
+    let body_bytes = 4_000_000;
+    let proxy = Proxy::with_settings(&[entry("b0", backend(stops, body_bytes), "SERVING")], 1024, &settings);
+    let mut client = proxy.client();
+    client.0.get_mut().write_all(&request(Framing::Length, body_bytes, time_left)).unwrap();
+    let written_at = Instant::now();
+    let status = client.answer().map(|answer| answer.status());
+    let took = written_at.elapsed();
+    assert!(took >= time_left.mul_f64(0.95) && took <= time_left + LATE_ANSWER, "{status:?} after {took:?}");
+}
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -176,15 +176,21 @@
     (outcome_of(head) == Outcome::Success).then_some(length)
 }
 
-/// Waits until no byte of a request's body was read from the client or written to the backend for `timeout`. The
-/// backend has then stopped accepting the body, unless the settings allow the client a longer pause than `timeout`.
+/// Waits until no byte of a request's body was read from the client or written to the backend for `timeout`, while the
+/// client waits to write more. The backend has then stopped accepting the body. Where the client may have written all of it,
+/// only its time ends the wait, and where it has not sent more, its own pause does.
 async fn upload_stalled(stream: &Stream, upload: Option<&Rc<Upload>>, timeout: Duration) {
     let Some(upload) = upload.filter(|upload| !upload.is_complete()) else {
         return std::future::pending().await;
     };
-    wait_for_stall(timeout, || stream.bytes_sent() + upload.bytes_read()).await;
-    if upload.is_complete() {
-        std::future::pending::<()>().await; // from now on only the request's deadline ends the wait
+    loop {
+        wait_for_stall(timeout, || stream.bytes_sent() + upload.bytes_read()).await;
+        if upload.is_complete() {
+            std::future::pending::<()>().await; // from now on only the request's deadline ends the wait
+        }
+        if upload.waits_for_backend() {
+            return;
+        }
     }
 }
 
--- a/crates/proxy/src/upload.rs
+++ b/crates/proxy/src/upload.rs
@@ -200,6 +200,11 @@
         }
     }
 
+    /// Returns whether the client cannot have written all of it, since too little of it is read.
+    pub(crate) fn waits_for_backend(&self) -> bool {
+        self.client.last_byte(self.length) == LastByte::Unwritten
+    }
+
     /// Ends the upload with a fault, or as complete if there is none.
     pub(crate) fn end(&self, fault: Option<InvalidRequest>) {
         self.fault.set(fault);
