Descriptions of answer_gap_ms and upload_unread_ms say what the keys do now

Need: a pause of an answer is no failed attempt any more, and a backend that reads nothing has its client's time.

Names, ranges and defaults are unchanged; the recorded output is compared as strictly as before.

--- a/crates/lotusdeck/src/operator/keys.rs
+++ b/crates/lotusdeck/src/operator/keys.rs
@@ -76,7 +76,7 @@
         "ms",
         (10, 60_000),
         300,
-        "an answer that has begun and rests for longer is a failed attempt",
+        "an answer that has begun and rests for longer has paused: its request is sent elsewhere, too, if it may be repeated",
     ),
     number(
         "http.answer_silence_ms",
@@ -97,7 +97,7 @@
         "ms",
         (50, 60_000),
         3_000,
-        "a backend that takes nothing of a body for longer has gone",
+        "a backend that takes nothing of a body for longer, while its client waits to write more, has gone",
     ),
     Key {
         path: "ledger.folder",
