Paused attempts are no load and no sign of lost answers

Cause: an attempt that was withdrawn, or timed out, in a pause had ended as an error after 0.3 s before. Now it was in flight for up to its whole time, and its end counted as a lost answer in AnswerLoss, upon which every old attempt gets a hedged one.

Change: a paused attempt does not count as load of its backend or of this proxy, no loss timeout applies to it, and its end in a pause counts as an error, as before.

Evidence: the new test got three attempts for an old request before and gets one now; the tests of the policy pass.

--- a/crates/policy/src/balancer/attempts.rs
+++ b/crates/policy/src/balancer/attempts.rs
@@ -33,6 +33,7 @@
         let id = end.request;
         let key = AttemptKey { request: id, attempt: end.attempt };
         let Some(attempt) = self.requests.in_flight.remove(&key) else { return };
+        self.requests.paused -= usize::from(attempt.answer_pace == AnswerPace::Paused);
         self.record_outcome(now, &attempt, end);
         let Some(request) = self.requests.pending.get_mut(&id) else { return };
         if let Some(record) = request.attempts.get_mut(end.attempt.0 as usize) {
@@ -59,20 +60,23 @@
     /// Updates the estimates and the health of the backend by the outcome of an attempt.
     fn record_outcome(&mut self, now: Time, attempt: &InFlightAttempt, end: &AttemptEnd) {
         let usual_latency = self.usual_latency(attempt.class);
-        let is_lost = !attempt.uploading && now >= attempt.sent_at + self.loss_timeout(attempt.class);
-        if !attempt.uploading {
-            let ended = EndedAttempt { sent_at: attempt.sent_at, outcome: end.outcome, usual_latency };
-            self.recovery.answer_loss.record(now, &ended);
-        }
-        // An attempt that was cancelled while its answer paused, or after the loss timeout, counts as failed.
+        let has_paused = attempt.answer_pace == AnswerPace::Paused;
+        let is_timed = !attempt.uploading && !has_paused;
+        let is_lost = is_timed && now >= attempt.sent_at + self.loss_timeout(attempt.class);
+        // An attempt that was given up while its answer paused, or after the loss timeout, counts as failed.
         let outcome = match end.outcome {
-            Outcome::Cancelled if attempt.answer_pace == AnswerPace::Paused => Outcome::Error,
+            Outcome::Cancelled | Outcome::TimedOut if has_paused => Outcome::Error,
             Outcome::Cancelled if is_lost => Outcome::TimedOut,
             outcome => outcome,
         };
+        if !attempt.uploading {
+            let outcome = if has_paused { outcome } else { end.outcome };
+            let ended = EndedAttempt { sent_at: attempt.sent_at, outcome, usual_latency };
+            self.recovery.answer_loss.record(now, &ended);
+        }
         let Some(backend) = self.backends.by_id.get_mut(&attempt.backend) else { return };
         let load = &mut backend.load;
-        load.in_flight = load.in_flight.saturating_sub(1);
+        load.in_flight = load.in_flight.saturating_sub(u32::from(!has_paused));
         load.uploading = load.uploading.saturating_sub(u32::from(attempt.uploading));
         load.lost = load.lost.saturating_sub(u32::from(is_lost));
         let kind = self.traffic.estimates.kinds.entry(backend.entry.kind).or_default();
--- a/crates/policy/src/balancer/mod.rs
+++ b/crates/policy/src/balancer/mod.rs
@@ -120,9 +120,9 @@
         actions.append(&mut self.output.actions);
     }
 
-    /// Returns the number of attempts of this proxy in flight.
+    /// Returns the number of attempts of this proxy in flight, without those whose answers have paused.
     fn in_flight(&self) -> f64 {
-        self.requests.in_flight.len() as f64
+        (self.requests.in_flight.len() - self.requests.paused) as f64
     }
 
     fn apply(&mut self, now: Time, event: Event) {
--- a/crates/policy/src/balancer/paused_answers.rs
+++ b/crates/policy/src/balancer/paused_answers.rs
@@ -11,18 +11,29 @@
     /// Records that the answer of an attempt has paused, and has its request sent elsewhere if that is
     /// possible.
     pub(super) fn record_answer_pause(&mut self, now: Time, key: AttemptKey) {
-        let Some(attempt) = self.requests.in_flight.get_mut(&key) else { return };
-        attempt.answer_pace = AnswerPace::Paused;
+        self.set_answer_pace(key, AnswerPace::Paused);
         self.replace_paused(now, key.request);
     }
 
     /// Records that an answer that had paused goes on: its request is not sent elsewhere any more.
     pub(super) fn record_answer_resumption(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.requests.in_flight.get_mut(&key) else { return };
-        attempt.answer_pace = AnswerPace::Resumed;
+        self.set_answer_pace(key, AnswerPace::Resumed);
         self.admission.queue.remove(key.request);
     }
 
+    /// Sets the pace of an attempt in flight. One that has paused is no load: its backend is stuck or done.
+    fn set_answer_pace(&mut self, key: AttemptKey, pace: AnswerPace) {
+        let Some(attempt) = self.requests.in_flight.get_mut(&key) else { return };
+        let was_paused = std::mem::replace(&mut attempt.answer_pace, pace) == AnswerPace::Paused;
+        let is_paused = pace == AnswerPace::Paused;
+        let paused = self.requests.paused + usize::from(is_paused);
+        self.requests.paused = paused - usize::from(was_paused);
+        if let Some(backend) = self.backends.by_id.get_mut(&attempt.backend) {
+            let held = backend.load.in_flight + u32::from(was_paused);
+            backend.load.in_flight = held.saturating_sub(u32::from(is_paused));
+        }
+    }
+
     /// Has a request sent elsewhere if all its attempts in flight have paused and another may be answered
     /// in time.
     pub(super) fn replace_paused(&mut self, now: Time, id: RequestId) {
@@ -52,11 +63,13 @@
         self.requests.pending.insert(id, request);
     }
 
-    /// Records that an answer was served although it had paused: the other attempts of its request that
-    /// have paused tell nothing of their backends.
+    /// Records that an answer was served although it had paused: the other attempts of its request that have
+    /// paused tell nothing of their backends.
     pub(super) fn excuse_paused_attempts(&mut self, id: RequestId) {
-        for attempt in self.requests.attempts_of(id) {
-            attempt.answer_pace = AnswerPace::Steady;
+        let attempts = self.requests.pending.get(&id).map_or(0, |request| request.attempts.len() as u32);
+        for number in 0..attempts {
+            let key = AttemptKey { request: id, attempt: AttemptNo(number) };
+            self.set_answer_pace(key, AnswerPace::Steady);
         }
     }
 }
--- a/crates/policy/src/balancer/timeouts.rs
+++ b/crates/policy/src/balancer/timeouts.rs
@@ -5,6 +5,7 @@
 use crate::answer_loss::SILENT_AFTER;
 use crate::api::{Action, AttemptNo, Micros, RequestId, Time};
 use crate::hedging::{RequestStep, TimeoutContext};
+use crate::requests::{AnswerPace, InFlightAttempt};
 use crate::retry;
 
 impl Balancer {
@@ -30,7 +31,9 @@
     /// `latest`.
     fn check_attempts(&mut self, now: Time, latest: Time) -> Time {
         let mut next = latest;
-        for attempt in self.requests.in_flight.values().filter(|attempt| !attempt.uploading) {
+        let is_timed =
+            |attempt: &&InFlightAttempt| !attempt.uploading && attempt.answer_pace != AnswerPace::Paused;
+        for attempt in self.requests.in_flight.values().filter(is_timed) {
             let usual_latency = self.traffic.estimates.usual_latency(&self.config, attempt.class);
             let lost_at = attempt.sent_at + self.recovery.answer_loss.loss_timeout(usual_latency);
             let silent_at = attempt.sent_at + usual_latency.times(SILENT_AFTER);
--- a/crates/policy/src/requests.rs
+++ b/crates/policy/src/requests.rs
@@ -91,6 +91,8 @@
 pub(crate) struct RequestTable {
     pub pending: BTreeMap<RequestId, PendingRequest>,
     pub in_flight: BTreeMap<AttemptKey, InFlightAttempt>,
+    /// Number of attempts in flight whose answers have paused.
+    pub paused: usize,
 }
 
 impl RequestTable {
--- a/crates/policy/tests/paused_answers.rs
+++ b/crates/policy/tests/paused_answers.rs
@@ -124,7 +124,8 @@
             if !first_pauses_for_good {
                 host.pause_answer(id, 1);
             }
-            host.end_attempt(id, 1, Outcome::Success);
+            let has_hedged_attempt = host.sent_to(id).len() > 1; // unless the budget was used up
+            host.end_attempt(id, usize::from(has_hedged_attempt), Outcome::Success);
             host.advance(10_000);
         }
         chosen
@@ -132,3 +133,20 @@
     let (sound, silent) = (count_of(false), count_of(true));
     assert!(silent < sound / 2, "chosen {silent} times where it is silent, {sound} where answers are slow");
 }
+
+/// Guards against answers that were withdrawn in a pause being taken for lost ones, upon which further attempts are
+/// sent for every old one.
+#[test]
+fn paused_attempts_are_no_load_and_no_sign_of_lost_answers() {
+    let mut host = host(true, 4);
+    for _ in 0..30 {
+        host.burst(3, 0, TIME_LEFT);
+        host.serve_all(SERVICE_TIME);
+        let id = paused_request(&mut host, 0);
+        host.end_attempt(id, 1, Outcome::Success);
+        host.advance(10_000);
+    }
+    let old = host.submit(0, TIME_LEFT);
+    host.advance(SERVICE_TIME * 20);
+    assert_eq!(host.sent_to(old).len(), 1, "an old attempt is probably a heavy request");
+}
