Testbed: a soak sends no signal to a process before its first second is over

Change: 'Readiness' tells since when the current process accepts clients, and nothing between the end of a process and the readiness of the next. A failed run is reported once all runs of its group have ended.

--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod pace;
 mod plan;
 mod processes;
+mod readiness;
 mod records;
 mod run;
 #[cfg(test)]
@@ -125,9 +126,11 @@
         let done = thread("soak", move || async move { run::play(thread_plan, &program, &folder).await });
         running.push((plan, done.map_err(file_error)?));
     }
+    // All runs are awaited before one that failed is reported: each ends its proxies itself.
+    let ended: Vec<_> = running.into_iter().map(|(plan, done)| (plan, done.blocking_recv())).collect();
     let mut played = Vec::new();
-    for (plan, done) in running {
-        let records = done.blocking_recv().map_err(|_| RunError::Thread)?.map_err(file_error)?;
+    for (plan, records) in ended {
+        let records = records.map_err(|_| RunError::Thread)?.map_err(file_error)?;
         played.push((plan, records));
     }
     Ok(played)
--- a/crates/testbed/src/soak/processes.rs
+++ b/crates/testbed/src/soak/processes.rs
@@ -1,6 +1,7 @@
 //! The proxies of a soak run: their configuration, start, signals and end.
 
 use super::plan::{ListMode, SoakPlan};
+use super::readiness::{Readiness, START_TIMEOUT};
 use super::records::{ProcessEvent, ProcessId, Recorder};
 use crate::driver::proxies::call;
 use crate::driver::usage::peak_memory_kib;
@@ -18,8 +19,6 @@
 
 /// The grace after a backend's departure, µs.
 pub const DRAIN_GRACE: Duration = Duration::from_millis(500);
-/// Time limit for a proxy to accept clients after its start.
-const START_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A proxy and its current process.
 pub struct Process {
@@ -32,7 +31,7 @@
     operators: Reserved,
     child: RefCell<Option<Child>>,
     pid: Cell<Option<Pid>>,
-    started_at: Cell<Option<Instant>>,
+    readiness: Readiness,
     start: Cell<u32>,
     is_stopping: Cell<bool>,
     /// Whether it was killed without SIGTERM.
@@ -59,7 +58,7 @@
             operators: Reserved::bind(None)?,
             child: RefCell::default(),
             pid: Cell::default(),
-            started_at: Cell::default(),
+            readiness: Readiness::new(),
             start: Cell::default(),
             is_stopping: Cell::default(),
             is_killed: Cell::default(),
@@ -147,7 +146,7 @@
         let end = Instant::now() + START_TIMEOUT;
         while Instant::now() < end {
             if call(self.clients.address(), "GET", "/-/ready", "").await == Some(200) {
-                self.started_at.set(Some(Instant::now()));
+                self.readiness.begin();
                 return Ok(());
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -184,18 +183,16 @@
         }
     }
 
-    /// Waits until the process has been ready for a second: no signal is sent before.
+    /// Waits until the process, or the next one, has been ready for a second: no signal is sent before.
     pub async fn first_second_over(&self) {
-        const FIRST_SECOND: Duration = Duration::from_secs(1);
-        if let Some(started_at) = self.started_at.get() {
-            tokio::time::sleep_until(started_at + FIRST_SECOND).await;
-        }
+        self.readiness.first_second_over().await;
     }
 
     /// Kills the process after `grace` unless it has ended by itself, and waits for its end.
     pub async fn kill_after(&self, grace: Duration) {
         self.record_peak();
         let Some(mut child) = self.child.borrow_mut().take() else { return };
+        self.readiness.end();
         let ended = tokio::time::timeout(grace, child.wait()).await;
         let killed = ended.is_err();
         if killed {
