A statement whose rows have begun to arrive is not withdrawn as lost

Callers saw: rows of a repeatable statement broke off with 53300 or 57014, long before its time was up, when its server was ejected for the failures of other statements.

Cause: the balancer has an event for answers that are being streamed, after which none of its timeouts ends their request; the PostgreSQL front never sent it.

Change: the front reports the first part of an answer that it forwards ('AnswerProgress::Delivered'). A streaming attempt is no sign of a silent server or of lost answers, whatever its age; as before it is no load once it is old. Its statement's own time still ends it, and a server that falls silent is found by the attempts that it does not answer.

--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -45,6 +45,8 @@
     Paused,
     /// It goes on after a pause.
     Resumed,
+    /// Its first part was given to the client, so that no other attempt can replace it.
+    Delivered,
 }
 
 /// The target and the deadline of an attempt, and the checks that precede its first byte.
--- a/crates/core/src/host/actions.rs
+++ b/crates/core/src/host/actions.rs
@@ -86,13 +86,14 @@
         }
     }
 
-    /// Notifies the balancer of a pause of an answer, or of its end. An answer that goes on is given to the front if no
+    /// Notifies the balancer of the progress of an answer. An answer that goes on is given to the front if no
     /// other attempt is in flight: its backend is alive.
     fn answer_progressed(self: &Rc<Self>, key: AttemptKey, progress: AnswerProgress) {
         let AttemptKey { request, attempt } = key;
         debug!(target: LOG_TARGET, request = request.0, attempt = attempt.0, ?progress, "answer progress");
         match progress {
             AnswerProgress::Paused => self.handle_event(Event::AnswerPaused { request, attempt }),
+            AnswerProgress::Delivered => self.handle_event(Event::StreamStarted { request, attempt }),
             AnswerProgress::Resumed => {
                 self.handle_event(Event::AnswerResumed { request, attempt });
                 let state = self.state.borrow();
--- a/crates/policy/src/balancer/attempts.rs
+++ b/crates/policy/src/balancer/attempts.rs
@@ -61,15 +61,16 @@
     fn record_outcome(&mut self, now: Time, attempt: &InFlightAttempt, end: &AttemptEnd) {
         let usual_latency = self.usual_latency(attempt.class);
         let has_paused = attempt.answer_pace == AnswerPace::Paused;
-        let is_timed = !attempt.uploading && !has_paused;
-        let is_lost = is_timed && now >= attempt.sent_at + self.loss_timeout(attempt.class);
+        let is_old = attempt.is_timed() && now >= attempt.sent_at + self.loss_timeout(attempt.class);
         // An attempt that was given up while its answer paused, or after the loss timeout, counts as failed.
         let outcome = match end.outcome {
             Outcome::Cancelled | Outcome::TimedOut if has_paused => Outcome::Error,
-            Outcome::Cancelled if is_lost => Outcome::TimedOut,
+            Outcome::Cancelled if is_old && !attempt.streaming => Outcome::TimedOut,
             outcome => outcome,
         };
-        if !attempt.uploading {
+        // What has begun to arrive is not lost, even if its time is over before its end.
+        let has_begun = attempt.streaming && matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled);
+        if !attempt.uploading && !has_begun {
             let outcome = if has_paused { outcome } else { end.outcome };
             let ended = EndedAttempt { sent_at: attempt.sent_at, outcome, usual_latency };
             self.recovery.answer_loss.record(now, &ended);
@@ -78,7 +79,7 @@
         let load = &mut backend.load;
         load.in_flight = load.in_flight.saturating_sub(u32::from(!has_paused));
         load.uploading = load.uploading.saturating_sub(u32::from(attempt.uploading));
-        load.lost = load.lost.saturating_sub(u32::from(is_lost));
+        load.lost = load.lost.saturating_sub(u32::from(is_old));
         let kind = self.traffic.estimates.kinds.entry(backend.entry.kind).or_default();
         if matches!(outcome, Outcome::Success | Outcome::TimedOut) {
             kind.record_answered(outcome == Outcome::Success);
--- a/crates/policy/src/balancer/dispatch.rs
+++ b/crates/policy/src/balancer/dispatch.rs
@@ -115,6 +115,7 @@
             class: request.class,
             sent_at: now,
             uploading: request.uploading,
+            streaming: false,
             answer_pace: AnswerPace::default(),
         };
         self.requests.in_flight.insert(key, attempt);
--- a/crates/policy/src/balancer/mod.rs
+++ b/crates/policy/src/balancer/mod.rs
@@ -244,8 +244,12 @@
     }
 
     fn start_stream(&mut self, request: RequestId, attempt: AttemptNo) {
-        let Some(request) = self.requests.pending.get_mut(&request) else { return };
-        let attempt = request.attempts.get(attempt.0 as usize);
-        request.streaming |= attempt.is_some_and(|attempt| attempt.in_flight);
+        let Some(in_flight) = self.requests.in_flight.get_mut(&AttemptKey { request, attempt }) else {
+            return;
+        };
+        in_flight.streaming = true;
+        if let Some(request) = self.requests.pending.get_mut(&request) {
+            request.streaming = true;
+        }
     }
 }
--- a/crates/policy/src/balancer/timeouts.rs
+++ b/crates/policy/src/balancer/timeouts.rs
@@ -5,7 +5,6 @@
 use crate::answer_loss::SILENT_AFTER;
 use crate::api::{Action, AttemptNo, Micros, RequestId, Time};
 use crate::hedging::{RequestStep, TimeoutContext};
-use crate::requests::{AnswerPace, InFlightAttempt};
 use crate::retry;
 
 impl Balancer {
@@ -31,9 +30,7 @@
     /// `latest`.
     fn check_attempts(&mut self, now: Time, latest: Time) -> Time {
         let mut next = latest;
-        let is_timed =
-            |attempt: &&InFlightAttempt| !attempt.uploading && attempt.answer_pace != AnswerPace::Paused;
-        for attempt in self.requests.in_flight.values().filter(is_timed) {
+        for attempt in self.requests.in_flight.values().filter(|attempt| attempt.is_timed()) {
             let usual_latency = self.traffic.estimates.usual_latency(&self.config, attempt.class);
             let lost_at = attempt.sent_at + self.recovery.answer_loss.loss_timeout(usual_latency);
             let silent_at = attempt.sent_at + usual_latency.times(SILENT_AFTER);
@@ -48,7 +45,7 @@
             self.backends.suspects.push(attempt.backend);
             let Some(backend) = self.backends.by_id.get_mut(&attempt.backend) else { continue };
             backend.load.lost += u32::from(now >= lost_at);
-            let is_silent = now >= silent_at;
+            let is_silent = now >= silent_at && !attempt.streaming;
             backend.silent_attempts += u32::from(is_silent && backend.answered_at <= attempt.sent_at);
             let class = backend.class_mut(attempt.class);
             class.silent_attempts += u32::from(is_silent && class.answered_at <= attempt.sent_at);
--- a/crates/policy/src/requests.rs
+++ b/crates/policy/src/requests.rs
@@ -44,9 +44,18 @@
     pub sent_at: Time,
     /// Whether a part of its body has not arrived yet.
     pub uploading: bool,
+    /// Whether its answer is being streamed to the client, so that it is not lost however old.
+    pub streaming: bool,
     pub answer_pace: AnswerPace,
 }
 
+impl InFlightAttempt {
+    /// Returns whether it counts as load only until it is old.
+    pub(crate) fn is_timed(&self) -> bool {
+        !self.uploading && self.answer_pace != AnswerPace::Paused
+    }
+}
+
 /// A request without a final answer.
 pub(crate) struct PendingRequest {
     pub class: usize,
--- a/crates/policy/tests/lost_answers.rs
+++ b/crates/policy/tests/lost_answers.rs
@@ -86,3 +86,36 @@
     }
     println!("{lost_in_total} of 2,400 lost once the loss was known");
 }
+
+/// Guards against a sound backend that gets no more requests, and whose attempts count as lost, since it streams long
+/// answers.
+#[test]
+fn a_backend_that_streams_old_answers_is_not_silent() {
+    const SERVICE_TIME: u64 = 20_000;
+    let classes = vec![Class { latency_objective: Micros(1_000_000), ..class(SideEffects::NonIdempotent) }];
+    let mut host = Host::new(Config { proxy_count: 1, classes, ..Config::example() }, 5);
+    host.update_endpoints(ListUpdate::Full, (0..2).map(|id| backend(id, 0, 0)).collect());
+    for _ in 0..60 {
+        host.submit(0, 2_000_000);
+        host.serve_all(SERVICE_TIME);
+    }
+    let streams = host.burst(6, 0, 60_000_000);
+    host.advance(1_000);
+    streams.iter().for_each(|id| host.start_stream(*id, 0));
+    let streamed_by = |backend: u32| streams.iter().any(|id| host.sent_to(*id)[0] == backend);
+    assert!(streamed_by(0) && streamed_by(1));
+    host.advance(SERVICE_TIME * 40);
+    let mut reached = Vec::new();
+    for _ in 0..12 {
+        let id = host.submit(0, 2_000_000);
+        reached.extend(host.sent_to(id).first().copied());
+        host.advance(SERVICE_TIME);
+        host.end_attempt(id, 0, Outcome::Success);
+    }
+    assert_eq!(reached.len(), 12, "each is sent at once");
+    assert!(reached.contains(&0) && reached.contains(&1), "{reached:?}");
+    for id in streams {
+        host.end_attempt(id, 0, Outcome::Success);
+        assert_eq!(host.requests[&id].answer, Some("served"));
+    }
+}
--- a/crates/postgres/src/client.rs
+++ b/crates/postgres/src/client.rs
@@ -225,14 +225,18 @@
     }
 
     /// Forwards the server's messages to the client; returns the outcome once the transaction ends or the server is
-    /// lost.
-    pub(crate) async fn forward_answers(&self, upstream: &Upstream) -> Outcome {
+    /// lost. Calls `on_first_part` when the first part of the answer is forwarded.
+    pub(crate) async fn forward_answers(&self, upstream: &Upstream, on_first_part: impl Fn()) -> Outcome {
         loop {
             if !matches!(fill(&upstream.tcp, &upstream.input).await, Ok(1..)) {
                 self.server_lost.set(true);
                 return Outcome::Reset;
             }
+            let had_started = self.answer_started.get();
             let forwarded = self.forward_to_client(upstream);
+            if self.answer_started.get() && !had_started {
+                on_first_part();
+            }
             if drain(&self.output, &self.tcp).await.is_err() {
                 self.end_session(SessionEnd::ClientLeft);
                 std::future::pending::<()>().await;
--- a/crates/postgres/src/transaction.rs
+++ b/crates/postgres/src/transaction.rs
@@ -2,7 +2,7 @@
 
 use crate::client::{CancelTarget, Client};
 use crate::upstream::Servers;
-use lotusdeck_core::{AttemptContext, AttemptFuture, Exchange};
+use lotusdeck_core::{AnswerProgress, AttemptContext, AttemptFuture, Exchange};
 use lotusdeck_policy::{AttemptNo, Outcome};
 use std::rc::Rc;
 
@@ -29,9 +29,10 @@
                 .cancel_target
                 .set(Some(CancelTarget { server: upstream.address, key: upstream.cancel_key }));
             self.client.statements.borrow_mut().begin_transaction();
+            let report_delivery = || (context.report_progress)(AnswerProgress::Delivered);
             let outcome = tokio::select! {
                 biased;
-                outcome = self.client.forward_answers(&upstream) => outcome,
+                outcome = self.client.forward_answers(&upstream, report_delivery) => outcome,
                 outcome = self.client.forward_requests(&upstream) => outcome,
             };
             self.client.cancel_target.set(None);
--- a/crates/postgres/tests/rig/mod.rs
+++ b/crates/postgres/tests/rig/mod.rs
@@ -52,8 +52,10 @@
     pub stalled: Notify,
     /// Makes the session in copy-in mode close its connection.
     pub close_copying_session: Notify,
-    /// Makes the session that runs `slow` answer it.
+    /// Makes the session that runs `slow` answer it, and the one that runs `half` send the rest of its rows.
     pub finish_slow: Notify,
+    /// Whether statements other than `half` are answered by the end of their connection.
+    pub is_failing: Cell<bool>,
     /// Notified when a connection has ended.
     pub ended: Notify,
     /// Process ids and secrets of the CancelRequests.
@@ -63,7 +65,8 @@
 }
 
 /// Starts a stand-in. On `die` it closes the connection without an answer, on `halt` after CommandComplete, and on
-/// `copy and die` at CopyDone; it never answers `stall`, and `slow` only once the test allows it.
+/// `copy and die` at CopyDone; it never answers `stall`, and `slow` only once the test allows it. Of the rows of `half` it
+/// sends the first at once and the second once the test allows it.
 pub(crate) async fn stand_in() -> (SocketAddr, Rc<Seen>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let (address, seen) = (listener.local_addr().unwrap(), Rc::new(Seen::default()));
@@ -191,6 +194,20 @@
                 "die once" if !DIED.replace(true) => return,
                 "die" => return,
                 text if text.ends_with("; die") => return,
+                "half" => {
+                    put(&mut out, b'T', &one_column());
+                    put_row(&mut out, &text);
+                    if tcp.write_all(&out).await.is_err() {
+                        return;
+                    }
+                    out.clear();
+                    seen.finish_slow.notified().await;
+                    put_row(&mut out, &text);
+                    put(&mut out, b'C', b"SELECT 2\0");
+                    put(&mut out, b'Z', &[status]);
+                    continue;
+                }
+                _ if seen.is_failing.get() => return,
                 "stall" => std::future::pending().await,
                 "slow" => seen.finish_slow.notified().await,
                 "copy" | "copy and die" => {
