A paused answer's request is sent elsewhere once there is retry budget

A pause is reported once, and nothing looked at the request again.

Change: such requests are remembered, and the oldest is sent elsewhere when a new request has refilled the budget, unless its answer goes on or its time is too short by then. The check of the time and that of the budget are apart ('may_be_answered_in_time').

--- a/crates/policy/src/balancer/dispatch.rs
+++ b/crates/policy/src/balancer/dispatch.rs
@@ -152,6 +152,7 @@
     pub(super) fn close(&mut self, id: RequestId) {
         let Some(request) = self.requests.pending.remove(&id) else { return };
         self.admission.queue.remove(id);
+        self.requests.awaiting_budget.remove(&id);
         if !self.config.attempts.allow_cancel {
             return;
         }
--- a/crates/policy/src/balancer/mod.rs
+++ b/crates/policy/src/balancer/mod.rs
@@ -238,6 +238,7 @@
         }
         self.traffic.solver.arrival_rate.add(now, 1.0);
         self.recovery.retry_budget.refill(self.recovery.answer_loss.is_losing());
+        self.replace_paused_within_budget(now);
         let request = self.admission.admit(now, &self.config, arrival);
         self.requests.pending.insert(arrival.request, request);
         self.admission.queue.push(arrival.request);
--- a/crates/policy/src/balancer/paused_answers.rs
+++ b/crates/policy/src/balancer/paused_answers.rs
@@ -19,6 +19,7 @@
     pub(super) fn record_answer_resumption(&mut self, key: AttemptKey) {
         self.set_answer_pace(key, AnswerPace::Resumed);
         self.admission.queue.remove(key.request);
+        self.requests.awaiting_budget.remove(&key.request);
     }
 
     /// Sets the pace of an attempt in flight. One that has paused is no load: its backend is stuck or done.
@@ -41,7 +42,12 @@
             self.requests.attempts_of(id).all(|attempt| attempt.answer_pace == AnswerPace::Paused);
         let Some(request) = self.requests.pending.get(&id) else { return };
         let has_timeouts = !request.streaming && !request.uploading;
-        if !have_all_paused || !has_timeouts || !self.timeout_context(now).is_worth_another_attempt(request) {
+        let context = self.timeout_context(now);
+        if !have_all_paused || !has_timeouts || !context.may_be_answered_in_time(request) {
+            return;
+        }
+        if !context.may_retry {
+            self.requests.awaiting_budget.insert(id);
             return;
         }
         if retry::may_attempt(&self.config, now, request) {
@@ -51,6 +57,17 @@
         }
     }
 
+    /// Has the oldest request sent elsewhere that lacked retry budget when its answer paused, if there is
+    /// budget now.
+    pub(super) fn replace_paused_within_budget(&mut self, now: Time) {
+        if !self.recovery.retry_budget.is_available() {
+            return;
+        }
+        if let Some(id) = self.requests.awaiting_budget.pop_first() {
+            self.replace_paused(now, id);
+        }
+    }
+
     /// Gives up the only attempt in flight of a request if there is a backend for another. This happens
     /// once for a request: where a second backend pauses as well, the answer is probably a slow one.
     fn give_up_paused(&mut self, now: Time, id: RequestId) {
--- a/crates/policy/src/hedging.rs
+++ b/crates/policy/src/hedging.rs
@@ -58,8 +58,9 @@
         };
         let step = if self.now + margin >= answer_due_at {
             RequestStep::GiveUp
-        } else if self.is_lost(request, usual_latency)
-            && self.is_worth_retrying(request, usual_latency, waits_for_late_answer)
+        } else if self.may_retry
+            && self.is_lost(request, usual_latency)
+            && self.may_be_answered_in_time(request)
         {
             self.replace_lost(request)
         } else {
@@ -102,21 +103,12 @@
             && request.attempts.iter().all(|a| !a.in_flight || is_on_ejected(a) || is_old(a))
     }
 
-    /// Returns whether another attempt of a request is likely to be answered in time and there is budget for
-    /// it.
-    pub(crate) fn is_worth_another_attempt(&self, request: &PendingRequest) -> bool {
+    /// Returns whether another attempt is likely to be answered in time.
+    pub(crate) fn may_be_answered_in_time(&self, request: &PendingRequest) -> bool {
         let usual_latency = self.estimates.usual_latency(self.config, request.class);
-        self.is_worth_retrying(request, usual_latency, self.waits_for_late_answer(request))
-    }
-
-    /// Returns whether another attempt is likely to be answered in time and there is budget for it.
-    fn is_worth_retrying(
-        &self, request: &PendingRequest, usual_latency: Micros, waits_for_late_answer: bool,
-    ) -> bool {
         let expected_end = self.now + usual_latency;
-        let in_time =
-            expected_end < request.objective_at || waits_for_late_answer && expected_end < request.deadline;
-        in_time && self.may_retry
+        expected_end < request.objective_at
+            || self.waits_for_late_answer(request) && expected_end < request.deadline
     }
 
     fn replace_lost(&self, request: &PendingRequest) -> RequestStep {
--- a/crates/policy/src/requests.rs
+++ b/crates/policy/src/requests.rs
@@ -1,7 +1,7 @@
 //! Pending requests and their attempts.
 
 use crate::api::{AttemptNo, Backend, BackendId, RequestId, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Priority below which a request may use only half of the capacity. The rest is reserved for first attempts
 /// within quota, whose priority is 1.
@@ -102,6 +102,8 @@
     pub in_flight: BTreeMap<AttemptKey, InFlightAttempt>,
     /// Number of attempts in flight whose answers have paused.
     pub paused: usize,
+    /// Pending requests whose answers have paused, to be sent elsewhere once there is retry budget.
+    pub awaiting_budget: BTreeSet<RequestId>,
 }
 
 impl RequestTable {
--- a/crates/policy/tests/paused_answers.rs
+++ b/crates/policy/tests/paused_answers.rs
@@ -150,3 +150,26 @@
     host.advance(SERVICE_TIME * 20);
     assert_eq!(host.sent_to(old).len(), 1, "an old attempt is probably a heavy request");
 }
+
+/// Guards against a repeatable request that stays with a silent backend, as there was no budget for another attempt when its
+/// answer paused.
+#[test]
+fn a_paused_request_gets_its_hedged_attempt_once_there_is_budget() {
+    for goes_on in [false, true] {
+        let mut host = host(true, 4);
+        let mut waiting = paused_request(&mut host, 0);
+        while host.sent_to(waiting).len() > 1 {
+            host.end_attempt(waiting, 1, Outcome::Success);
+            waiting = paused_request(&mut host, 0);
+        }
+        if goes_on {
+            host.resume_answer(waiting, 0);
+        }
+        for _ in 0..20 {
+            let id = host.submit(0, TIME_LEFT);
+            host.advance(1_000);
+            host.end_attempt(id, 0, Outcome::Success);
+        }
+        assert_eq!(host.sent_to(waiting).len(), if goes_on { 1 } else { 2 });
+    }
+}
