Proxy: forwarded requests and the stream's reads and writes in modules of their own

Change: 'stream/transfer.rs' has hyper's reads and writes, 'forwarded_request.rs' the request of an attempt. Code was moved, nothing else changed; 'outgoing_request' is 'ForwardedRequest::for_attempt'.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -6,17 +6,16 @@
 use crate::connection_pool::{ConnectionPool, PooledConnection};
 use crate::exchange::{exchange, is_clean_after_answer, BackendAnswer, ExchangeContext, ExchangeError};
 use crate::exchange_counts::increment;
-use crate::header_block::HeaderBlock;
+use crate::forwarded_request::ForwardedRequest;
 use crate::hop_by_hop::strip_hop_by_hop;
-use crate::outgoing_body::OutgoingBody;
 use crate::relay::{AnswerRelay, FrameLimits};
 use crate::stream::{SendGate, Stream};
-use crate::upload::{RequestBody, Upload};
+use crate::upload::Upload;
 use hyper::body::{Body, Incoming};
 use hyper::ext::on_informational;
 use hyper::header::CONNECTION;
 use hyper::http::response::Parts;
-use hyper::{HeaderMap, Method, Request, Uri, Version};
+use hyper::{HeaderMap, Version};
 use lotusdeck_core::{AnswerProgress, EarlyAnswer};
 use lotusdeck_policy::{AttemptNo, BackendId, Outcome, RequestId};
 use std::future::Future;
@@ -24,28 +23,14 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::time::Instant;
 use tracing::debug;
 
-/// Number of headers that are added to those that are forwarded, in either direction.
+/// Number of headers that are added to those of an answer.
 const ADDED_HEADERS: usize = 3;
 /// Number of headers that a map may have room for whatever it holds.
 const MAX_SPARE_HEADERS: usize = 24;
 
-/// The head of a request as it is forwarded to backends. It shares no memory with the buffer that it was read from.
-pub(crate) struct ForwardedHead {
-    pub method: Method,
-    pub uri: Uri,
-    pub headers: HeaderBlock,
-}
-
-/// A client's request as it is forwarded to backends.
-pub(crate) struct ForwardedRequest {
-    pub head: ForwardedHead,
-    pub body: RequestBody,
-}
-
 /// A backend and its address.
 #[derive(Clone, Copy)]
 pub(crate) struct Destination {
@@ -129,7 +114,7 @@
             self.return_idle(to.backend, connection); // nothing was sent on it
             return Outcome::NeverSent.into();
         }
-        let mut outgoing = outgoing_request(request, time_left, &connection.stream);
+        let mut outgoing = request.for_attempt(time_left, &connection.stream);
         let informational = Arc::new(AtomicBool::new(false));
         let informational_seen = informational.clone();
         on_informational(&mut outgoing, move |_| informational_seen.store(true, Relaxed));
@@ -309,20 +294,6 @@
     }
 }
 
-/// Builds the request of one attempt on the connection `backend`, which announces `time_left` to the backend.
-fn outgoing_request(
-    request: &ForwardedRequest, time_left: Duration, backend: &Stream,
-) -> Request<OutgoingBody> {
-    let mut outgoing = Request::new(OutgoingBody::new(&request.body, backend.clone()));
-    *outgoing.method_mut() = request.head.method.clone();
-    *outgoing.uri_mut() = request.head.uri.clone();
-    *outgoing.headers_mut() = request.head.headers.to_map(ADDED_HEADERS);
-    if let Ok(seconds) = format!("{:.3}", time_left.as_secs_f64()).parse() {
-        outgoing.headers_mut().insert("x-time-left", seconds);
-    }
-    outgoing
-}
-
 /// Returns whether the connection can take another request, according to the head of its answer.
 fn leaves_connection_open(head: &Parts) -> bool {
     let closes = head.headers.get_all(CONNECTION).iter().any(|value| value != "keep-alive");
--- a/crates/proxy/src/connection_pool/tests.rs
+++ b/crates/proxy/src/connection_pool/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of the pool on real connections.
 
 use super::*;
-use crate::attempt::{AttemptId, AttemptTerms, Destination, ForwardedHead, ForwardedRequest};
+use crate::attempt::{AttemptId, AttemptTerms, Destination};
+use crate::forwarded_request::{ForwardedHead, ForwardedRequest};
 use crate::header_block::HeaderBlock;
 use crate::upload::RequestBody;
 use bytes::Bytes;
--- a/crates/proxy/src/http_exchange.rs
+++ b/crates/proxy/src/http_exchange.rs
@@ -2,8 +2,9 @@
 //! succeeded.
 
 use crate::answer_body::AnswerBody;
-use crate::attempt::{AttemptId, AttemptTerms, Destination, ForwardedRequest, ServedAnswer};
+use crate::attempt::{AttemptId, AttemptTerms, Destination, ServedAnswer};
 use crate::connection_pool::ConnectionPool;
+use crate::forwarded_request::ForwardedRequest;
 use crate::request_ids::RequestFate;
 use crate::stream::{SendGate, Stream};
 use crate::upload::Upload;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -23,6 +23,7 @@
 mod eviction_order;
 mod exchange;
 mod exchange_counts;
+mod forwarded_request;
 mod front_state;
 mod header_block;
 mod hop_by_hop;
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -1,11 +1,11 @@
 //! Handles a request: reads and validates it, submits it to the core and returns the answer.
 
 use crate::answer_body::{plain_answer, AnswerBody};
-use crate::attempt::{ForwardedHead, ForwardedRequest};
 use crate::body_budget::BodyBudget;
 use crate::client::Client;
 use crate::connection_pool::ConnectionPool;
 use crate::exchange_counts::increment;
+use crate::forwarded_request::{ForwardedHead, ForwardedRequest};
 use crate::front_state::FrontState;
 use crate::header_block::HeaderBlock;
 use crate::hop_by_hop::strip_hop_by_hop;
--- a/crates/proxy/src/stream/tests.rs
+++ b/crates/proxy/src/stream/tests.rs
@@ -1,8 +1,10 @@
 //! The stream on real connections.
 
 use super::*;
+use hyper::rt::{Read, Write};
 use std::cell::Cell;
 use std::io::{Read as _, Write as _};
+use std::pin::Pin;
 
 async fn pair() -> (Stream, std::net::TcpStream) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
