Send buffers larger than 4 MiB are taken into account where the machine allows them

Callers would see: where clients' send buffers grow beyond 4 MiB, a large request whose last byte lies in one counts as still being written, so that its final answer comes only once its backend has read on.

Change: the bound is the largest size of net.ipv4.tcp_wmem, and 4 MiB at least.

Result: tests of the parsing; the four tests of slow_uploads.rs pass. A machine with larger buffers was not at hand.

--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -6,6 +6,7 @@
 mod incoming;
 mod outgoing;
 mod read_history;
+mod send_buffer;
 mod transfer;
 mod write_bound;
 
@@ -16,6 +17,7 @@
 use lotusdeck_core::socket_state;
 use outgoing::OutgoingRequest;
 pub(crate) use outgoing::SendGate;
+use send_buffer::max_send_buffer_bytes;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -23,9 +25,6 @@
 use tokio::time::Instant;
 use write_bound::WriteBound;
 
-/// Bytes that a peer can have written and not sent: its send buffer, at the size to which Linux grows it by default.
-const MAX_SEND_BUFFER_BYTES: u64 = 4 * 1024 * 1024;
-
 /// What is known of the last byte of an incoming message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LastByte {
@@ -155,8 +154,8 @@
             return LastByte::NotArrived;
         }
         let missing = length.map_or(0, |length| self.0.incoming.bytes_missing(length));
-        let unread = socket_state::unread_bytes(&self.0.tcp).unwrap_or(u64::MAX - MAX_SEND_BUFFER_BYTES);
-        if missing > unread + MAX_SEND_BUFFER_BYTES {
+        let unread = socket_state::unread_bytes(&self.0.tcp).unwrap_or(u64::MAX);
+        if missing > unread.saturating_add(max_send_buffer_bytes()) {
             self.0.write_bound.record_unwritten(checked_at);
             return LastByte::Unwritten;
         }
