A broken answer without a length resets the connection of an HTTP/1.0 client

Change: while such an answer is being sent its connection is set to be reset when it closes, whatever closes it: a backend that breaks off, a cut client, the end of the process. At the end of the answer it is set back. Clients of HTTP/1.1, and answers with a length, see the break by their framing and are closed as before.

--- a/crates/lotusdeck/tests/bodies.rs
+++ b/crates/lotusdeck/tests/bodies.rs
@@ -196,6 +196,27 @@
     }
 }
 
+/// Guards against a broken answer that a client of HTTP/1.0 takes for a whole one: to it the end of the connection is the end of
+/// the answer.
+#[test]
+fn an_answer_without_a_length_that_breaks_off_resets_the_connection_of_an_old_client() {
+    let body = sample_text(200_000);
+    for is_whole in [true, false] {
+        let end = if is_whole { "\r\n0\r\n\r\n" } else { "" };
+        let answer = format!("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n30d40\r\n{body}{end}");
+        let backend = BackendServer::start(move |_| Reply::PiecesAndClose(vec![answer.clone()]));
+        let proxy = proxy_for(&backend);
+        let mut client = proxy.client();
+        client.send(&read(3.0).replace("HTTP/1.1", "HTTP/1.0"));
+        let mut received = Vec::new();
+        let end = client.0.read_to_end(&mut received).map_err(|error| error.kind());
+        match is_whole {
+            true => assert!(end.is_ok() && received.ends_with(body.as_bytes()), "{end:?}"),
+            false => assert_eq!(end, Err(std::io::ErrorKind::ConnectionReset)),
+        }
+    }
+}
+
 /// Guards against a connection that is closed without a byte because the answer broke off right behind its first
 /// bytes: each client gets the beginning of the answer, or an error.
 #[test]
--- a/crates/proxy/src/answer_body.rs
+++ b/crates/proxy/src/answer_body.rs
@@ -5,7 +5,7 @@
 use crate::stream::Stream;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use hyper::{Response, StatusCode};
+use hyper::{Response, StatusCode, Version};
 use std::any::Any;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -26,6 +26,7 @@
             rest,
             bytes_left: length,
             client: None,
+            resets_connection: false,
             flushes_before_frame: None,
             fate: None,
         },
@@ -48,6 +49,8 @@
     client: Option<Stream>,
     /// The record of the request, until the end of the answer.
     fate: Option<Rc<RequestFate>>,
+    /// Whether the connection is reset if it closes before the end of the answer.
+    resets_connection: bool,
     /// The number of flushes of that connection when the last frame was returned, or before the first one.
     flushes_before_frame: Option<u64>,
 }
@@ -80,8 +83,16 @@
         Poll::Ready(Some(Ok(Frame::data(data))))
     }
 
+    /// Returns whether the end of its connection is all that tells a client of this version where the answer ends.
+    fn ends_with_connection(&self, version: Version) -> bool {
+        version < Version::HTTP_11 && self.bytes_left.is_none()
+    }
+
     /// Records that the client has got the whole answer.
     fn record_end(&mut self) {
+        if let Some(client) = self.client.as_ref().filter(|_| self.resets_connection) {
+            client.reset_on_close(false);
+        }
         if let Some(fate) = self.fate.take() {
             fate.record_served();
         }
@@ -110,11 +121,16 @@
 }
 
 impl AnswerBody {
-    /// Sets the connection that the answer is written to. If the answer breaks off, the connection ends only after
-    /// everything received before has been written.
-    pub(crate) fn set_client(&mut self, client: &Stream) {
+    /// Sets the connection that the answer is written to, in this version of HTTP. If the answer breaks off, the connection
+    /// ends only after everything received before has been written, and is reset where its end would be taken for that of
+    /// the answer.
+    pub(crate) fn set_client(&mut self, client: &Stream, version: Version) {
         if let AnswerBody::Streamed { answer, .. } = self {
             answer.client = Some(client.clone());
+            answer.resets_connection = answer.ends_with_connection(version);
+            if answer.resets_connection {
+                client.reset_on_close(true);
+            }
         }
     }
 
--- a/crates/proxy/src/answer_body/tests.rs
+++ b/crates/proxy/src/answer_body/tests.rs
@@ -23,7 +23,7 @@
         let (sender, answer) = stream_answer(Bytes::from(vec![b'#'; FIRST_BYTES]), length);
         drop(sender); // the answer broke off before the first poll of its body
         let mut body = AnswerBody::Streamed { answer, guards: Vec::new() };
-        body.set_client(&stream);
+        body.set_client(&stream, hyper::Version::HTTP_11);
         Ok::<_, Infallible>(Response::new(body))
     });
     let served = http1::Builder::new().serve_connection(stream.clone(), service).await;
--- a/crates/proxy/src/client_connection.rs
+++ b/crates/proxy/src/client_connection.rs
@@ -118,8 +118,9 @@
     handler: &RequestHandler, front: &Rc<FrontState>, client: &Rc<Client>, request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     client.is_busy.set(true);
+    let version = request.version();
     let mut answer = handler.handle(client, request).await;
-    answer.body_mut().set_client(&client.stream);
+    answer.body_mut().set_client(&client.stream, version);
     let busy = BusyConnection { front: front.clone(), client: client.clone() };
     answer.body_mut().hold_until_end(busy); // busy until the end of an answer that is streamed
     answer
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -21,6 +21,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use write_bound::WriteBound;
@@ -205,6 +206,12 @@
         socket_state::may_be_closed_by_peer(&self.0.tcp, max_unread)
     }
 
+    /// Sets whether the connection is reset when it closes, upon which the peer gets an error in place of its end.
+    pub(crate) fn reset_on_close(&self, is_reset: bool) {
+        let linger = is_reset.then_some(Duration::ZERO);
+        let _ = socket2::SockRef::from(&self.0.tcp).set_linger(linger); // fails on no connected socket
+    }
+
     /// Returns whether unread bytes wait in the kernel.
     pub(crate) fn has_kernel_bytes(&self) -> bool {
         socket_state::has_bytes(&self.0.tcp)
