The pauses of a backend do not count as those of a client that reads its answer

The 20 s counted since a byte was last written, whatever kept the next one back.

Change: the stream tells for how long a write has waited for the peer; only that time counts. 'SendProgress', which compared the number of bytes, is no longer needed.

Evidence: of the two new tests both fail with the time since the connection's start in place of the blocked write, and pass; the tests of the crate pass.

--- a/crates/proxy/src/client_connection.rs
+++ b/crates/proxy/src/client_connection.rs
@@ -41,48 +41,34 @@
     },
 }
 
-/// The progress of sending answers to a client.
-struct SendProgress {
-    bytes_sent: u64,
-    /// When `bytes_sent` last changed, or no large answer was being sent.
-    since: Instant,
+/// Returns what to do with a connection whose timer has expired, and logs it if the connection is to close.
+fn check_timeout(client: &Client) -> TimerAction {
+    let action = timer_action(client);
+    if !matches!(action, TimerAction::CheckAgainAt(_)) {
+        debug!(client = client.id.0, ?action, "connection timed out");
+    }
+    action
 }
 
-impl SendProgress {
-    /// Returns what to do with a connection whose timer has expired, and logs it if the connection is to close.
-    fn check(&mut self, client: &Client) -> TimerAction {
-        let action = self.timer_action(client);
-        if !matches!(action, TimerAction::CheckAgainAt(_)) {
-            debug!(client = client.id.0, ?action, "connection timed out");
-        }
-        action
+fn timer_action(client: &Client) -> TimerAction {
+    let now = Instant::now();
+    let times_out_at = client.times_out_at(now);
+    if times_out_at > now {
+        return TimerAction::CheckAgainAt(times_out_at);
     }
-
-    fn timer_action(&mut self, client: &Client) -> TimerAction {
-        let now = Instant::now();
-        let times_out_at = client.times_out_at(now);
-        let bytes_sent = client.stream.bytes_sent();
-        if self.bytes_sent != bytes_sent || !client.is_streaming.get() {
-            self.bytes_sent = bytes_sent;
-            self.since = now;
-        }
-        if times_out_at > now {
-            return TimerAction::CheckAgainAt(times_out_at);
-        }
-        if client.is_busy.get() {
-            if now - self.since >= ANSWER_READ_TIMEOUT {
-                return TimerAction::Cut; // the client does not read its answer
-            }
-            return TimerAction::CheckAgainAt(now + BUSY_CHECK_DELAY);
-        }
-        if client.stream.has_kernel_bytes() {
-            return TimerAction::CheckAgainAt(now + UNREAD_CHECK_DELAY);
-        }
-        if client.stream.message_started_at().is_some() || !client.has_sent_request() {
-            return TimerAction::Cut; // no complete head has arrived
+    if client.is_busy.get() {
+        if client.is_streaming.get() && client.stream.write_blocked_for(now) >= ANSWER_READ_TIMEOUT {
+            return TimerAction::Cut; // the client does not read its answer
         }
-        TimerAction::CloseGracefully { check_again_at: now + CLOSE_TIMEOUT }
+        return TimerAction::CheckAgainAt(now + BUSY_CHECK_DELAY);
     }
+    if client.stream.has_kernel_bytes() {
+        return TimerAction::CheckAgainAt(now + UNREAD_CHECK_DELAY);
+    }
+    if client.stream.message_started_at().is_some() || !client.has_sent_request() {
+        return TimerAction::Cut; // no complete head has arrived
+    }
+    TimerAction::CloseGracefully { check_again_at: now + CLOSE_TIMEOUT }
 }
 
 /// What to do with a connection that is asked to close.
@@ -135,13 +121,12 @@
     let mut connection = pin!(builder.serve_connection(client.stream.clone(), service));
     let mut cut_timer = pin!(tokio::time::sleep(Duration::MAX));
     let mut timer = pin!(tokio::time::sleep(IDLE_TIMEOUT));
-    let mut progress = SendProgress { bytes_sent: 0, since: client.accepted_at };
     loop {
         tokio::select! {
             biased; // read received bytes before closing a connection as idle
             _ = connection.as_mut() => return,
             () = cut_timer.as_mut(), if client.is_closing() && !client.is_busy.get() => return,
-            () = timer.as_mut() => match progress.check(client) {
+            () = timer.as_mut() => match check_timeout(client) {
                 TimerAction::Cut => return,
                 TimerAction::CheckAgainAt(at) => timer.as_mut().reset(at),
                 TimerAction::CloseGracefully { check_again_at } => {
@@ -162,3 +147,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -50,6 +50,8 @@
     queueing_delay: QueueingDelay,
     /// Tracks the earliest time at which unread bytes can have been written.
     write_bound: WriteBound,
+    /// Since when a write has waited for the peer to read.
+    write_blocked_since: Cell<Option<Instant>>,
     /// The earliest time at which the bytes that were read last can have been written.
     last_read_written_at: Cell<std::time::Instant>,
 }
@@ -77,6 +79,7 @@
             flushes: Flushes::default(),
             queueing_delay: QueueingDelay::new(since),
             write_bound: WriteBound::new(since),
+            write_blocked_since: Cell::default(),
             last_read_written_at: Cell::new(since),
         }))
     }
@@ -113,6 +116,11 @@
         self.0.outgoing.total_bytes()
     }
 
+    /// Returns for how long a write has waited for the peer to read; zero if none waits.
+    pub(crate) fn write_blocked_for(&self, now: Instant) -> Duration {
+        self.0.write_blocked_since.get().map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
     /// Returns how often all bytes that hyper buffered had been written.
     pub(crate) fn flush_count(&self) -> u64 {
         self.0.flushes.count()
--- a/crates/proxy/src/stream/transfer.rs
+++ b/crates/proxy/src/stream/transfer.rs
@@ -1,10 +1,11 @@
 //! Reads and writes of hyper on a stream.
 
-use super::Stream;
+use super::{Inner, Stream};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::io;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
+use tokio::time::Instant;
 
 /// Maximum number of bytes that one read returns. hyper doubles its buffer of 8 KiB after a read that fills it.
 const READ_BYTES: usize = 8 * 1024 - 1;
@@ -22,6 +23,17 @@
     count
 }
 
+impl Inner {
+    /// Polls until a write may succeed, and records since when it has to wait.
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let ready = self.tcp.poll_write_ready(cx);
+        if ready.is_pending() && self.write_blocked_since.get().is_none() {
+            self.write_blocked_since.set(Some(Instant::now()));
+        }
+        ready
+    }
+}
+
 impl Read for Stream {
     fn poll_read(
         self: Pin<&mut Self>, cx: &mut Context<'_>, mut buf: ReadBufCursor<'_>,
@@ -56,12 +68,13 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let inner = &self.0;
         loop {
-            ready!(inner.tcp.poll_write_ready(cx))?;
+            ready!(inner.poll_write_ready(cx))?;
             if !inner.outgoing.check_gate() {
                 return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
             }
             match inner.tcp.try_write(buf) {
                 Ok(count) => {
+                    inner.write_blocked_since.set(None);
                     inner.outgoing.record(&buf[..count]);
                     return Poll::Ready(Ok(count));
                 }
