Soak: short, very long and old answers, slow readers and writers, heads in parts, uploads read to their end

Change: slow answers of 2 KB to 3 MB, of which short ones have to end in their client's time; an answer of status 103 or a pause within the head before them; clients of HTTP/1.0, clients that pause between reads, and ones that write a request in pieces; requests that a backend reads to its end in time must be served. An answer that broke off and looks whole to its client breaks a rule.

--- a/crates/testbed/src/soak/bodies.rs
+++ b/crates/testbed/src/soak/bodies.rs
@@ -1,7 +1,8 @@
 //! Large bodies in a soak run: long answers that a backend writes slowly or never ends, and large requests that it reads
 //! slowly or stops reading.
 
-use super::pace::{Framing, Pace, LAST_CHUNK};
+use super::client_pace::ClientPace;
+use super::pace::{Framing, Pace, Prelude, ANSWER_BYTE, LAST_CHUNK};
 use super::plan::SoakPlan;
 use super::records::{BodyRecord, Class, Recorder};
 use crate::record::TryId;
@@ -21,13 +22,22 @@
 /// The answer to a large request that was read to its end.
 const SHORT_ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok";
 
+const EARLY_HINTS: &str = "HTTP/1.1 103 Early Hints\r\n\r\n";
+/// The length of the first part of a head that is written in two, in bytes.
+const FIRST_HEAD_PART: usize = 14;
+
 /// Serves a request of this pace on a connection of which no more than its head was read, until the connection ends.
 pub async fn serve(pace: Pace, tcp: &mut TcpStream, recorder: &Recorder, id: TryId, backend: usize) {
     // Each fails if the proxy has closed.
     let _ = match pace {
-        Pace::LongAnswer { framing, bytes, step_bytes, pause, .. } => {
-            recorder.add_begun_answer(id, backend);
-            write_slowly(tcp, framing, bytes, step_bytes, pause).await
+        Pace::SlowAnswer { prelude, framing, bytes, step_bytes, pause, .. } => {
+            let head = framing.head(bytes);
+            if write_head(tcp, prelude, &head, pause).await.is_err() {
+                return;
+            }
+            let steps = bytes.div_ceil(step_bytes.max(1)) as u32;
+            recorder.add_begun_answer(id, backend, pause * steps);
+            write_body(tcp, framing, bytes, step_bytes, pause).await
         }
         Pace::SilentAnswer { framing, declared_bytes, bytes, .. } => {
             if backend % 2 == id.arrival as usize % 2 {
@@ -37,12 +47,16 @@
             }
         }
         Pace::LargeRequest { bytes, slow_from, pause } => {
-            read_slowly(tcp, bytes, slow_from, pause).await.map(drop)
+            if read_slowly(tcp, bytes, slow_from, pause).await.is_err() {
+                return;
+            }
+            recorder.add_begun_answer(id, backend, Duration::ZERO);
+            tcp.write_all(SHORT_ANSWER).await
         }
     };
 }
 
-/// Reads a request and answers it, or reads no more of it from a position on if `pause` is zero.
+/// Reads a request to its end, or no more of it from a position on if `pause` is zero.
 async fn read_slowly(
     tcp: &mut TcpStream, bytes: usize, slow_from: usize, pause: Duration,
 ) -> std::io::Result<()> {
@@ -50,8 +64,7 @@
     if pause.is_zero() {
         std::future::pending::<()>().await;
     }
-    read_up_to(tcp, bytes.saturating_sub(slow_from), pause).await?;
-    tcp.write_all(SHORT_ANSWER).await
+    read_up_to(tcp, bytes.saturating_sub(slow_from), pause).await
 }
 
 /// Reads this many bytes with a pause before each read, or until the connection ends, which is an error.
@@ -68,10 +81,25 @@
     Ok(())
 }
 
-async fn write_slowly(
+/// Writes the head of an answer, and what comes before it.
+async fn write_head(
+    tcp: &mut TcpStream, prelude: Prelude, head: &str, pause: Duration,
+) -> std::io::Result<()> {
+    let parts = match prelude {
+        Prelude::None => ["", head],
+        Prelude::Informational => [EARLY_HINTS, head],
+        Prelude::HeadInParts => [&head[..FIRST_HEAD_PART], &head[FIRST_HEAD_PART..]],
+    };
+    if !parts[0].is_empty() {
+        tcp.write_all(parts[0].as_bytes()).await?;
+        tokio::time::sleep(pause).await;
+    }
+    tcp.write_all(parts[1].as_bytes()).await
+}
+
+async fn write_body(
     tcp: &mut TcpStream, framing: Framing, bytes: usize, step_bytes: usize, pause: Duration,
 ) -> std::io::Result<()> {
-    tcp.write_all(framing.head(bytes).as_bytes()).await?;
     let mut left = bytes;
     while left > 0 {
         tokio::time::sleep(pause).await;
@@ -103,9 +131,10 @@
         Class::Read => plan.read_deadline,
         Class::Order => plan.order_deadline,
     };
-    let request = pace.request(id, deadline, rng.unit() < 0.5);
+    let client = ClientPace::draw(rng, pace);
+    let request = pace.request(id, deadline, &client);
     let Ok(mut tcp) = TcpStream::connect(address).await else { return };
-    let written = tokio::time::timeout(deadline + MAX_ANSWER_PAUSE, tcp.write_all(&request)).await;
+    let written = tokio::time::timeout(deadline + MAX_ANSWER_PAUSE, client.write(&mut tcp, &request)).await;
     let is_written = matches!(written, Ok(Ok(())));
     let sent_at = recorder.now();
     let mut record = BodyRecord {
@@ -119,48 +148,82 @@
         began_at: None,
         status: None,
         is_whole: false,
+        looks_whole: false,
+        body_bytes: 0,
         ended_at: sent_at,
     };
-    read_answer(&mut tcp, recorder, &mut record).await;
+    read_answer(&mut tcp, client, recorder, &mut record).await;
+    record.is_whole =
+        record.looks_whole && pace.answer_bytes().is_none_or(|bytes| bytes == record.body_bytes);
     record.ended_at = recorder.now();
     recorder.add_body(record);
 }
 
 /// Reads an answer to its end, or until nothing comes any more.
-async fn read_answer(tcp: &mut TcpStream, recorder: &Recorder, record: &mut BodyRecord) {
+async fn read_answer(tcp: &mut TcpStream, client: ClientPace, recorder: &Recorder, record: &mut BodyRecord) {
     let mut received = Vec::new();
-    loop {
+    let mut head = None;
+    let has_ended = loop {
         let patience = match record.began_at {
             None => (record.sent_at + record.deadline + LISTEN_ON).saturating_sub(recorder.now()),
             Some(_) => MAX_ANSWER_PAUSE,
         };
-        match tokio::time::timeout(patience, tcp.read_buf(&mut received)).await {
+        match tokio::time::timeout(patience, client.read(tcp, &mut received)).await {
             Ok(Ok(1..)) => {}
-            _ => return,
+            Ok(Ok(0)) => break true,
+            _ => break false,
         }
         record.began_at.get_or_insert_with(|| recorder.now());
-        record.status = std::str::from_utf8(received.get(9..12).unwrap_or_default())
-            .ok()
-            .and_then(|text| text.parse().ok());
-        let is_error = record.status.is_some_and(|status| status != 200);
-        if is_error || is_whole(&received) {
-            record.is_whole = !is_error;
-            return;
+        head = head.or_else(|| Head::parse(&received));
+        let is_complete = |head: &Head| head.status != Some(200) || head.is_complete(&received);
+        if head.as_ref().is_some_and(is_complete) {
+            break false;
         }
+    };
+    record.status = status(&received);
+    if let Some(head) = head.filter(|head| head.status == Some(200)) {
+        let ends_here = has_ended && head.framing == Framing::Close;
+        record.looks_whole = ends_here || head.is_complete(&received);
+        record.body_bytes = received[head.bytes..].iter().filter(|byte| **byte == ANSWER_BYTE).count();
     }
 }
 
-/// Returns whether an answer of the proxy was received to its end.
-fn is_whole(received: &[u8]) -> bool {
-    const HEAD_END: &[u8] = b"\r\n\r\n";
-    const LENGTH: &str = "content-length:";
-    let Some(head_bytes) = received.windows(HEAD_END.len()).position(|bytes| bytes == HEAD_END) else {
-        return false;
-    };
-    let head = String::from_utf8_lossy(&received[..head_bytes]).to_lowercase();
-    let length = head.lines().find_map(|line| line.strip_prefix(LENGTH)?.trim().parse::<usize>().ok());
-    match length {
-        Some(length) => received.len() >= head_bytes + HEAD_END.len() + length,
-        None => received.ends_with(LAST_CHUNK),
+fn status(received: &[u8]) -> Option<u16> {
+    std::str::from_utf8(received.get(9..12)?).ok()?.parse().ok()
+}
+
+/// The head of an answer.
+struct Head {
+    status: Option<u16>,
+    framing: Framing,
+    /// Its own length.
+    bytes: usize,
+    /// The declared length of the body.
+    body_bytes: usize,
+}
+
+impl Head {
+    /// Returns the head at the beginning of what was received, once it is complete.
+    fn parse(received: &[u8]) -> Option<Head> {
+        const HEAD_END: &[u8] = b"\r\n\r\n";
+        let end = received.windows(HEAD_END.len()).position(|bytes| bytes == HEAD_END)?;
+        let text = String::from_utf8_lossy(&received[..end]).to_lowercase();
+        let length = text.lines().find_map(|line| line.strip_prefix("content-length:")?.trim().parse().ok());
+        let framing = match length {
+            Some(_) => Framing::Length,
+            None if text.contains("transfer-encoding: chunked") => Framing::Chunked,
+            None => Framing::Close,
+        };
+        let body_bytes = length.unwrap_or_default();
+        Some(Head { status: status(received), framing, bytes: end + HEAD_END.len(), body_bytes })
+    }
+
+    /// Returns whether the framing tells that all was received.
+    fn is_complete(&self, received: &[u8]) -> bool {
+        match self.framing {
+            Framing::Length => received.len() >= self.bytes + self.body_bytes,
+            Framing::Chunked => received.ends_with(LAST_CHUNK),
+            Framing::Close => false,
+        }
     }
 }
--- a/crates/testbed/src/soak/judge/bodies.rs
+++ b/crates/testbed/src/soak/judge/bodies.rs
@@ -36,14 +36,17 @@
     /// Returns a violation if a request with a large body or a special answer got no answer in time, or an answer that its
     /// backend had begun was cut off.
     pub(super) fn body_fault(&self, body: &BodyRecord) -> Option<Violation> {
-        if !body.is_written || self.ended_when_due(body) {
-            return None;
-        }
         let violation = |rule, what: &str| {
             let attempts = self.attempts_of(body.id);
             let text = format!("{what}: {body:?}, attempts {attempts:?}");
             Some(Violation { rule, at: body.ended_at, text })
         };
+        if body.looks_whole && !body.is_whole {
+            return violation(Rule::Cut, "cut off without a sign of it");
+        }
+        if !body.is_written || self.ended_when_due(body) {
+            return None;
+        }
         let Some(began_at) = body.began_at else {
             let may_be_closed = self.has_crowd && self.attempts_of(body.id).is_empty();
             return if may_be_closed { None } else { violation(Rule::Lost, "not answered") };
@@ -58,11 +61,11 @@
             return violation(Rule::Lost, "held open behind a silent backend");
         }
         let is_cut = match (body.kind, body.status) {
-            (BodyKind::LargeRequest | BodyKind::SilentAnswer, _) => false,
-            (BodyKind::LongAnswer, Some(200)) => {
+            (BodyKind::SilentAnswer, _) | (BodyKind::LargeRequest, Some(200)) => false,
+            (BodyKind::LongAnswer | BodyKind::ShortAnswer, Some(200)) => {
                 !body.is_whole && !self.begun(body).any(|answer| self.restarted(answer, body))
             }
-            (BodyKind::LongAnswer, _) => {
+            (BodyKind::LongAnswer | BodyKind::ShortAnswer | BodyKind::LargeRequest, _) => {
                 self.begun(body).any(|answer| self.is_due(answer, body) && !self.restarted(answer, body))
             }
         };
@@ -86,9 +89,10 @@
         self.records.begun_answers.iter().filter(|answer| answer.id == body.id)
     }
 
-    /// Returns whether an answer began early enough to reach its client.
+    /// Returns whether an answer began early enough to reach its client. A short one has to end early enough.
     fn is_due(&self, answer: &BegunAnswer, body: &BodyRecord) -> bool {
-        answer.at + ANSWER_MARGIN + self.lag(answer.at) < body.sent_at + body.deadline
+        let takes = if body.kind == BodyKind::ShortAnswer { answer.takes } else { Duration::ZERO };
+        answer.at + takes + ANSWER_MARGIN + self.lag(answer.at) < body.sent_at + body.deadline
     }
 
     /// Returns whether the backend of an answer was started anew before the client stopped to wait.
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -3,6 +3,7 @@
 
 mod backends;
 mod bodies;
+mod client_pace;
 mod clients;
 mod discovery;
 mod judge;
--- a/crates/testbed/src/soak/records.rs
+++ b/crates/testbed/src/soak/records.rs
@@ -73,6 +73,8 @@
 pub enum BodyKind {
     /// Its answer, which a backend writes slowly.
     LongAnswer,
+    /// The same, of an answer that is short enough to be complete in its client's time.
+    ShortAnswer,
     /// Its answer, which half of the backends begin and never end.
     SilentAnswer,
     /// Its own body, which a backend reads slowly or stops reading.
@@ -102,11 +104,15 @@
     pub status: Option<u16>,
     /// Whether the answer of a backend arrived to its end.
     pub is_whole: bool,
+    /// Whether the client takes it for an answer that did.
+    pub looks_whole: bool,
+    /// Number of bytes of the answer's body that arrived.
+    pub body_bytes: usize,
     /// When the client stopped to wait.
     pub ended_at: Duration,
 }
 
-/// A long answer that a backend began.
+/// A slow answer that a backend began.
 #[derive(Clone, Copy, Debug)]
 pub struct BegunAnswer {
     /// The id of its request.
@@ -115,6 +121,8 @@
     pub backend: usize,
     /// When its head was written.
     pub at: Duration,
+    /// How long its body takes.
+    pub takes: Duration,
 }
 
 /// The largest resident memory of a process.
@@ -261,9 +269,9 @@
         self.records.borrow_mut().bodies.push(record);
     }
 
-    /// Records a long answer that a backend begins now.
-    pub fn add_begun_answer(&self, id: TryId, backend: usize) {
-        let record = BegunAnswer { id, backend, at: self.now() };
+    /// Records an answer that a backend begins now, and whose body takes this long.
+    pub fn add_begun_answer(&self, id: TryId, backend: usize, takes: Duration) {
+        let record = BegunAnswer { id, backend, at: self.now(), takes };
         self.records.borrow_mut().begun_answers.push(record);
     }
 
--- a/crates/testbed/src/soak/tests.rs
+++ b/crates/testbed/src/soak/tests.rs
@@ -143,6 +143,8 @@
         began_at: Some(ms(1_500)),
         status: Some(status),
         is_whole,
+        looks_whole: is_whole,
+        body_bytes: 0,
         ended_at: ms(2_400),
     }
 }
@@ -151,7 +153,7 @@
 fn broken_by_body(
     plan: &SoakPlan, body: BodyRecord, begun_at: Option<Duration>, events: &[ProcessRecord],
 ) -> Vec<Rule> {
-    let begun = begun_at.map(|at| BegunAnswer { id: ID, backend: 1, at });
+    let begun = begun_at.map(|at| BegunAnswer { id: ID, backend: 1, at, takes: ms(500) });
     let records = Records {
         bodies: vec![body],
         begun_answers: begun.into_iter().collect(),
@@ -170,11 +172,18 @@
     assert_eq!(judge_one(long_answer(503, false), Some(ms(1_010))), [Rule::Cut]);
     assert_eq!(judge_one(long_answer(503, false), Some(ms(1_950))), [], "it began too late");
     assert_eq!(judge_one(long_answer(503, false), None), []);
+    let short = |status, at| {
+        judge_one(BodyRecord { kind: BodyKind::ShortAnswer, ..long_answer(status, false) }, Some(ms(at)))
+    };
+    assert_eq!(short(502, 1_350), [Rule::Cut]);
+    assert_eq!(short(502, 1_450), [], "its end comes too late");
     let restarted = SoakPlan {
         changes: vec![ListChange { at: ms(1_800), backend: 1, state: ListedState::Ready }],
         ..plan.clone()
     };
     assert_eq!(broken_by_body(&restarted, long_answer(200, false), Some(ms(1_010)), &[]), []);
+    let unnoticed = BodyRecord { looks_whole: true, ..long_answer(200, false) };
+    assert_eq!(broken_by_body(&restarted, unnoticed, Some(ms(1_010)), &[]), [Rule::Cut]);
 }
 
 #[test]
@@ -187,6 +196,12 @@
     assert_eq!(answered(Some(ms(2_540))), []);
     assert_eq!(answered(Some(ms(2_560))), [Rule::Lost]);
     assert_eq!(answered(None), [Rule::Lost]);
+    let read_whole = |status| {
+        let body = BodyRecord { kind: BodyKind::LargeRequest, ..long_answer(status, false) };
+        broken_by_body(&plan, body, Some(ms(1_400)), &[])
+    };
+    assert_eq!(read_whole(200), []);
+    assert_eq!(read_whole(502), [Rule::Cut], "its backend answered in time");
 }
 
 #[test]
