A process that is shut down finishes the answers that it is passing on

That is the earliest time at which the process may be killed; the kill may come much later or, under a supervisor that waits for the end, not at all.

Change: after that time the process goes on for up to 30 s while a large answer, or the rest of one, is being sent to a client. All other connections are closed as before, and a client with half a request still does not keep it.

--- a/crates/lotusdeck/tests/shutdown_deadlines.rs
+++ b/crates/lotusdeck/tests/shutdown_deadlines.rs
@@ -67,3 +67,36 @@
     check_answer_before_kill(&mut proxy, client, longest_deadline);
     gate.open();
 }
+
+/// Guards against an answer that is cut off in the middle as its process ends at the earliest time at which it may be killed,
+/// and against a process that goes on after its last answer.
+#[test]
+fn answer_that_is_passed_on_is_finished_unless_the_process_is_killed() {
+    const PIECES: usize = 12;
+    const PIECE_BYTES: usize = 20_000;
+    const PIECE_PAUSE: Duration = Duration::from_millis(250);
+    let longest_deadline = Duration::from_secs(1);
+    let piece = format!("{PIECE_BYTES:x}\r\n{}\r\n", "y".repeat(PIECE_BYTES));
+    let mut reply =
+        vec![(Duration::ZERO, "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n".to_string())];
+    reply.extend(vec![(PIECE_PAUSE, piece); PIECES]);
+    reply.push((Duration::ZERO, "0\r\n\r\n".to_string()));
+    let backend = BackendServer::start(move |_| Reply::Timed(reply.clone()));
+    let mut proxy = Proxy::with_list(backend.address, &settings_with_deadline(longest_deadline));
+    let mut client = proxy.client();
+    client.send(&pay(longest_deadline.as_secs_f64()));
+    backend.next_request();
+    let mut idle = proxy.client();
+    assert_eq!(idle.ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n").status(), 200);
+    proxy.signal("TERM");
+    let stopped_at = Instant::now();
+    let answer = client.answer().expect("a whole answer");
+    assert_eq!((answer.status(), answer.body.len()), (200, PIECES * PIECE_BYTES));
+    assert!(
+        stopped_at.elapsed() > longest_deadline + KILL_GRACE,
+        "the process could have been killed before"
+    );
+    assert!(idle.ended(), "a connection without an answer does not stay");
+    assert!(proxy.child.wait().unwrap().success());
+    assert!(stopped_at.elapsed() < PIECE_PAUSE * PIECES as u32 + KILL_GRACE);
+}
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Returns whether a large answer, or the rest of any answer, is being sent to it.
+    pub(crate) fn is_being_answered(&self, now: tokio::time::Instant) -> bool {
+        self.is_streaming.get() || !self.stream.write_blocked_for(now).is_zero()
+    }
+
     /// Returns when it times out in its present state; `now` while a request is open, so that its progress is
     /// checked.
     pub(crate) fn times_out_at(&self, now: tokio::time::Instant) -> tokio::time::Instant {
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -137,6 +137,11 @@
         self.by_id.borrow().values().for_each(|client| each(client));
     }
 
+    /// Returns whether a connection meets the condition.
+    pub(crate) fn any(&self, condition: impl Fn(&Client) -> bool) -> bool {
+        self.by_id.borrow().values().any(|client| condition(client))
+    }
+
     /// Chooses the connection to close first if at most `max_clients` may be open.
     pub(crate) fn choose_evicted(&self, now: Instant, max_clients: usize) -> EvictionChoice {
         let is_overloaded = self.counts.without_request() > max_clients / MAX_WITHOUT_REQUEST_DIVISOR;
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -25,6 +25,8 @@
 const MAX_ANSWER_TIME: Duration = Duration::from_secs(3);
 /// How long connections are accepted after SIGTERM: new ones arrive for up to 0.4 s.
 const ACCEPT_LINGER: Duration = Duration::from_millis(500);
+/// How long the process goes on after the earliest kill while answers are being passed on to clients.
+const MAX_RELAY_TIME: Duration = Duration::from_secs(30);
 /// Time reserved before the end of the process for sending the last answers.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Maximum number of connections that the kernel queues until they are accepted.
@@ -113,7 +115,8 @@
         self.is_accepting.set(false);
         let stopped_at = Instant::now();
         // No answers are due after the longest deadline: requests that came under a longer one get theirs before. A client
-        // that holds a connection open with an incomplete request does not keep the program running.
+        // that holds a connection open with an incomplete request does not keep the program running, and one that is
+        // being sent a large answer does for a while.
         let settings = self.host.settings();
         let longest_deadline =
             to_duration(settings.network.deadlines.iter().max().copied().unwrap_or_default());
@@ -129,13 +132,20 @@
             self.acceptor.drain(listener, stopped_at + ACCEPT_LINGER).await;
         }
         self.front.is_stopping.set(true);
-        while self.client_count() > 0 && Instant::now() < ends_at {
+        while self.client_count() > 0 && self.goes_on_at(Instant::now(), ends_at) {
             // Repeated, as a connection on which a request had just arrived does not close the first time.
             self.front.clients.for_each(|client| client.close_requested.notify_one());
             self.acceptor.wait_for_connection_end().await;
         }
     }
 
+    /// Returns whether the process goes on after SIGTERM, with clients that have not closed. It may be killed from `ends_at`
+    /// on, and until it is, answers that are being passed on arrive.
+    fn goes_on_at(&self, now: Instant, ends_at: Instant) -> bool {
+        let is_passing_on = || self.front.clients.any(|client| client.is_being_answered(now));
+        now < ends_at || now < ends_at + MAX_RELAY_TIME && is_passing_on()
+    }
+
     async fn accept_until(&self, listener: &TcpListener, stop: impl Future<Output = ()>) {
         let mut stop = pin!(stop);
         let mut accepts = 0;
