PostgreSQL: a statement that waits for a connection until its time is up is told 57014

Cause: the balancer gives the request up a tick before its deadline, which the front took for a lost server where nothing was sent.

Change: 08006 only where a server was lost or no connection to one could be had.

Evidence: the new test in tests/deadlines.rs got E(08006) before and gets E(57014); the statement never runs.

--- a/crates/postgres/src/client.rs
+++ b/crates/postgres/src/client.rs
@@ -43,6 +43,8 @@
     pub sent: Cell<bool>,
     /// Whether that server was lost.
     pub server_lost: Cell<bool>,
+    /// Whether no connection to some server could be had for the current transaction.
+    pub connect_failed: Cell<bool>,
     /// The only message of the transaction, if it may be sent again while no part of its answer has been forwarded to
     /// the client.
     pub replay: RefCell<Option<Bytes>>,
@@ -74,6 +76,7 @@
             statements: RefCell::default(),
             sent: Cell::new(false),
             server_lost: Cell::new(false),
+            connect_failed: Cell::new(false),
             replay: RefCell::default(),
             has_terminated: Cell::new(false),
             taken_bytes: Cell::new(0),
@@ -151,7 +154,8 @@
 
     /// Resets the state for a new transaction, whose message `replay` may be sent again.
     pub(crate) fn begin_transaction(&self, replay: Option<Bytes>) {
-        [&self.sent, &self.server_lost, &self.answer_started].into_iter().for_each(|flag| flag.set(false));
+        let flags = [&self.sent, &self.server_lost, &self.connect_failed, &self.answer_started];
+        flags.into_iter().for_each(|flag| flag.set(false));
         self.taken_bytes.set(0);
         self.replay.replace(replay);
     }
--- a/crates/postgres/src/session/failure.rs
+++ b/crates/postgres/src/session/failure.rs
@@ -27,8 +27,13 @@
             Answer::Rejected(_) if client.server_lost.get() && is_result_unknown => result_unknown(),
             Answer::Rejected(after) => ClientError::no_capacity(*after, client.sent.get()),
             Answer::TimedOut => deadline_exceeded(),
-            // The core cancelled the attempt shortly before the client's deadline.
-            Answer::Failed if client.sent.get() && !client.server_lost.get() => deadline_exceeded(),
+            // The core cancelled the attempt shortly before the client's deadline, while the server had the statement, or
+            // while all connections were in use.
+            Answer::Failed
+                if !client.server_lost.get() && (client.sent.get() || !client.connect_failed.get()) =>
+            {
+                deadline_exceeded()
+            }
             Answer::Failed if is_result_unknown => result_unknown(),
             Answer::Failed => ClientError::error("08006", "the server was lost before anything was done"),
         })
--- a/crates/postgres/src/transaction.rs
+++ b/crates/postgres/src/transaction.rs
@@ -18,7 +18,10 @@
             self.client.rewind();
             let upstream = match self.servers.acquire(context.backend, context.address).await {
                 Ok(upstream) => upstream,
-                Err(outcome) => return outcome,
+                Err(outcome) => {
+                    self.client.connect_failed.set(true);
+                    return outcome;
+                }
             };
             let may_send = context.journaled().await && !self.client.sent.get() && context.may_send();
             if !may_send || self.client.has_disconnected() {
--- a/crates/postgres/tests/deadlines.rs
+++ b/crates/postgres/tests/deadlines.rs
@@ -70,3 +70,27 @@
     };
     run_local(test).await;
 }
+
+/// Guards against a client that is told of a lost server where none was: its statement waited for a connection until its time
+/// was up.
+#[tokio::test]
+async fn a_statement_that_waits_for_a_connection_until_its_time_is_up_is_told_so() {
+    let test = async {
+        let (address, seen) = stand_in().await;
+        let rule = Rule { class: ClassId(0), comment: Some("safe".into()), ..Rule::default() };
+        let deadlines = [LONG_DEADLINE, SHORT_DEADLINE];
+        let rig = Rig::start_with(&[address], 1, deadlines, vec![rule], true).await;
+        let mut holding = RawClient::log_in(&rig).await;
+        let mut waiting = RawClient::log_in(&rig).await;
+        holding.send(&[(b'Q', b"/* safe */ slow\0")]).await;
+        while seen.statements.borrow().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        waiting.send(&[INSERT]).await;
+        assert_eq!(waiting.receive_until(b'Z').await, "E(57014)Z");
+        seen.finish_slow.notify_one();
+        assert_eq!(holding.receive_until(b'Z').await, "TDCZ");
+        assert_eq!(seen.statements.borrow().len(), 1, "the INSERT never ran");
+    };
+    run_local(test).await;
+}
--- a/crates/postgres/tests/rig/mod.rs
+++ b/crates/postgres/tests/rig/mod.rs
@@ -297,26 +297,28 @@
 
     /// Starts a front whose balancer may not cancel attempts.
     pub(crate) async fn start_without_cancel(addresses: &[SocketAddr], deadline: Micros) -> Rig {
-        Rig::start_with(addresses, 4, deadline, Vec::new(), false).await
+        Rig::start_with(addresses, 4, [deadline; 2], Vec::new(), false).await
     }
 
     /// Starts a front with rules: transactions of class 0 may be repeated, those of class 1 may not.
     pub(crate) async fn start_with_rules(
         addresses: &[SocketAddr], max_connections: usize, deadline: Micros, rules: Vec<Rule>,
     ) -> Rig {
-        Rig::start_with(addresses, max_connections, deadline, rules, true).await
+        Rig::start_with(addresses, max_connections, [deadline; 2], rules, true).await
     }
 
-    async fn start_with(
-        addresses: &[SocketAddr], max_connections: usize, deadline: Micros, rules: Vec<Rule>,
+    /// Starts a front with a deadline for each class.
+    pub(crate) async fn start_with(
+        addresses: &[SocketAddr], max_connections: usize, deadlines: [Micros; 2], rules: Vec<Rule>,
         allow_cancel: bool,
     ) -> Rig {
-        let class = |effect| Class {
+        let class = |effect, latency_objective| Class {
             side_effects: effect,
-            latency_objective: deadline,
+            latency_objective,
             ..Config::example().classes[0].clone()
         };
-        let classes = vec![class(SideEffects::None), class(SideEffects::NonIdempotent)];
+        let classes =
+            vec![class(SideEffects::None, deadlines[0]), class(SideEffects::NonIdempotent, deadlines[1])];
         let mut config = Config { proxy_count: 1, classes, ..Config::example() };
         config.attempts.allow_hedging = false;
         config.attempts.allow_cancel = allow_cancel;
@@ -324,7 +326,7 @@
             connect_timeout: Micros(1_000_000),
             idle_timeout: Micros(60_000_000),
             max_retry_after: Some(Micros(1_000_000)),
-            deadlines: vec![deadline; 2],
+            deadlines: deadlines.to_vec(),
         };
         let login = Login { user: "deck".into(), database: "scores".into(), password: None };
         let servers = Servers::new(login, &network, max_connections);
