A client may pause for 2.5 s within its body where connections and memory are not scarce

Callers saw: 408 for a large request whose client sends at 64 kB/s, the slowest rate that PROTOCOL gives, in parts of 96 kB or more: the pause between two parts passed 1.5 s.

Change: the default of http.upload_stall_ms is 2,500. Where half of the connections or of the memory for bodies is in use, three fifths of it count, 1.5 s as before, so that a crowd of half bodies holds neither for longer than it did ('body_pause.rs').

The tests of crowds, floods and the memory limit pass.

--- a/crates/lotusdeck/src/operator/keys.rs
+++ b/crates/lotusdeck/src/operator/keys.rs
@@ -89,8 +89,8 @@
         "http.upload_stall_ms",
         "ms",
         (50, 60_000),
-        1_500,
-        "a client whose body rests for longer is answered 408",
+        2_500,
+        "a client whose body rests for longer, or three fifths of it where connections or memory are scarce, is answered 408",
     ),
     number(
         "http.upload_unread_ms",
--- a/crates/lotusdeck/tests/slow_uploads.rs
+++ b/crates/lotusdeck/tests/slow_uploads.rs
@@ -153,3 +153,72 @@
     let took = written_at.elapsed();
     assert!(took >= time_left.mul_f64(0.95) && took <= time_left + LATE_ANSWER, "{status:?} after {took:?}");
 }
+
+/// The pause of a client that sends 128 kB at a time at 64 kB/s, the slowest rate.
+const CLIENT_PAUSE: Duration = Duration::from_secs(2);
+
+/// Sends a request in three parts with a pause after each but the last.
+fn send_in_parts(proxy: &Proxy, framing: Framing, body_bytes: usize) -> Option<u16> {
+    let mut client = proxy.client();
+    let request = request(framing, body_bytes, Duration::from_secs(3));
+    let rest_from = request.len() - 2 * body_bytes / 3;
+    let rest = request[rest_from..].chunks(body_bytes.div_ceil(3));
+    client.0.get_mut().write_all(&request[..rest_from]).unwrap();
+    for part in rest {
+        std::thread::sleep(CLIENT_PAUSE);
+        client.0.get_mut().write_all(part).ok()?;
+    }
+    client.answer().map(|answer| answer.status())
+}
+
+/// Guards against the body of a slow client being taken for one that never comes.
+#[test]
+fn a_client_that_pauses_within_its_body_is_served() {
+    const BODY_BYTES: usize = 384_000;
+    let backend = BackendServer::start(|_| ok("x"));
+    for framing in [Framing::Length, Framing::Chunked] {
+        let proxy = Proxy::start(&[entry("b0", backend.address, "SERVING")]);
+        assert_eq!(send_in_parts(&proxy, framing, BODY_BYTES), Some(200), "{framing:?}");
+    }
+}
+
+/// Sends half of a body on a new connection, and nothing more.
+fn send_half(proxy: &Proxy, body_bytes: usize, id: usize) -> Client {
+    let mut client = proxy.client();
+    let request = request(Framing::Length, body_bytes, Duration::from_secs(3));
+    let text = String::from_utf8(request).unwrap();
+    let text = text.replace("X-Correlation-Id: 1\r\n", &format!("X-Correlation-Id: {id}\r\n"));
+    client.send(&text[..text.len() - body_bytes / 2]);
+    client
+}
+
+/// A client that sends half a body at full speed is owed an error within 3 s of connecting.
+#[test]
+fn half_a_body_is_answered_within_3_s() {
+    let backend = BackendServer::start(|_| ok("x"));
+    for body_bytes in [9_000, 384_000] {
+        let proxy = Proxy::start(&[entry("b0", backend.address, "SERVING")]);
+        let started_at = Instant::now();
+        let status = send_half(&proxy, body_bytes, 1).answer().map(|answer| answer.status());
+        let took = started_at.elapsed();
+        assert_eq!(status, Some(408));
+        assert!(took <= Duration::from_secs(3), "{body_bytes} bytes: {took:?}");
+    }
+}
+
+/// Guards against a crowd of such clients that keeps the connections of others for longer than it has to.
+#[test]
+fn half_a_body_is_answered_earlier_where_half_of_the_connections_are_open() {
+    const MAX_DESCRIPTORS: u32 = 200;
+    const CROWD: usize = 70;
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = Proxy::with_settings(&[entry("b0", backend.address, "SERVING")], MAX_DESCRIPTORS, SETTINGS);
+    let halves: Vec<Client> = (0..CROWD).map(|id| send_half(&proxy, 9_000, id)).collect();
+    std::thread::sleep(Duration::from_millis(2_000));
+    let is_answered = |half: &&Client| {
+        half.0.get_ref().set_nonblocking(true).unwrap();
+        half.0.get_ref().peek(&mut [0]).is_ok()
+    };
+    let answered = halves.iter().filter(is_answered).count();
+    assert!(answered >= CROWD / 2, "{answered} of {CROWD}");
+}
--- a/crates/proxy/src/body_budget.rs
+++ b/crates/proxy/src/body_budget.rs
@@ -21,6 +21,11 @@
         self.reserved_bytes.load(Relaxed)
     }
 
+    /// Returns whether half of it is reserved.
+    pub(crate) fn is_half_reserved(&self) -> bool {
+        self.reserved_bytes() >= self.limit_bytes / 2
+    }
+
     /// Returns an empty reservation, which can grow.
     pub(crate) fn reserve(&self) -> BodyReservation {
         BodyReservation { budget: self.clone(), bytes: 0 }
--- a/crates/proxy/src/front_state.rs
+++ b/crates/proxy/src/front_state.rs
@@ -19,6 +19,11 @@
 }
 
 impl FrontState {
+    /// Returns whether half of the connections that may be open are.
+    pub(crate) fn has_half_of_clients(&self) -> bool {
+        self.clients.counts.total() >= self.max_clients.get() / 2
+    }
+
     /// Returns whether connections close after their answers, as the limit is near: those with a request exceed half of
     /// it, or all together exceed it. Clients might otherwise have no connection left to send on.
     pub(crate) fn is_near_limit(&self) -> bool {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 mod body;
 pub mod body_budget;
 mod body_buffer;
+mod body_pause;
 pub mod cached_endpoint_list;
 mod chunked_body;
 mod client;
--- a/crates/proxy/src/outgoing_body.rs
+++ b/crates/proxy/src/outgoing_body.rs
@@ -10,14 +10,13 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use tokio::time::Sleep;
 
 /// One attempt's copy of a client's request body.
 pub(crate) struct OutgoingBody {
     buffered: Option<Bytes>,
     upload: Option<Rc<Upload>>,
     /// Runs while waiting for data from the client.
-    pause_timer: Option<Pin<Box<Sleep>>>,
+    pause_timer: Option<Pin<Box<dyn Future<Output = ()>>>>,
     /// Bytes still to be sent, if the length is known.
     bytes_left: Option<u64>,
     /// The connection to the backend.
@@ -67,8 +66,8 @@
         let data = match upload.poll_data(cx) {
             Poll::Ready(data) => data,
             Poll::Pending => {
-                let start_timer = || Box::pin(tokio::time::sleep(upload.max_pause()));
-                ready!(self.pause_timer.get_or_insert_with(start_timer).as_mut().poll(cx));
+                let timer = self.pause_timer.get_or_insert_with(|| Box::pin(upload.pause_exceeded()));
+                ready!(timer.as_mut().poll(cx));
                 Some(Err(InvalidRequest::BodyTimeout))
             }
         };
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -2,6 +2,7 @@
 
 use crate::answer_body::{plain_answer, AnswerBody};
 use crate::body_budget::BodyBudget;
+use crate::body_pause::BodyPauseLimit;
 use crate::client::Client;
 use crate::connection_pool::ConnectionPool;
 use crate::exchange_counts::increment;
@@ -26,7 +27,6 @@
 use lotusdeck_policy::{Arrival, Micros, RequestId, SideEffects, Time};
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::oneshot;
 use tracing::debug;
 
@@ -110,9 +110,10 @@
         RequestTime { allowed, left, deadline: self.host.clock.now() + left }
     }
 
-    /// Returns how long a client may pause within its body.
-    fn max_pause(&self) -> Duration {
-        self.pool.stall_timeouts.get().upload_stall
+    /// Returns the limit on a client's pauses within its body.
+    fn pause_limit(&self) -> BodyPauseLimit {
+        let longest = self.pool.stall_timeouts.get().upload_stall;
+        BodyPauseLimit::new(longest, self.front.clone(), self.body_budget.clone())
     }
 
     async fn forward(
@@ -131,8 +132,8 @@
         let valid = validate(&head, &body, client.stream.has_content_length(), side_effects, max_time)?;
         let hints = ClientHints::read(&head.headers);
         let head = forwarded_head(head)?;
-        let body =
-            buffer_body(body, valid.length, &client.stream, &self.body_budget, self.max_pause()).await?;
+        let pause_limit = self.pause_limit();
+        let body = buffer_body(body, valid.length, &client.stream, &self.body_budget, &pause_limit).await?;
         let time = self.request_time(valid.time_left, client);
         let arrival = Arrival {
             request: RequestId(0),
--- a/crates/proxy/src/stall_timeouts.rs
+++ b/crates/proxy/src/stall_timeouts.rs
@@ -15,7 +15,7 @@
     /// replace it.
     pub relayed_answer_stall: Duration,
     /// Between two bytes of a client's body: below the 3 s within which every client must get an answer, to leave
-    /// time for the head.
+    /// time for the head. Less where connections or memory are scarce.
     pub upload_stall: Duration,
     /// Between two bytes of a request's body that a backend reads: after that its connection counts as broken.
     pub backend_stall: Duration,
@@ -27,7 +27,7 @@
             answer_pause: Duration::from_millis(300),
             answer_silence: Duration::from_millis(1500),
             relayed_answer_stall: Duration::from_secs(10),
-            upload_stall: Duration::from_millis(1500),
+            upload_stall: Duration::from_millis(2500),
             backend_stall: Duration::from_secs(3),
         }
     }
--- a/crates/proxy/src/upload.rs
+++ b/crates/proxy/src/upload.rs
@@ -3,6 +3,7 @@
 use crate::body::{MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use crate::body_budget::BodyBudget;
 use crate::body_buffer::BodyBuffer;
+use crate::body_pause::BodyPauseLimit;
 use crate::invalid_request::InvalidRequest;
 use crate::stream::{LastByte, Stream};
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 use lotusdeck_core::to_duration;
 use lotusdeck_policy::Micros;
 use std::cell::{Cell, Ref, RefCell};
+use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -63,8 +65,7 @@
     /// Notified when the body is complete or a fault was found.
     ended: Notify,
     client: Stream,
-    /// The longest pause of the client.
-    max_pause: Duration,
+    pause_limit: BodyPauseLimit,
 }
 
 /// Reads the body to its end, or until it is too large to buffer. `length` is its length in bytes, if the head gives
@@ -73,16 +74,21 @@
 /// # Errors
 /// Returns why it is not the body of a valid request.
 pub(crate) async fn buffer_body(
-    mut body: Incoming, length: Option<u64>, client: &Stream, budget: &BodyBudget, max_pause: Duration,
+    mut body: Incoming, length: Option<u64>, client: &Stream, budget: &BodyBudget,
+    pause_limit: &BodyPauseLimit,
 ) -> Result<RequestBody, InvalidRequest> {
     let started_at = Instant::now();
     let mut buffered = BodyBuffer::new(budget);
     loop {
-        let frame = match tokio::time::timeout(max_pause, body.frame()).await {
-            Err(_) => return Err(InvalidRequest::BodyTimeout),
-            Ok(None) => break,
-            Ok(Some(Err(_))) => return Err(InvalidRequest::Body),
-            Ok(Some(Ok(frame))) => frame,
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = pause_limit.clone().exceeded() => return Err(InvalidRequest::BodyTimeout),
+        };
+        let frame = match frame {
+            None => break,
+            Some(Err(_)) => return Err(InvalidRequest::Body),
+            Some(Ok(frame)) => frame,
         };
         let Ok(data) = frame.into_data() else { continue }; // trailers are not passed on
         buffered.push(&data);
@@ -94,7 +100,9 @@
             break;
         }
         if !buffered.is_within_budget() || buffered.len() > MAX_BUFFERED_BYTES {
-            let upload = Upload::new(buffered.freeze(), body, length, client.clone(), started_at, max_pause);
+            let pause_limit = pause_limit.clone();
+            let upload =
+                Upload::new(buffered.freeze(), body, length, client.clone(), started_at, pause_limit);
             return Ok(RequestBody::Streamed(Rc::new(upload)));
         }
     }
@@ -112,7 +120,7 @@
 impl Upload {
     fn new(
         buffered: Bytes, remaining: Incoming, length: Option<u64>, client: Stream, started_at: Instant,
-        max_pause: Duration,
+        pause_limit: BodyPauseLimit,
     ) -> Upload {
         Upload {
             bytes_read: Cell::new(buffered.len() as u64),
@@ -125,7 +133,7 @@
             fault: Cell::new(None),
             ended: Notify::new(),
             client,
-            max_pause,
+            pause_limit,
         }
     }
 
@@ -139,9 +147,9 @@
         self.length
     }
 
-    /// Returns how long the client may pause.
-    pub(crate) fn max_pause(&self) -> Duration {
-        self.max_pause
+    /// Waits until a pause of the client that begins now is too long.
+    pub(crate) fn pause_exceeded(&self) -> impl Future<Output = ()> + use<> {
+        self.pause_limit.clone().exceeded()
     }
 
     /// Returns whether part of it was passed on and dropped, so that no other attempt can send it.
@@ -188,7 +196,7 @@
         loop {
             let until_check = match self.client.last_byte(self.length) {
                 LastByte::Written { since } => to_duration(time_left(since)).min(WRITE_CHECK_INTERVAL),
-                LastByte::NotArrived if self.client.last_read_at().elapsed() >= self.max_pause => {
+                LastByte::NotArrived if self.has_paused_for_too_long() => {
                     return Err(InvalidRequest::BodyTimeout);
                 }
                 LastByte::NotArrived | LastByte::Unwritten => WRITE_CHECK_INTERVAL,
@@ -200,6 +208,10 @@
         }
     }
 
+    fn has_paused_for_too_long(&self) -> bool {
+        self.pause_limit.is_exceeded_by(self.client.last_read_at().elapsed())
+    }
+
     /// Returns whether the client cannot have written all of it, since too little of it is read.
     pub(crate) fn waits_for_backend(&self) -> bool {
         self.client.last_byte(self.length) == LastByte::Unwritten
@@ -218,7 +230,7 @@
         let Some(mut remaining) = self.remaining.take() else { return };
         let mut bytes_read = self.bytes_read.get();
         let started_at = self.started_at;
-        let max_pause = self.max_pause;
+        let max_pause = self.pause_limit.shortest();
         tokio::task::spawn_local(async move {
             while let Ok(Some(Ok(frame))) = tokio::time::timeout(max_pause, remaining.frame()).await {
                 bytes_read += frame.data_ref().map_or(0, |data| data.len() as u64);
