Soak: clients that pause for up to 2 s within a large request are awaited

Need: the pauses of the soak's slow writers ended at 0.75 s, and nothing judged an answer of status 408.

Change: pauses of 50 ms to 2 s, as of a client that sends 128 kB at a time at 64 kB/s; a 408 breaks a rule where no crowd and no small memory makes pauses shorter.

--- a/crates/testbed/src/soak/client_pace.rs
+++ b/crates/testbed/src/soak/client_pace.rs
@@ -9,6 +9,9 @@
 /// The most that a client reads at once where it pauses between reads, in bytes.
 const READ_BYTES: usize = 16 * 1024;
 
+/// The longest pause within a request, in ms: that of a client that sends 128 kB at a time at 64 kB/s.
+const MAX_WRITE_PAUSE_MS: usize = 2_000;
+
 /// How a client writes its request and reads the answer.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientPace {
@@ -32,7 +35,7 @@
             is_old: pace.answer_bytes().is_some() && below(5) == 0,
             is_chunked: below(2) == 0,
             pieces,
-            write_pause: Duration::from_millis(50 + below(700) as u64),
+            write_pause: Duration::from_millis(50 + below(MAX_WRITE_PAUSE_MS - 50) as u64),
             read_pause: Duration::from_millis(if below(3) == 0 { 1 + below(3) as u64 } else { 0 }),
         }
     }
--- a/crates/testbed/src/soak/judge/bodies.rs
+++ b/crates/testbed/src/soak/judge/bodies.rs
@@ -12,6 +12,9 @@
 /// as long as the rest of an answer may be held back.
 const MAX_HELD_BACK: Duration = Duration::from_secs(2);
 
+/// The status of the answer to a client whose body does not come.
+const REQUEST_TIMEOUT: u16 = 408;
+
 impl Evidence<'_> {
     /// Returns a violation if an order whose answer was slow or never ended ran twice, or was refused although it may have
     /// run.
@@ -44,6 +47,10 @@
         if body.looks_whole && !body.is_whole {
             return violation(Rule::Cut, "cut off without a sign of it");
         }
+        let is_scarce = self.has_crowd || self.plan.has_least_memory;
+        if body.status == Some(REQUEST_TIMEOUT) && !is_scarce {
+            return violation(Rule::Cut, "the body of a slow client was not awaited");
+        }
         if !body.is_written || self.ended_when_due(body) {
             return None;
         }
--- a/crates/testbed/src/soak/tests.rs
+++ b/crates/testbed/src/soak/tests.rs
@@ -196,6 +196,9 @@
     assert_eq!(answered(Some(ms(2_540))), []);
     assert_eq!(answered(Some(ms(2_560))), [Rule::Lost]);
     assert_eq!(answered(None), [Rule::Lost]);
+    let body = BodyRecord { kind: BodyKind::LargeRequest, ..long_answer(408, false) };
+    let with_memory = SoakPlan { has_least_memory: false, ..plan.clone() };
+    assert_eq!(broken_by_body(&with_memory, body, None, &[]), [Rule::Cut], "its client only paused");
     let read_whole = |status| {
         let body = BodyRecord { kind: BodyKind::LargeRequest, ..long_answer(status, false) };
         broken_by_body(&plan, body, Some(ms(1_400)), &[])
