Soak: a client that gives up in the middle of its request is not owed more time

Cause: a client of the soak gives its request up when it could not be written in the deadline and 4 s, however long its own pauses are, and still waited for an answer: the 408 that it got then was counted as one to a client that had only paused.

Change: the time to write grows by the client's own pauses, and a client that gives up has left.

--- a/crates/testbed/src/soak/bodies.rs
+++ b/crates/testbed/src/soak/bodies.rs
@@ -134,8 +134,10 @@
     let client = ClientPace::draw(rng, pace);
     let request = pace.request(id, deadline, &client);
     let Ok(mut tcp) = TcpStream::connect(address).await else { return };
-    let written = tokio::time::timeout(deadline + MAX_ANSWER_PAUSE, client.write(&mut tcp, &request)).await;
-    let is_written = matches!(written, Ok(Ok(())));
+    let patience = deadline + MAX_ANSWER_PAUSE + client.pauses_of_writing();
+    let written = tokio::time::timeout(patience, client.write(&mut tcp, &request)).await;
+    let Ok(written) = written else { return }; // the client has left amid its request
+    let is_written = written.is_ok();
     let sent_at = recorder.now();
     let mut record = BodyRecord {
         id,
--- a/crates/testbed/src/soak/client_pace.rs
+++ b/crates/testbed/src/soak/client_pace.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Returns how long it pauses in all while it writes its request.
+    pub(super) fn pauses_of_writing(self) -> Duration {
+        self.write_pause * (self.pieces as u32 - 1)
+    }
+
     /// Writes a request.
     pub(super) async fn write(self, tcp: &mut TcpStream, request: &[u8]) -> std::io::Result<()> {
         for (number, piece) in request.chunks(request.len().div_ceil(self.pieces)).enumerate() {
