A client that is answered amid its large request can write on and read its answer

Callers saw: a connection that was cut, and no answer, where a backend failed while its request was still arriving and the client wrote the rest for longer than 2.6 s.

Cause: at the end of the early answer the connection counted as waiting for its next request, although the rest of the body was still being read and dropped. Its next bytes began the time of a head (HEAD_TIMEOUT), at whose end the connection is cut.

Change: the connection stays busy until the rest of the body was read, within the same pauses and minimum rate as before, and closes then: the answer says 'Connection: close'.

Evidence: the new test in tests/slow_uploads.rs (400 kB in 5 s, declared and chunked, a backend that closes after 16 KiB) got 'Broken pipe' in the last part of the declared body before, and reads its 5xx now. The tests beside it pass.

--- a/crates/lotusdeck/tests/slow_uploads.rs
+++ b/crates/lotusdeck/tests/slow_uploads.rs
@@ -222,3 +222,39 @@
     let answered = halves.iter().filter(is_answered).count();
     assert!(answered >= CROWD / 2, "{answered} of {CROWD}");
 }
+
+/// Starts a backend that closes each connection after the first part of its request.
+fn closing_backend() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for mut tcp in listener.incoming().flatten() {
+            let _ = tcp.read(&mut [0; READ_BYTES]);
+        }
+    });
+    address
+}
+
+/// Guards against an early answer that is lost as its connection is cut while the client still writes, and against the rest of
+/// a body that is taken for the next request.
+#[test]
+fn a_client_that_is_answered_while_it_writes_slowly_reads_its_answer_afterwards() {
+    const PARTS: usize = 10;
+    const PART_BYTES: usize = 40_000;
+    const PART_PAUSE: Duration = Duration::from_millis(500);
+    for framing in [Framing::Length, Framing::Chunked] {
+        let proxy = Proxy::start(&[entry("b0", closing_backend(), "SERVING")]);
+        let mut client = proxy.client();
+        let request = request(framing, PARTS * PART_BYTES, Duration::from_secs(3));
+        for (number, part) in request.chunks(PART_BYTES).enumerate() {
+            let written = client.0.get_mut().write_all(part);
+            assert!(written.is_ok(), "{framing:?}, part {number}: {written:?}");
+            std::thread::sleep(PART_PAUSE);
+        }
+        let answer = client.answer().expect("the final answer");
+        assert!(answer.status() >= 500, "{framing:?}: {}", answer.status());
+        if answer.header("connection") != Some("close") {
+            assert_eq!(client.ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n").status(), 200, "{framing:?}");
+        }
+    }
+}
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -3,6 +3,7 @@
 use crate::client_counts::ClientCounts;
 use crate::eviction_order::{ClientId, EvictionRank, SILENT_CONNECTION_AGE, STALLED_HEAD_AGE};
 use crate::stream::Stream;
+use crate::upload::Upload;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,6 +28,8 @@
     has_sent_request: Cell<bool>,
     /// Whether a large answer is being sent to it.
     pub is_streaming: Cell<bool>,
+    /// The request's body, if the request was answered before all of it was read.
+    pub unread_upload: Cell<Option<Rc<Upload>>>,
     /// When it was accepted or last answered.
     pub idle_since: Cell<tokio::time::Instant>,
     /// Whether it was evicted or has ended.
@@ -50,6 +53,7 @@
             is_busy: Cell::default(),
             has_sent_request: Cell::default(),
             is_streaming: Cell::default(),
+            unread_upload: Cell::default(),
             idle_since: Cell::new(accepted_at),
             is_closing: Cell::default(),
             rank: Cell::default(),
--- a/crates/proxy/src/client_connection.rs
+++ b/crates/proxy/src/client_connection.rs
@@ -7,6 +7,7 @@
 use crate::request_handler::RequestHandler;
 use crate::timer::Timer;
 use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -107,8 +108,13 @@
     let version = request.version();
     let mut answer = handler.handle(client, request).await;
     answer.body_mut().set_client(&client.stream, version);
-    let busy = BusyConnection { front: front.clone(), client: client.clone() };
-    answer.body_mut().hold_until_end(busy); // busy until the end of an answer that is streamed
+    // Busy until the end of an answer that is streamed, and until the rest of the request was read.
+    let busy = Rc::new(BusyConnection { front: front.clone(), client: client.clone() });
+    if let Some(upload) = client.unread_upload.take() {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        upload.discard_rest(busy.clone());
+    }
+    answer.body_mut().hold_until_end(busy);
     answer
 }
 
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -215,7 +215,7 @@
             return Err(fault); // even if the attempt that the fault ended has a result
         }
         if let Some(upload) = upload.filter(|upload| !upload.is_complete()) {
-            upload.discard_rest();
+            client.unread_upload.set(Some(upload));
         }
         unanswered.mark_answered();
         Ok(answer.ok())
--- a/crates/proxy/src/upload.rs
+++ b/crates/proxy/src/upload.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Body, Incoming};
 use lotusdeck_core::to_duration;
 use lotusdeck_policy::Micros;
+use std::any::Any;
 use std::cell::{Cell, Ref, RefCell};
 use std::future::Future;
 use std::pin::Pin;
@@ -225,14 +226,21 @@
     }
 
     /// Reads and drops what the client still sends after its answer: if those bytes stayed unread, the answer could
-    /// be lost on its way.
-    pub(crate) fn discard_rest(&self) {
+    /// be lost on its way. Drops `connection_guard` at the end of the body, or where its client stops sending.
+    pub(crate) fn discard_rest(&self, connection_guard: impl Any) {
         let Some(mut remaining) = self.remaining.take() else { return };
         let mut bytes_read = self.bytes_read.get();
         let started_at = self.started_at;
-        let max_pause = self.pause_limit.shortest();
+        let pause_limit = self.pause_limit.clone();
         tokio::task::spawn_local(async move {
-            while let Ok(Some(Ok(frame))) = tokio::time::timeout(max_pause, remaining.frame()).await {
+            let _guard = connection_guard;
+            loop {
+                let frame = tokio::select! {
+                    biased;
+                    frame = remaining.frame() => frame,
+                    () = pause_limit.clone().exceeded() => return,
+                };
+                let Some(Ok(frame)) = frame else { return };
                 bytes_read += frame.data_ref().map_or(0, |data| data.len() as u64);
                 if bytes_read > MAX_BODY_BYTES || !is_fast_enough(started_at, bytes_read) {
                     return;
