Soak: a process that is killed while a client still writes its request loses that request

The trace (NODE_LOG=debug): the request is accepted at 1.119 s, its process writes its last line at 3.656 s and the next one starts 0.4 s later, with no 'stopping' between them: it was killed outright, as DEPLOY allows at any time. The client paused between two parts of its request just then; its last part was still taken, at 3.681 s, and the judge looked for the end of a process from that time on.

Change: it looks from the request's first byte on.

Result: the new check in the judge's tests; what was not begun when its process ended still counts as lost.

--- a/crates/testbed/src/soak/bodies.rs
+++ b/crates/testbed/src/soak/bodies.rs
@@ -134,6 +134,7 @@
     let client = ClientPace::draw(rng, pace);
     let request = pace.request(id, deadline, &client);
     let Ok(mut tcp) = TcpStream::connect(address).await else { return };
+    let started_at = recorder.now();
     let patience = deadline + MAX_ANSWER_PAUSE + client.pauses_of_writing();
     let written = tokio::time::timeout(patience, client.write(&mut tcp, &request)).await;
     let Ok(written) = written else { return }; // the client has left amid its request
@@ -144,6 +145,7 @@
         proxy,
         class: pace.class(),
         kind: pace.kind(),
+        started_at,
         sent_at,
         deadline,
         is_written,
--- a/crates/testbed/src/soak/judge/bodies.rs
+++ b/crates/testbed/src/soak/judge/bodies.rs
@@ -85,7 +85,7 @@
     /// Returns whether the process of a request ended while the request was open, and not by itself before it could have been
     /// killed.
     fn ended_when_due(&self, body: &BodyRecord) -> bool {
-        let Some(end) = self.process_end(body.proxy, body.sent_at, body.ended_at) else { return false };
+        let Some(end) = self.process_end(body.proxy, body.started_at, body.ended_at) else { return false };
         let is_stop = |event: &ProcessEvent| matches!(event, ProcessEvent::Stopping);
         let stopped_at = self.event_at(end.process, is_stop);
         stopped_at.is_none_or(|stopped_at| end.at + CROSSING >= stopped_at + self.plan.kill_after())
--- a/crates/testbed/src/soak/records.rs
+++ b/crates/testbed/src/soak/records.rs
@@ -92,6 +92,8 @@
     pub class: Class,
     /// What is large about it.
     pub kind: BodyKind,
+    /// When its first byte was written.
+    pub started_at: Duration,
     /// When its last byte was written.
     pub sent_at: Duration,
     /// How long its client waits for the answer.
--- a/crates/testbed/src/soak/tests.rs
+++ b/crates/testbed/src/soak/tests.rs
@@ -137,6 +137,7 @@
         proxy: 0,
         class: Class::Read,
         kind: BodyKind::LongAnswer,
+        started_at: ms(800),
         sent_at: ms(1_000),
         deadline: ms(1_000),
         is_written: true,
@@ -261,6 +262,13 @@
     let kill = [ProcessEvent::Killed, ProcessEvent::Ended { killed: true, expected: true }]
         .map(|e| event(ms(2_400), e));
     assert_eq!(broken_by_body(&plan, long_answer(200, false), Some(ms(1_010)), &kill), []);
+    let killed_at = |at| {
+        let kill = kill.map(|record| ProcessRecord { at: ms(at), ..record });
+        let body = BodyRecord { kind: BodyKind::LargeRequest, began_at: None, ..long_answer(502, false) };
+        broken_by_body(&plan, body, None, &kill)
+    };
+    assert_eq!(killed_at(900), [], "its client was still writing");
+    assert_eq!(killed_at(790), [Rule::Lost], "it had not begun");
     let closed = request(Class::Read, ms(2_000), Outcome::Closed { at: ms(2_395) });
     assert_eq!(broken(&plan, closed, &[attempt(1, ms(2_001))], &kill), []);
     assert_eq!(broken(&plan, closed, &[attempt(1, ms(2_001))], &[]), [Rule::Lost]);
